--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,75 @@
+#include "app/daemon.h"
+#include "app/daemonsettings.h"
+#include "utils/eventcatalogue.h"
+#include "utils/eventlog.h"
+
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace {
+
+using namespace WisteriaHill;
+
+constexpr const char* usage = R"(wisteriahilld - scheduler daemon of one entry host
+
+Usage:
+  wisteriahilld --settings FILE [--check]
+  wisteriahilld --events
+  wisteriahilld (-h | --help)
+  wisteriahilld --version
+
+Options:
+  --settings FILE  Settings, JSON with comments (docs/SETTINGS.md).
+  --check          Check the settings and exit.
+  --events         Print the catalogue of log events as a table and exit.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Exit status: 0 after a graceful stop, 1 when an address cannot be listened on, 2 when the settings have faults.
+)";
+
+constexpr int exitOk = 0;
+constexpr int exitCannotRun = 1;
+constexpr int exitBadSettings = 2;
+
+int reportFaults(const Utils::JsonFaults& faults)
+{
+    std::cerr << Utils::formatFaults(faults);
+    return exitBadSettings;
+}
+
+int serve(const App::DaemonSettings& settings)
+{
+    Utils::initialiseEventLog({ .processName = settings.host.value(), .level = settings.logLevel });
+    try {
+        App::Daemon daemon(settings);
+        daemon.run();
+    } catch (const std::runtime_error& error) {
+        Utils::logEvent(Utils::Event::ListenFailed, error.what());
+        return exitCannotRun;
+    }
+    return exitOk;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    const auto arguments = docopt::docopt(usage, words, true, "wisteriahilld 0.1.0");
+    if (arguments.at("--events").asBool()) {
+        std::cout << Utils::eventCatalogueMarkdown();
+        return exitOk;
+    }
+    const auto text = App::readTextFile(arguments.at("--settings").asString());
+    if (const auto* fault = std::get_if<Utils::JsonFault>(&text))
+        return reportFaults({ *fault });
+    const auto settings = App::parseDaemonSettings(std::get<std::string>(text));
+    if (const auto* faults = std::get_if<Utils::JsonFaults>(&settings))
+        return reportFaults(*faults);
+    if (arguments.at("--check").asBool()) {
+        std::cout << "the settings are well formed\n";
+        return exitOk;
+    }
+    return serve(std::get<App::DaemonSettings>(settings));
+}
--- /dev/null
+++ b/src/libs/adapters/backendclient.h
@@ -0,0 +1,26 @@
+/// Backend servers over HTTP: requests and lease batches.
+#pragma once
+
+#include "adapters/httpclient.h"
+#include "controllers/effects.h"
+
+#include <functional>
+
+namespace WisteriaHill::Adapters {
+
+/// Thread safety: none.
+class BackendClient {
+public:
+    /// The client must outlive this object.
+    explicit BackendClient(HttpClient& client);
+
+    void run(const Model::BackendServer& server, const Model::RunRequest& request, Duration timeout,
+        std::function<void(Controllers::RunResult)> done);
+    void sendLeaseBatch(const Model::BackendServer& server, const Model::LeaseBatch& batch, Duration timeout,
+        std::function<void(Controllers::LeaseBatchResult)> done);
+
+private:
+    HttpClient& client;
+};
+
+} // namespace WisteriaHill::Adapters
--- /dev/null
+++ b/src/libs/adapters/daemonrunner.h
@@ -0,0 +1,131 @@
+/// Carries out what the daemon's core asks for, over whatever links it is given.
+#pragma once
+
+#include "controllers/daemoncore.h"
+#include "utils/result.h"
+#include "utils/steadytime.h"
+
+#include <concepts>
+#include <functional>
+#include <utility>
+
+namespace WisteriaHill::Adapters {
+
+using Utils::Duration;
+
+/// The platform's table service and host list.
+template <typename T>
+concept Platform = requires(T platform, const Model::TableOperation& operation, Duration timeout,
+    std::function<void(Model::TableAnswer)> tableDone, std::function<void(Controllers::HostListResult)> listDone)
+{
+    platform.call(operation, timeout, tableDone);
+    platform.fetchHostList(timeout, listDone);
+};
+
+/// The backend servers.
+template <typename T>
+concept BackendLink = requires(T backend, const Model::BackendServer& server, const Model::RunRequest& request,
+    const Model::LeaseBatch& batch, Duration timeout, std::function<void(Controllers::RunResult)> runDone,
+    std::function<void(Controllers::LeaseBatchResult)> batchDone)
+{
+    backend.run(server, request, timeout, runDone);
+    backend.sendLeaseBatch(server, batch, timeout, batchDone);
+};
+
+/// The other daemons.
+template <typename T>
+concept PeerTransport = requires(T peers, const Model::PeerAddress& to, const Model::Heartbeat& heartbeat,
+    const Model::PeerQuestion& question, Duration timeout, std::function<void(Controllers::PeerResult)> done)
+{
+    peers.sendHeartbeat(to, heartbeat);
+    peers.ask(to, question, timeout, done);
+};
+
+/// Callers, operators, the log and the process itself.
+template <typename T>
+concept FrontEnd = requires(T front, const Controllers::AnswerCaller& answer,
+    const Controllers::AnswerDocument& document, const Controllers::LogEvent& event)
+{
+    front.answer(answer);
+    front.answer(document);
+    front.log(event);
+    front.exitProcess();
+};
+
+/// Thread safety: none. The core and the links must outlive the runner and every call that is open.
+template <Platform PlatformType, BackendLink BackendType, PeerTransport PeerType, FrontEnd FrontType,
+    Utils::Clock ClockType>
+class DaemonRunner {
+public:
+    struct Links {
+        PlatformType& platform;
+        BackendType& backend;
+        PeerType& peers;
+        FrontType& front;
+        const ClockType& clock;
+    };
+
+    DaemonRunner(Controllers::DaemonCore& core, Links links)
+        : core(core)
+        , links(links)
+    {
+    }
+
+    /// Gives the core one input, called with the time, and carries out the effects.
+    template <typename Input> void input(Input&& give)
+    {
+        std::forward<Input>(give)(this->core, this->links.clock.now());
+        this->carryOut();
+    }
+
+private:
+    void carryOut()
+    {
+        for (Controllers::Effect& effect : this->core.takeEffects())
+            std::visit([this](auto& known) { this->perform(known); }, effect);
+    }
+
+    /// A callback that brings the answer of a call to the core.
+    auto completion(Controllers::CallId call)
+    {
+        return [this, call](auto answer) {
+            this->input([&](Controllers::DaemonCore& core, Utils::SteadyTime now) {
+                core.callAnswered(call, Controllers::CallAnswer(std::move(answer)), now);
+            });
+        };
+    }
+
+    void perform(const Controllers::CallTable& effect)
+    {
+        this->links.platform.call(effect.operation, effect.timeout, this->completion(effect.call));
+    }
+    void perform(const Controllers::FetchHostList& effect)
+    {
+        this->links.platform.fetchHostList(effect.timeout, this->completion(effect.call));
+    }
+    void perform(const Controllers::RunOnServer& effect)
+    {
+        this->links.backend.run(effect.server, effect.request, effect.timeout, this->completion(effect.call));
+    }
+    void perform(const Controllers::SendLeaseBatch& effect)
+    {
+        this->links.backend.sendLeaseBatch(effect.server, effect.batch, effect.timeout, this->completion(effect.call));
+    }
+    void perform(const Controllers::SendHeartbeat& effect)
+    {
+        this->links.peers.sendHeartbeat(effect.to, effect.heartbeat);
+    }
+    void perform(const Controllers::AskPeer& effect)
+    {
+        this->links.peers.ask(effect.to, effect.question, effect.timeout, this->completion(effect.call));
+    }
+    void perform(const Controllers::AnswerCaller& effect) { this->links.front.answer(effect); }
+    void perform(const Controllers::AnswerDocument& effect) { this->links.front.answer(effect); }
+    void perform(const Controllers::LogEvent& effect) { this->links.front.log(effect); }
+    void perform(const Controllers::ExitProcess&) { this->links.front.exitProcess(); }
+
+    Controllers::DaemonCore& core;
+    Links links;
+};
+
+} // namespace WisteriaHill::Adapters
--- /dev/null
+++ b/src/libs/adapters/eventloop.cpp
@@ -0,0 +1,130 @@
+#include "adapters/eventloop.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+
+namespace WisteriaHill::Adapters {
+
+namespace {
+
+constexpr unsigned int descriptorLimit = 4096;
+constexpr unsigned int headerPool = 2048;
+constexpr unsigned int serviceBufferBytes = 65536;
+constexpr lws_usec_t usecPerMs = 1000;
+
+volatile std::sig_atomic_t terminationRequested = 0;
+lws_context* contextToWake = nullptr;
+
+void onSignal(int)
+{
+    terminationRequested = 1;
+    if (contextToWake)
+        lws_cancel_service(contextToWake);
+}
+
+} // namespace
+
+struct EventLoop::Timer {
+    lws_sorted_usec_list_t entry {}; // must be first: the timer is found from its address
+    EventLoop* loop = nullptr;
+    std::function<void()> action;
+    Duration interval { 0 }; ///< zero for a timer that fires once
+};
+
+EventLoop::EventLoop()
+{
+    lws_set_log_level(LLL_ERR, nullptr);
+    lws_context_creation_info info {};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    info.fd_limit_per_thread = descriptorLimit;
+    info.max_http_header_pool2 = headerPool;
+    info.pt_serv_buf_size = serviceBufferBytes;
+    this->lwsContext = lws_create_context(&info);
+    if (!this->lwsContext)
+        throw std::runtime_error("the event loop could not be created");
+}
+
+EventLoop::~EventLoop()
+{
+    contextToWake = nullptr;
+    for (const std::unique_ptr<Timer>& timer : this->timers)
+        lws_sul_schedule(this->lwsContext, 0, &timer->entry, nullptr, LWS_SET_TIMER_USEC_CANCEL);
+    lws_context_destroy(this->lwsContext);
+}
+
+void EventLoop::schedule(Duration delay, Duration interval, std::function<void()> action)
+{
+    auto timer = std::make_unique<Timer>();
+    timer->loop = this;
+    timer->action = std::move(action);
+    timer->interval = interval;
+    const lws_usec_t wait = std::max<lws_usec_t>(1, delay.count() * usecPerMs);
+    lws_sul_schedule(this->lwsContext, 0, &timer->entry, timerFired, wait);
+    this->timers.push_back(std::move(timer));
+}
+
+void EventLoop::after(Duration delay, std::function<void()> action)
+{
+    this->schedule(delay, Duration(0), std::move(action));
+}
+
+void EventLoop::every(Duration interval, std::function<void()> action)
+{
+    this->schedule(interval, interval, std::move(action));
+}
+
+void EventLoop::timerFired(lws_sorted_usec_list_t* entry)
+{
+    auto* timer = reinterpret_cast<Timer*>(entry);
+    timer->loop->wake();
+    if (timer->interval.count() > 0) {
+        lws_sul_schedule(timer->loop->lwsContext, 0, &timer->entry, timerFired, timer->interval.count() * usecPerMs);
+        timer->action();
+        return;
+    }
+    const std::function<void()> action = std::move(timer->action);
+    timer->loop->removeTimer(timer);
+    action();
+}
+
+void EventLoop::removeTimer(Timer* timer)
+{
+    const auto found
+        = std::ranges::find_if(this->timers, [&](const std::unique_ptr<Timer>& owned) { return owned.get() == timer; });
+    std::swap(*found, this->timers.back());
+    this->timers.pop_back();
+}
+
+void EventLoop::onTerminationSignal(std::function<void()> action)
+{
+    this->terminationAction = std::move(action);
+    contextToWake = this->lwsContext;
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+bool EventLoop::runOnce()
+{
+    const bool served = lws_service(this->lwsContext, 0) >= 0;
+    while (!this->posted.empty()) {
+        const std::function<void()> action = std::move(this->posted.front());
+        this->posted.pop_front();
+        action();
+    }
+    return served;
+}
+
+void EventLoop::run()
+{
+    while (this->running && this->runOnce()) {
+        if (terminationRequested == 0 || !this->terminationAction)
+            continue;
+        terminationRequested = 0;
+        this->terminationAction();
+    }
+}
+
+} // namespace WisteriaHill::Adapters
--- /dev/null
+++ b/src/libs/adapters/heartbeatlink.h
@@ -0,0 +1,40 @@
+/// Heartbeats as UDP datagrams.
+#pragma once
+
+#include "adapters/eventloop.h"
+#include "model/peermessage.h"
+
+#include <functional>
+
+namespace WisteriaHill::Adapters {
+
+/// Thread safety: none; all calls and callbacks on the loop's thread.
+class HeartbeatLink {
+public:
+    using Received = std::function<void(const Model::Heartbeat&)>;
+    using Rejected = std::function<void(std::size_t bytes)>;
+
+    /// Binds to `own`; throws std::runtime_error when that fails. The loop must outlive the link.
+    HeartbeatLink(EventLoop& loop, const Model::PeerAddress& own, Received received, Rejected rejected);
+    HeartbeatLink(const HeartbeatLink&) = delete;
+    HeartbeatLink& operator=(const HeartbeatLink&) = delete;
+
+    /// Sends one datagram; loss is not reported.
+    void send(const Model::PeerAddress& to, const Model::Heartbeat& heartbeat);
+
+    std::uint64_t bytesSent() const { return this->sent; }
+    std::uint64_t bytesReceived() const { return this->receivedBytes; }
+
+private:
+    static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
+
+    Received received;
+    Rejected rejected;
+    lws_protocols protocols[2] {};
+    lws_vhost* vhost = nullptr;
+    lws* socket = nullptr;
+    std::uint64_t sent = 0;
+    std::uint64_t receivedBytes = 0;
+};
+
+} // namespace WisteriaHill::Adapters
--- /dev/null
+++ b/src/libs/adapters/httpclient.h
@@ -0,0 +1,73 @@
+/// An HTTP/1.1 client on the event loop: one connection per request, so that a late answer can't meet another request.
+#pragma once
+
+#include "adapters/eventloop.h"
+#include "adapters/httpmessage.h"
+#include "utils/result.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace WisteriaHill::Adapters {
+
+/// A request to send.
+struct HttpCall {
+    std::string address; ///< an IP number
+    std::uint16_t port = 0;
+    std::string method = "GET";
+    std::string path;
+    HttpHeaders headers;
+    std::string body;
+    Duration timeout { 0 };
+    std::size_t maximumAnswer = 8'388'608; ///< bytes
+};
+
+enum class HttpClientError {
+    NotSent, ///< no byte of the request left
+    Truncated, ///< the connection ended before the whole answer
+    TimedOut,
+    Oversized,
+};
+
+using HttpCallResult = Utils::Result<HttpResponse, HttpClientError>;
+
+/// Thread safety: none; all calls and callbacks on the loop's thread.
+class HttpClient {
+public:
+    using Done = std::function<void(HttpCallResult)>;
+
+    /// The loop must outlive the client.
+    explicit HttpClient(EventLoop& loop);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /// Sends a call; `done` is called exactly once, from the loop, at the latest when the timeout ends.
+    void send(HttpCall call, Done done);
+
+    /// Bytes of bodies and request lines sent and received since the start.
+    std::uint64_t bytesSent() const { return this->sent; }
+    std::uint64_t bytesReceived() const { return this->received; }
+
+private:
+    struct Transaction;
+
+    static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
+    static int addHeaders(lws* wsi, Transaction& transaction, unsigned char** position, unsigned char* end);
+    static int writeBody(lws* wsi, Transaction& transaction);
+    static void readResponseHead(lws* wsi, Transaction& transaction);
+    static void timedOut(lws_sorted_usec_list_t* entry);
+    void finish(Transaction& transaction, HttpCallResult result);
+
+    EventLoop& loop;
+    lws_protocols protocols[2] {};
+    lws_vhost* vhost = nullptr;
+    std::unordered_set<Transaction*> open;
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+};
+
+} // namespace WisteriaHill::Adapters
--- /dev/null
+++ b/src/libs/adapters/httpserver.h
@@ -0,0 +1,71 @@
+/// An HTTP/1.1 server on the event loop.
+#pragma once
+
+#include "adapters/eventloop.h"
+#include "adapters/httpmessage.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace WisteriaHill::Adapters {
+
+/// Names one request that waits for its response.
+using HttpExchangeId = std::uint64_t;
+
+struct HttpServerOptions {
+    std::string address; ///< an IP number
+    std::uint16_t port = 0;
+    std::size_t maximumBody = 1'048'576; ///< bytes
+};
+
+/// Thread safety: none; all calls and callbacks on the loop's thread.
+class HttpServer {
+public:
+    using RequestHandler = std::function<void(HttpExchangeId, HttpRequest)>;
+    using GoneHandler = std::function<void(HttpExchangeId)>;
+
+    /// `gone` is called when a connection ends before its response was given. Throws std::runtime_error when the
+    /// address can't be listened on. The loop must outlive the server.
+    HttpServer(EventLoop& loop, HttpServerOptions options, RequestHandler handler, GoneHandler gone = {});
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Sends the response; ignored when the connection is gone.
+    void respond(HttpExchangeId exchange, HttpResponse response);
+
+    /// Ends the connection without a response.
+    void abort(HttpExchangeId exchange);
+
+    /// Exchanges whose response was not given or not wholly written yet.
+    std::size_t openExchanges() const { return this->exchanges.size(); }
+
+    /// Takes no further connections. The ones that are open are served to their end.
+    void stopListening();
+
+private:
+    struct Exchange;
+    struct Session;
+
+    static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
+    int onRequest(lws* wsi, Session& session);
+    int onBody(lws* wsi, Session& session, const char* data, std::size_t length);
+    void onBodyComplete(Session& session);
+    int onWriteable(lws* wsi, Session& session);
+    int writeHeaders(lws* wsi, Exchange& exchange);
+    void onClosed(Session& session);
+
+    HttpServerOptions options;
+    RequestHandler handler;
+    GoneHandler gone;
+    lws_protocols protocols[2] {};
+    lws_vhost* vhost = nullptr;
+    std::map<HttpExchangeId, std::unique_ptr<Exchange>> exchanges;
+    HttpExchangeId lastExchange = 0;
+    bool listening = true;
+};
+
+} // namespace WisteriaHill::Adapters
--- /dev/null
+++ b/src/libs/controllers/daemoncore.cpp
@@ -0,0 +1,197 @@
+#include "controllers/daemoncore.h"
+
+#include "controllers/statedump.h"
+#include "utils/digest.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Controllers {
+
+namespace {
+
+using Model::HostPhase;
+using Utils::Event;
+using Utils::Overloaded;
+
+constexpr Duration hostListInterval { 1000 };
+constexpr Duration hostListTimeout { 900 };
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+
+Model::Blackboard initialBlackboard(const CoreOptions& options)
+{
+    Model::Blackboard blackboard;
+    blackboard.self = options.identity;
+    return blackboard;
+}
+
+} // namespace
+
+DaemonCore::DaemonCore(CoreOptions givenOptions)
+    : options(std::move(givenOptions))
+    , blackboard(initialBlackboard(this->options))
+    , random(this->options.seed)
+    , writer(this->blackboard, this->outbox, this->random)
+    , health(this->blackboard, this->outbox, this->random)
+    , membership(this->blackboard, this->outbox, this->health, this->random, this->options.seeds)
+    , configuration(
+          this->blackboard, this->outbox, this->random, [this](SteadyTime now) { this->configurationApplied(now); })
+    , claims(this->blackboard, this->outbox, this->writer, this->random)
+    , requests(this->blackboard, this->outbox, this->claims, this->health, this->random)
+{
+}
+
+void DaemonCore::submitRequest(CallerId caller, Model::CallerRequest request, SteadyTime now)
+{
+    this->requests.submit(caller, std::move(request), now);
+}
+
+void DaemonCore::editSection(SectionEdit edit, SteadyTime now) { this->configuration.edit(std::move(edit), now); }
+
+void DaemonCore::setDrained(CallerId caller, const Model::BackendServerId& server, bool drained, SteadyTime now)
+{
+    const bool known = this->blackboard.configuration && this->blackboard.configuration->server(server);
+    if (!known) {
+        this->outbox.add(AnswerDocument { .caller = caller,
+            .status = statusNotFound,
+            .document = { { "error", "unknown backend server " + server.value() } } });
+        return;
+    }
+    this->health.setDrained(server, drained, now);
+    this->outbox.add(AnswerDocument {
+        .caller = caller, .status = statusOk, .document = { { "server", server }, { "drained", drained } } });
+}
+
+void DaemonCore::callerGone(CallerId caller, SteadyTime now) { this->requests.callerGone(caller, now); }
+
+std::optional<Model::ClientAccountId> DaemonCore::accountOf(const std::string& credential) const
+{
+    if (!this->blackboard.configuration)
+        return std::nullopt;
+    const Model::ClientAccount* account
+        = this->blackboard.configuration->accountOfCredential(Utils::sha256Hex(credential));
+    return account ? std::optional(account->id) : std::nullopt;
+}
+
+std::optional<Model::TeamId> DaemonCore::teamOf(const std::string& credential) const
+{
+    const std::string digest = Utils::sha256Hex(credential);
+    if (digest == this->options.bootstrapCredentialSha256)
+        return Model::TeamId(this->options.bootstrapTeam);
+    const Model::Team* team
+        = this->blackboard.configuration ? this->blackboard.configuration->teamOfCredential(digest) : nullptr;
+    return team ? std::optional(team->id) : std::nullopt;
+}
+
+bool DaemonCore::mayEdit(const Model::TeamId& team, const std::string& section) const
+{
+    if (this->blackboard.configuration) {
+        for (const auto& [id, candidate] : this->blackboard.configuration->teams) {
+            if (std::ranges::find(candidate.sections, section) != candidate.sections.end())
+                return id == team;
+        }
+    }
+    return team.value() == this->options.bootstrapTeam;
+}
+
+void DaemonCore::heartbeatReceived(const Model::Heartbeat& heartbeat, SteadyTime now)
+{
+    this->membership.heartbeatReceived(heartbeat, now);
+}
+
+Model::PeerReply DaemonCore::answerPeer(const Model::PeerQuestion& question, SteadyTime)
+{
+    return std::visit(
+        Overloaded {
+            [this](const Model::FetchConfiguration&) -> Model::PeerReply { return this->configuration.copy(); },
+            [](const Model::CancelOwnedJob&) -> Model::PeerReply { return Model::JobCancelNoted {}; },
+        },
+        question);
+}
+
+void DaemonCore::callAnswered(CallId call, const CallAnswer& answer, SteadyTime now)
+{
+    this->outbox.complete(call, answer, now);
+}
+
+void DaemonCore::configurationApplied(SteadyTime now)
+{
+    this->health.configurationChanged(now);
+    if (this->blackboard.phase == HostPhase::Starting) {
+        this->blackboard.phase = HostPhase::Ready;
+        this->outbox.log(Event::DaemonReady, "revision " + std::to_string(this->blackboard.configuration->revision));
+    }
+}
+
+void DaemonCore::tick(SteadyTime now)
+{
+    if (this->exited)
+        return;
+    this->pollHostList(now);
+    this->configuration.tick(now);
+    this->health.tick(now);
+    this->writer.tick(now);
+    this->requests.tick(now);
+    this->membership.tick(now);
+    if (this->blackboard.phase == HostPhase::Stopping)
+        this->continueStop(now);
+}
+
+void DaemonCore::pollHostList(SteadyTime now)
+{
+    if (this->hostListOpen || now < this->nextHostList)
+        return;
+    this->hostListOpen = true;
+    this->nextHostList = now + hostListInterval;
+    this->outbox.fetchHostList(hostListTimeout, [this](const HostListResult& result, SteadyTime at) {
+        this->hostListOpen = false;
+        const auto* hosts = std::get_if<std::vector<ListedHost>>(&result);
+        if (!hosts)
+            return;
+        this->membership.listRead(*hosts);
+        this->health.listRead(*hosts, at);
+    });
+}
+
+void DaemonCore::beginStop(SteadyTime now)
+{
+    if (this->blackboard.phase == HostPhase::Stopping)
+        return;
+    this->blackboard.phase = HostPhase::Stopping;
+    this->stopBegan = now;
+    this->outbox.log(Event::DaemonStopping, this->unfinished());
+}
+
+std::string DaemonCore::unfinished() const
+{
+    return std::to_string(this->requests.open()) + " requests, " + std::to_string(this->claims.open()) + " claims, "
+        + std::to_string(this->configuration.open()) + " edits, " + std::to_string(this->writer.pending()) + " writes";
+}
+
+void DaemonCore::continueStop(SteadyTime now)
+{
+    const bool finished = this->requests.open() == 0 && this->claims.open() == 0 && this->configuration.open() == 0
+        && this->writer.pending() == 0;
+    const bool noticed = now - this->stopBegan >= this->options.stopNotice;
+    const bool boundReached = now - this->stopBegan >= this->options.stopBound;
+    if (!boundReached && !(finished && noticed))
+        return;
+    if (!finished)
+        this->outbox.log(Event::StopBoundReached, this->unfinished());
+    this->exited = true;
+    this->membership.sayGoodbye(now);
+    this->outbox.log(Event::DaemonStopped, this->unfinished());
+    this->outbox.add(ExitProcess {});
+}
+
+Utils::Json DaemonCore::dump(SteadyTime now) const
+{
+    Utils::Json json = dumpBlackboard(this->blackboard, now);
+    json["queue"] = { { "open", this->requests.open() }, { "queued", this->requests.queued() } };
+    json["claims"] = this->claims.open();
+    json["writesPending"] = this->writer.pending();
+    json["callsOpen"] = this->outbox.openCalls();
+    return json;
+}
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/membershipcontroller.cpp
@@ -0,0 +1,171 @@
+#include "controllers/membershipcontroller.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Controllers {
+
+namespace {
+
+using Model::Heartbeat;
+using Model::HostPhase;
+using Model::Member;
+using Model::PeerAddress;
+using Utils::Event;
+
+constexpr Duration ownZoneInterval { 400 };
+constexpr Duration otherZoneInterval { 2000 };
+constexpr Duration strangerInterval { 1000 };
+constexpr Duration ownZoneFailureTimeout { 1500 };
+constexpr Duration otherZoneFailureTimeout { 7000 };
+constexpr Duration forgetAfter = std::chrono::hours(1);
+
+} // namespace
+
+MembershipController::MembershipController(Model::Blackboard& blackboard, Outbox& outbox,
+    ServerHealthController& health, Utils::RandomSource& random, std::vector<PeerAddress> seeds)
+    : blackboard(blackboard)
+    , outbox(outbox)
+    , health(health)
+    , random(random)
+    , strangers(std::move(seeds))
+{
+    std::erase(this->strangers, blackboard.self.address);
+}
+
+void MembershipController::heartbeatReceived(const Heartbeat& heartbeat, SteadyTime now)
+{
+    if (heartbeat.host == this->blackboard.self.host)
+        return;
+    ++this->blackboard.counters.heartbeatsReceived;
+    const auto [entry, isNew] = this->blackboard.members.try_emplace(heartbeat.host);
+    Member& member = entry->second;
+    const bool replaced = !isNew && member.incarnation != heartbeat.incarnation;
+    if (!isNew && !replaced && heartbeat.sequence <= member.lastSequence)
+        return;
+    if (isNew)
+        this->outbox.log(Event::MemberJoined, heartbeat.host.value() + " in " + heartbeat.zone.value());
+    if (replaced)
+        this->outbox.log(Event::MemberReplaced, heartbeat.host.value());
+    if (heartbeat.phase == HostPhase::Left && member.phase != HostPhase::Left)
+        this->outbox.log(Event::MemberLeft, heartbeat.host.value());
+
+    member = { .host = heartbeat.host,
+        .zone = heartbeat.zone,
+        .incarnation = heartbeat.incarnation,
+        .address = heartbeat.address,
+        .phase = heartbeat.phase,
+        .revision = heartbeat.revision,
+        .lastSequence = heartbeat.sequence,
+        .lastHeard = now,
+        .live = heartbeat.phase != HostPhase::Left };
+    std::erase(this->strangers, heartbeat.address);
+
+    for (const Model::DrainMark& mark : heartbeat.drains)
+        this->health.mergeDrain(mark, now);
+    if (heartbeat.zone == this->blackboard.self.zone) {
+        for (const Model::ServerDigest& digest : heartbeat.servers)
+            this->health.digestReceived(digest, now);
+    }
+    if (heartbeat.hint && !this->blackboard.members.contains(heartbeat.hint->host)
+        && heartbeat.hint->host != this->blackboard.self.host
+        && std::ranges::find(this->strangers, heartbeat.hint->address) == this->strangers.end())
+        this->strangers.push_back(heartbeat.hint->address);
+}
+
+void MembershipController::listRead(const std::vector<ListedHost>& hosts)
+{
+    for (const ListedHost& host : hosts) {
+        const bool known = this->blackboard.members.contains(Model::EntryHostId(host.id))
+            || host.id == this->blackboard.self.host.value()
+            || std::ranges::find(this->strangers, host.address) != this->strangers.end();
+        if (host.kind == ListedHost::Kind::EntryHost && !host.leaving && !known)
+            this->strangers.push_back(host.address);
+    }
+}
+
+void MembershipController::tick(SteadyTime now)
+{
+    this->expire(now);
+    if (now >= this->nextOwnZoneRound || this->health.takeUrgentNews()) {
+        this->nextOwnZoneRound = now + this->random.jittered(ownZoneInterval);
+        this->sendRound(true, now);
+    }
+    if (now >= this->nextOtherZoneRound) {
+        this->nextOtherZoneRound = now + this->random.jittered(otherZoneInterval);
+        this->sendRound(false, now);
+    }
+    if (now >= this->nextStrangerRound) {
+        this->nextStrangerRound = now + this->random.jittered(strangerInterval);
+        this->sendToStrangers(now);
+    }
+}
+
+void MembershipController::expire(SteadyTime now)
+{
+    for (auto& [host, member] : this->blackboard.members) {
+        const bool sameZone = member.zone == this->blackboard.self.zone;
+        const Duration timeout = sameZone ? ownZoneFailureTimeout : otherZoneFailureTimeout;
+        if (member.live && now - member.lastHeard >= timeout) {
+            member.live = false;
+            this->outbox.log(Event::MemberLost, host.value());
+        }
+    }
+    std::erase_if(this->blackboard.members,
+        [&](const auto& entry) { return !entry.second.live && now - entry.second.lastHeard >= forgetAfter; });
+}
+
+Heartbeat MembershipController::compose(bool sameZone, SteadyTime now)
+{
+    Heartbeat heartbeat { .host = this->blackboard.self.host,
+        .zone = this->blackboard.self.zone,
+        .incarnation = this->blackboard.self.incarnation,
+        .sequence = ++this->sequence,
+        .phase = this->blackboard.phase,
+        .address = this->blackboard.self.address,
+        .revision = this->blackboard.configuration ? this->blackboard.configuration->revision : 0 };
+    if (sameZone)
+        heartbeat.servers = this->health.takeDigests(now);
+    for (const auto& [server, mark] : this->blackboard.drains)
+        heartbeat.drains.push_back(mark);
+    if (!this->blackboard.members.empty()) {
+        auto member = this->blackboard.members.begin();
+        std::advance(member, static_cast<std::ptrdiff_t>(this->random.below(this->blackboard.members.size())));
+        if (member->second.live)
+            heartbeat.hint = Model::PeerHint { member->first, member->second.address };
+    }
+    return heartbeat;
+}
+
+void MembershipController::sendTo(const PeerAddress& address, const Heartbeat& heartbeat)
+{
+    ++this->blackboard.counters.heartbeatsSent;
+    this->outbox.add(SendHeartbeat { address, heartbeat });
+}
+
+void MembershipController::sendRound(bool sameZone, SteadyTime now)
+{
+    const Heartbeat heartbeat = this->compose(sameZone, now);
+    for (const auto& [host, member] : this->blackboard.members) {
+        if ((member.zone == this->blackboard.self.zone) == sameZone && member.phase != HostPhase::Left)
+            this->sendTo(member.address, heartbeat);
+    }
+}
+
+void MembershipController::sendToStrangers(SteadyTime now)
+{
+    if (this->strangers.empty())
+        return;
+    const Heartbeat heartbeat = this->compose(false, now);
+    for (const PeerAddress& address : this->strangers)
+        this->sendTo(address, heartbeat);
+}
+
+void MembershipController::sayGoodbye(SteadyTime now)
+{
+    Heartbeat heartbeat = this->compose(false, now);
+    heartbeat.phase = HostPhase::Left;
+    for (const auto& [host, member] : this->blackboard.members)
+        this->sendTo(member.address, heartbeat);
+}
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/membershipcontroller.h
@@ -0,0 +1,47 @@
+/// Which entry hosts live: heartbeats, incarnations and goodbyes.
+#pragma once
+
+#include "controllers/outbox.h"
+#include "controllers/serverhealthcontroller.h"
+#include "model/blackboard.h"
+#include "utils/randomsource.h"
+
+#include <vector>
+
+namespace WisteriaHill::Controllers {
+
+/// Thread safety: none.
+class MembershipController {
+public:
+    /// `seeds` are addresses from the settings; more are learnt from the platform's list and from peers.
+    MembershipController(Model::Blackboard& blackboard, Outbox& outbox, ServerHealthController& health,
+        Utils::RandomSource& random, std::vector<Model::PeerAddress> seeds);
+
+    void heartbeatReceived(const Model::Heartbeat& heartbeat, SteadyTime now);
+    void listRead(const std::vector<ListedHost>& hosts);
+
+    /// Sends due heartbeats and notices members that went silent.
+    void tick(SteadyTime now);
+
+    /// Tells every peer that this process ends.
+    void sayGoodbye(SteadyTime now);
+
+private:
+    Model::Heartbeat compose(bool sameZone, SteadyTime now);
+    void sendTo(const Model::PeerAddress& address, const Model::Heartbeat& heartbeat);
+    void sendRound(bool sameZone, SteadyTime now);
+    void sendToStrangers(SteadyTime now);
+    void expire(SteadyTime now);
+
+    Model::Blackboard& blackboard;
+    Outbox& outbox;
+    ServerHealthController& health;
+    Utils::RandomSource& random;
+    std::vector<Model::PeerAddress> strangers; ///< addresses that were never heard from
+    std::uint64_t sequence = 0;
+    SteadyTime nextOwnZoneRound;
+    SteadyTime nextOtherZoneRound;
+    SteadyTime nextStrangerRound;
+};
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/requestcontroller.h
@@ -0,0 +1,90 @@
+/// Callers' requests: admission, fair queueing, routing, retries and the one final answer of each.
+#pragma once
+
+#include "controllers/claimcontroller.h"
+#include "controllers/fairqueue.h"
+#include "controllers/outbox.h"
+#include "controllers/retrybudget.h"
+#include "controllers/serverhealthcontroller.h"
+#include "model/blackboard.h"
+#include "model/request.h"
+#include "utils/randomsource.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace WisteriaHill::Controllers {
+
+/// Thread safety: none.
+class RequestController {
+public:
+    RequestController(Model::Blackboard& blackboard, Outbox& outbox, ClaimController& claims,
+        ServerHealthController& health, Utils::RandomSource& random);
+
+    /// Takes a request in; exactly one AnswerCaller effect follows, at once or later.
+    void submit(CallerId caller, Model::CallerRequest request, SteadyTime now);
+
+    /// The caller's connection is gone. A request that is not dispatched yet is dropped.
+    void callerGone(CallerId caller, SteadyTime now);
+
+    /// Answers what has passed its deadline and dispatches what can go.
+    void tick(SteadyTime now);
+
+    /// Requests without a final answer.
+    std::size_t open() const { return this->requests.size(); }
+    std::size_t queued() const { return this->queue.size(); }
+
+private:
+    enum class Stage {
+        Claiming,
+        Queued,
+        Dispatched,
+    };
+    struct PendingRequest {
+        CallerId caller = 0;
+        Model::CallerRequest request;
+        bool idempotent = true;
+        double weight = 1;
+        std::size_t maximumAnswer = 0;
+        SteadyTime deadline;
+        SteadyTime dispatchedAt;
+        Stage stage = Stage::Queued;
+        std::uint32_t attempts = 0;
+        std::uint32_t refusals = 0; ///< provable not-runs by backend servers
+        std::set<Model::BackendServerId> failedOn; ///< servers that failed it after it may have run
+        std::set<Model::BackendServerId> avoid;
+    };
+
+    void enqueue(std::uint64_t id, SteadyTime now);
+    void onClaim(std::uint64_t id, const ClaimDecision& decision, SteadyTime now);
+    void pump(SteadyTime now);
+    void dispatch(std::uint64_t id, const Model::BackendServerId& server, SteadyTime now);
+    void onResult(std::uint64_t id, const Model::BackendServerId& server, const RunResult& result, SteadyTime now);
+    void onAnswered(
+        std::uint64_t id, const Model::BackendServerId& server, const Model::RunAnswer& answer, SteadyTime now);
+    void onRefusedByServer(std::uint64_t id, Model::BackendError error, SteadyTime now);
+    void onFailed(std::uint64_t id, const Model::BackendServerId& server, Model::BackendError error, SteadyTime now);
+    Duration attemptTimeout(const PendingRequest& request, SteadyTime now) const;
+    Duration expectedWait(const PendingRequest& request, std::size_t ahead) const;
+
+    void finishCompleted(std::uint64_t id, Model::CallerAnswer answer, SteadyTime now);
+    void finishNotRun(std::uint64_t id, int status, std::string reason, SteadyTime now);
+    void finishUnknown(std::uint64_t id, int status, std::string reason, SteadyTime now);
+    void refuse(CallerId caller, int status, std::string reason, Duration retryAfter);
+    void reject(CallerId caller, int status, std::string reason);
+    void expire(SteadyTime now);
+
+    Model::Blackboard& blackboard;
+    Outbox& outbox;
+    ClaimController& claims;
+    ServerHealthController& health;
+    Utils::RandomSource& random;
+    std::map<std::uint64_t, PendingRequest> requests;
+    FairQueue<std::uint64_t> queue;
+    RetryBudget budget;
+    double meanServiceMs = 0; ///< moving average of successful dispatches
+    std::uint64_t lastId = 0;
+};
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/retrybudget.h
@@ -0,0 +1,28 @@
+/// Holds the amplification of retries to a fraction of the successes.
+#pragma once
+
+#include <algorithm>
+
+namespace WisteriaHill::Controllers {
+
+/// Each success earns a tenth of a retry, up to a small reserve. Thread safety: none.
+class RetryBudget {
+public:
+    void recordSuccess() { this->tokens = std::min(Reserve, this->tokens + PerSuccess); }
+
+    /// True when a retry may be made; it is then paid for.
+    bool tryTake()
+    {
+        if (this->tokens < 1)
+            return false;
+        this->tokens -= 1;
+        return true;
+    }
+
+private:
+    static constexpr double PerSuccess = 0.1;
+    static constexpr double Reserve = 10;
+    double tokens = Reserve;
+};
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/statedump.h
@@ -0,0 +1,14 @@
+/// The blackboard as JSON, for operators.
+#pragma once
+
+#include "model/blackboard.h"
+
+namespace WisteriaHill::Controllers {
+
+/// Every field that a decision depends on, without credentials and payloads. Ages are in milliseconds.
+Utils::Json dumpBlackboard(const Model::Blackboard& blackboard, Utils::SteadyTime now);
+
+/// The name of a phase as dumps and answers show it.
+std::string_view hostPhaseName(Model::HostPhase phase);
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/utils/base64.h
@@ -0,0 +1,15 @@
+/// Base64, for bytes inside JSON text.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace WisteriaHill::Utils {
+
+std::string toBase64(std::string_view bytes);
+
+/// Empty when the text is not base64.
+std::optional<std::string> fromBase64(std::string_view text);
+
+} // namespace WisteriaHill::Utils
--- /dev/null
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -0,0 +1,140 @@
+#include "utils/eventcatalogue.h"
+
+#include <algorithm>
+#include <array>
+
+namespace WisteriaHill::Utils {
+
+namespace {
+
+using enum EventLevel;
+
+constexpr std::array catalogue {
+    EventDescription { Event::DaemonStarted, Information, "DaemonStarted",
+        "The process listens and looks for a configuration.", "None." },
+    EventDescription { Event::DaemonReady, Information, "DaemonReady",
+        "A configuration is in force; the balancer may send work.", "None." },
+    EventDescription { Event::DaemonStopping, Information, "DaemonStopping",
+        "A graceful stop began; readiness is withdrawn.", "None; wait for 103." },
+    EventDescription {
+        Event::DaemonStopped, Information, "DaemonStopped", "Nothing was left to finish; the process exits.", "None." },
+    EventDescription { Event::StopBoundReached, Error, "StopBoundReached",
+        "The bound of the stop passed with work unfinished.",
+        "Look at the dump fields named; raise stop.bound if requests are longer." },
+    EventDescription { Event::SettingsInvalid, Error, "SettingsInvalid",
+        "The settings file has faults; the process exits with 2.", "Mend each path named." },
+    EventDescription { Event::ListenFailed, Error, "ListenFailed",
+        "An address could not be listened on; the process exits with 1.", "Free the port or change the setting." },
+    EventDescription {
+        Event::MemberJoined, Information, "MemberJoined", "Another entry host was heard for the first time.", "None." },
+    EventDescription { Event::MemberLost, Warning, "MemberLost",
+        "No heartbeat of an entry host for the failure timeout.",
+        "Check the host or the network between the zones if it lasts." },
+    EventDescription {
+        Event::MemberReplaced, Information, "MemberReplaced", "An entry host came back as a new process.", "None." },
+    EventDescription {
+        Event::MemberLeft, Information, "MemberLeft", "An entry host said goodbye on a graceful stop.", "None." },
+    EventDescription { Event::PeerMessageRejected, Warning, "PeerMessageRejected",
+        "A datagram or peer message was malformed and dropped.", "Check for mixed versions or foreign senders." },
+    EventDescription { Event::ConfigurationApplied, Information, "ConfigurationApplied",
+        "A higher revision is in force on this host.", "None." },
+    EventDescription { Event::ConfigurationRejected, Error, "ConfigurationRejected",
+        "A committed document does not read; the old one stays in force.",
+        "Check that all hosts run versions that read the document." },
+    EventDescription { Event::ConfigurationEdited, Information, "ConfigurationEdited",
+        "An operator's edit was committed here.", "None." },
+    EventDescription { Event::ConfigurationConflict, Information, "ConfigurationConflict",
+        "An edit lost against another one of the same section.",
+        "The operator reads the new version and edits again." },
+    EventDescription { Event::TableUnavailable, Warning, "TableUnavailable",
+        "The table service fails or times out; writes are retried.",
+        "See the platform's own state; requests with claims are refused meanwhile." },
+    EventDescription {
+        Event::TableAvailable, Information, "TableAvailable", "The table service answers again.", "None." },
+    EventDescription { Event::WriteResolved, Information, "WriteResolved",
+        "A write whose answer was lost was read back and settled.", "None." },
+    EventDescription { Event::ServerSilent, Warning, "ServerSilent",
+        "A backend server fails probes on new connections.", "Check the server if it lasts." },
+    EventDescription {
+        Event::ServerAnswering, Information, "ServerAnswering", "A silent backend server answers again.", "None." },
+    EventDescription { Event::ServerEjected, Warning, "ServerEjected", "A backend server fails most distinct requests.",
+        "Check the server's own logs." },
+    EventDescription { Event::ServerProbation, Information, "ServerProbation",
+        "An ejected backend server gets one request to prove itself.", "None." },
+    EventDescription {
+        Event::ServerReinstated, Information, "ServerReinstated", "A backend server on probation succeeded.", "None." },
+    EventDescription { Event::ServerLeaving, Information, "ServerLeaving",
+        "A backend server is leaving and gets no new work.", "None." },
+    EventDescription { Event::ServerDrained, Information, "ServerDrained", "An operator drained a backend server.",
+        "Undrain it when the work is done." },
+    EventDescription {
+        Event::ServerUndrained, Information, "ServerUndrained", "An operator's drain was lifted.", "None." },
+    EventDescription { Event::ServerRestarted, Information, "ServerRestarted",
+        "A backend server has a new incarnation; its leases are gone.", "None." },
+    EventDescription { Event::ClaimReleased, Information, "ClaimReleased",
+        "The claim of a request that was not run was deleted.", "None." },
+    EventDescription { Event::ClaimUnresolved, Warning, "ClaimUnresolved",
+        "A claim has no result and its claimant is gone; it is never run again.",
+        "The caller decides with its own records." },
+    EventDescription { Event::RequestFailed, Warning, "RequestFailed", "A request ended as unknown.",
+        "See the reason; check the backend server named." },
+    EventDescription { Event::JobAccepted, Information, "JobAccepted", "A job was accepted.", "None." },
+    EventDescription {
+        Event::JobPlaced, Information, "JobPlaced", "A placement was found; members are being reserved.", "None." },
+    EventDescription {
+        Event::JobRunning, Information, "JobRunning", "Every member of a gang confirmed its start.", "None." },
+    EventDescription { Event::JobFinished, Information, "JobFinished", "Every member of a gang finished.", "None." },
+    EventDescription { Event::JobRequeued, Information, "JobRequeued", "A gang was stopped as a whole and waits again.",
+        "See the reason with explain." },
+    EventDescription {
+        Event::JobRejected, Warning, "JobRejected", "A job can never run and was refused.", "See the reason." },
+    EventDescription {
+        Event::JobCancelled, Information, "JobCancelled", "A job was cancelled by its client account.", "None." },
+    EventDescription {
+        Event::JobTakenOver, Information, "JobTakenOver", "A job of a lapsed session was taken over.", "None." },
+    EventDescription {
+        Event::JobLost, Warning, "JobLost", "Another entry host owns a job now; this one let go of it.", "None." },
+    EventDescription { Event::GuaranteeReclaimed, Information, "GuaranteeReclaimed",
+        "Borrowers were evicted from a guaranteed shape.", "None." },
+    EventDescription { Event::GuaranteeUncovered, Warning, "GuaranteeUncovered",
+        "A guaranteed shape has no home left: too many servers are away.", "Restore servers or lower guarantees." },
+    EventDescription { Event::SessionLapsed, Warning, "SessionLapsed",
+        "This host could not renew its session; durable jobs start nothing.", "See the platform's state." },
+    EventDescription {
+        Event::JobFailed, Warning, "JobFailed", "A job ended without a result.", "See the reason with explain." },
+};
+
+std::string_view levelName(EventLevel level)
+{
+    switch (level) {
+    case Information:
+        return "information";
+    case Warning:
+        return "warning";
+    case Error:
+        return "error";
+    }
+    return "";
+}
+
+} // namespace
+
+std::span<const EventDescription> eventCatalogue() { return catalogue; }
+
+const EventDescription& describeEvent(Event event)
+{
+    return *std::ranges::find(catalogue, event, &EventDescription::event);
+}
+
+std::string eventCatalogueMarkdown()
+{
+    std::string text = "| number | name | level | meaning | action |\n|---|---|---|---|---|\n";
+    for (const EventDescription& line : catalogue) {
+        text += "| " + std::to_string(static_cast<int>(line.event)) + " | " + std::string(line.name) + " | "
+            + std::string(levelName(line.level)) + " | " + std::string(line.meaning) + " | " + std::string(line.action)
+            + " |\n";
+    }
+    return text;
+}
+
+} // namespace WisteriaHill::Utils
--- /dev/null
+++ b/src/libs/utils/eventcatalogue.h
@@ -0,0 +1,79 @@
+/// The catalogue of numbered log events. docs/EVENTS.md is this table with causes and actions for operators.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace WisteriaHill::Utils {
+
+/// The number of an event never changes meaning; retired numbers are not used again.
+enum class Event : std::uint16_t {
+    DaemonStarted = 100,
+    DaemonReady = 101,
+    DaemonStopping = 102,
+    DaemonStopped = 103,
+    StopBoundReached = 104,
+    SettingsInvalid = 110,
+    ListenFailed = 111,
+    MemberJoined = 200,
+    MemberLost = 201,
+    MemberReplaced = 202,
+    MemberLeft = 203,
+    PeerMessageRejected = 204,
+    ConfigurationApplied = 300,
+    ConfigurationRejected = 301,
+    ConfigurationEdited = 302,
+    ConfigurationConflict = 303,
+    TableUnavailable = 400,
+    TableAvailable = 401,
+    WriteResolved = 402,
+    ServerSilent = 500,
+    ServerAnswering = 501,
+    ServerEjected = 502,
+    ServerProbation = 503,
+    ServerReinstated = 504,
+    ServerLeaving = 505,
+    ServerDrained = 506,
+    ServerUndrained = 507,
+    ServerRestarted = 508,
+    ClaimReleased = 600,
+    ClaimUnresolved = 601,
+    RequestFailed = 602,
+    JobAccepted = 700,
+    JobPlaced = 701,
+    JobRunning = 702,
+    JobFinished = 703,
+    JobRequeued = 704,
+    JobRejected = 705,
+    JobCancelled = 706,
+    JobTakenOver = 707,
+    JobLost = 708,
+    GuaranteeReclaimed = 709,
+    GuaranteeUncovered = 710,
+    SessionLapsed = 711,
+    JobFailed = 712,
+};
+
+enum class EventLevel { Information, Warning, Error };
+
+/// One line of the catalogue.
+struct EventDescription {
+    Event event;
+    EventLevel level;
+    std::string_view name;
+    std::string_view meaning;
+    std::string_view action;
+};
+
+/// Every event, by number. May be called from any thread.
+std::span<const EventDescription> eventCatalogue();
+
+/// The description of one event. Precondition: the event is in the catalogue.
+const EventDescription& describeEvent(Event event);
+
+/// The catalogue as the Markdown table that docs/EVENTS.md holds.
+std::string eventCatalogueMarkdown();
+
+} // namespace WisteriaHill::Utils
--- /dev/null
+++ b/src/tools/wisteriahillctl/commands.cpp
@@ -0,0 +1,344 @@
+#include "wisteriahillctl/commands.h"
+
+#include "utils/checkedjson.h"
+#include "wisteriahillctl/tableprinter.h"
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace WisteriaHill::Ctl {
+
+namespace {
+
+using Adapters::HttpCall;
+using Adapters::HttpCallResult;
+using Adapters::HttpResponse;
+using Utils::Duration;
+using Utils::Json;
+
+constexpr int firstErrorStatus = 400;
+constexpr int statusConflict = 409;
+constexpr int statusNotFound = 404;
+constexpr Duration pollInterval { 200 };
+constexpr Duration progressInterval { 1000 };
+
+std::optional<HttpResponse> responseOf(const HttpCallResult& result)
+{
+    if (const auto* response = std::get_if<HttpResponse>(&result))
+        return *response;
+    const bool notSent = std::get<Adapters::HttpClientError>(result) == Adapters::HttpClientError::NotSent;
+    std::cerr << (notSent ? "the daemon cannot be reached\n" : "the daemon gave no whole answer\n");
+    return std::nullopt;
+}
+
+ExitStatus failureOf(const HttpCallResult& result)
+{
+    const bool notSent = std::get<Adapters::HttpClientError>(result) == Adapters::HttpClientError::NotSent;
+    return notSent ? ExitStatus::Unreachable : ExitStatus::Unknown;
+}
+
+ExitStatus statusOf(const HttpResponse& response)
+{
+    if (response.header(Adapters::HeaderName::Outcome) == "unknown")
+        return ExitStatus::Unknown;
+    if (response.status == statusConflict)
+        return ExitStatus::Conflict;
+    return response.status >= firstErrorStatus ? ExitStatus::Refused : ExitStatus::Ok;
+}
+
+/// Sends a call and prints the body as it came.
+ExitStatus callAndPrint(CommandContext context, HttpCall call)
+{
+    const HttpCallResult result = context.daemon.call(std::move(call));
+    const std::optional<HttpResponse> response = responseOf(result);
+    if (!response)
+        return failureOf(result);
+    std::cout << response->body;
+    if (!response->body.empty() && response->body.back() != '\n')
+        std::cout << '\n';
+    return statusOf(*response);
+}
+
+std::optional<std::string> readInput(const std::string& file)
+{
+    std::ostringstream text;
+    if (file == "-") {
+        text << std::cin.rdbuf();
+        return std::move(text).str();
+    }
+    std::ifstream input(file);
+    if (!input) {
+        std::cerr << file << ": cannot be read\n";
+        return std::nullopt;
+    }
+    text << input.rdbuf();
+    return std::move(text).str();
+}
+
+std::string newChangeId()
+{
+    std::random_device device;
+    std::ostringstream text;
+    text << "ctl-" << std::hex << device() << device() << device();
+    return std::move(text).str();
+}
+
+/// Gets a JSON document; an empty result has been reported already.
+std::optional<Json> getDocument(CommandContext context, const std::string& path, ExitStatus& status)
+{
+    const HttpCallResult result = context.daemon.call({ .path = path });
+    const std::optional<HttpResponse> response = responseOf(result);
+    if (!response) {
+        status = failureOf(result);
+        return std::nullopt;
+    }
+    status = statusOf(*response);
+    Json document = Json::parse(response->body, nullptr, false);
+    if (status == ExitStatus::Ok && !document.is_discarded())
+        return document;
+    std::cerr << response->body;
+    return std::nullopt;
+}
+
+std::string textOf(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+std::vector<TableLine> hostLines(const Json& hosts)
+{
+    std::vector<TableLine> lines { { "HOST", "REVISION", "LIVE" } };
+    for (const auto& [host, state] : hosts.items())
+        lines.push_back({ host, textOf(state.at("revision")), textOf(state.at("live")) });
+    return lines;
+}
+
+bool everyLiveHostHas(const Json& hosts, std::uint64_t revision)
+{
+    for (const auto& [host, state] : hosts.items()) {
+        if (state.at("live").get<bool>() && state.at("revision").get<std::uint64_t>() < revision)
+            return false;
+    }
+    return true;
+}
+
+std::uint64_t highestRevision(const Json& hosts)
+{
+    std::uint64_t highest = 0;
+    for (const auto& [host, state] : hosts.items())
+        highest = std::max(highest, state.at("revision").get<std::uint64_t>());
+    return highest;
+}
+
+void printJob(CommandContext context, const Json& job)
+{
+    if (context.json) {
+        std::cout << job.dump() << '\n';
+        return;
+    }
+    printTable(std::cout,
+        { { "JOB", "STATE", "ATTEMPT", "SERVERS", "REASON" },
+            { textOf(job.at("id")), textOf(job.at("state")), textOf(job.at("attempt")),
+                std::to_string(job.at("placement").size()), textOf(job.at("reason")) } });
+}
+
+bool isFinalState(const std::string& state)
+{
+    return state == "finished" || state == "failed" || state == "cancelled" || state == "rejected";
+}
+
+} // namespace
+
+ExitStatus sendRequest(CommandContext context, const RequestOptions& options)
+{
+    HttpCall call { .method = "POST", .path = "/v1/services/" + options.service + "/requests", .body = options.body };
+    if (!options.key.empty())
+        call.headers[Adapters::HeaderName::IdempotencyKey] = options.key;
+    if (!options.deadline.empty())
+        call.headers[Adapters::HeaderName::Deadline] = options.deadline;
+    return callAndPrint(context, std::move(call));
+}
+
+ExitStatus submitJob(CommandContext context, const std::string& file)
+{
+    const std::optional<std::string> body = readInput(file);
+    if (!body)
+        return ExitStatus::Usage;
+    return callAndPrint(context, { .method = "POST", .path = "/v1/jobs", .body = *body });
+}
+
+ExitStatus showJob(CommandContext context, const std::string& job)
+{
+    ExitStatus status = ExitStatus::Ok;
+    if (const std::optional<Json> document = getDocument(context, "/v1/jobs/" + job, status))
+        printJob(context, *document);
+    return status;
+}
+
+ExitStatus watchJob(CommandContext context, const std::string& job, Duration bound)
+{
+    const auto start = std::chrono::steady_clock::now();
+    std::string lastState;
+    while (std::chrono::steady_clock::now() - start < bound) {
+        ExitStatus status = ExitStatus::Ok;
+        const std::optional<Json> document = getDocument(context, "/v1/jobs/" + job, status);
+        if (!document)
+            return status;
+        const std::string state = document->at("state").get<std::string>();
+        if (state != lastState)
+            printJob(context, *document);
+        lastState = state;
+        if (isFinalState(state))
+            return state == "finished" ? ExitStatus::Ok : ExitStatus::Refused;
+        context.daemon.sleep(pollInterval);
+    }
+    std::cerr << "the job is still " << lastState << '\n';
+    return ExitStatus::WaitEnded;
+}
+
+ExitStatus cancelJob(CommandContext context, const std::string& job)
+{
+    return callAndPrint(context, { .method = "DELETE", .path = "/v1/jobs/" + job });
+}
+
+ExitStatus explainJob(CommandContext context, const std::string& job)
+{
+    return callAndPrint(context, { .path = "/v1/jobs/" + job + "/explain" });
+}
+
+ExitStatus listJobs(CommandContext context)
+{
+    ExitStatus status = ExitStatus::Ok;
+    const std::optional<Json> document = getDocument(context, "/v1/jobs", status);
+    if (!document)
+        return status;
+    if (context.json) {
+        std::cout << document->dump() << '\n';
+        return status;
+    }
+    std::vector<TableLine> lines { { "JOB", "STATE", "ATTEMPT", "REASON" } };
+    for (const Json& job : document->at("jobs"))
+        lines.push_back(
+            { textOf(job.at("id")), textOf(job.at("state")), textOf(job.at("attempt")), textOf(job.at("reason")) });
+    printTable(std::cout, lines);
+    return status;
+}
+
+ExitStatus showConfiguration(CommandContext context)
+{
+    ExitStatus status = ExitStatus::Ok;
+    const std::optional<Json> document = getDocument(context, "/v1/configuration", status);
+    if (!document)
+        return status;
+    if (context.json) {
+        std::cout << document->dump() << '\n';
+        return status;
+    }
+    std::vector<TableLine> lines { { "SECTION", "VERSION" } };
+    for (const auto& [name, section] : document->at("sections").items())
+        lines.push_back({ name, textOf(section.at("version")) });
+    std::cout << "revision " << document->at("revision") << "\n\n";
+    printTable(std::cout, lines);
+    std::cout << '\n';
+    printTable(std::cout, hostLines(document->at("hosts")));
+    return status;
+}
+
+ExitStatus getSection(CommandContext context, const std::string& section)
+{
+    return callAndPrint(context, { .path = "/v1/configuration/" + section });
+}
+
+ExitStatus putSection(CommandContext context, const PutOptions& options)
+{
+    const std::optional<std::string> body = readInput(options.file);
+    if (!body)
+        return ExitStatus::Usage;
+    const std::string path = "/v1/configuration/" + options.section;
+    std::string version = std::to_string(options.version.value_or(0));
+    if (!options.version) {
+        const HttpCallResult result = context.daemon.call({ .path = path });
+        const std::optional<HttpResponse> response = responseOf(result);
+        if (!response)
+            return failureOf(result);
+        if (response->status != statusNotFound)
+            version = response->header(Adapters::HeaderName::EntityTag);
+    }
+    return callAndPrint(context,
+        { .method = "PUT",
+            .path = path,
+            .headers
+            = { { Adapters::HeaderName::IfMatch, version }, { Adapters::HeaderName::ChangeId, newChangeId() } },
+            .body = *body });
+}
+
+ExitStatus waitForConfiguration(CommandContext context, const WaitOptions& options)
+{
+    const auto start = std::chrono::steady_clock::now();
+    auto nextProgress = start + progressInterval;
+    std::uint64_t revision = options.revision;
+    while (true) {
+        ExitStatus status = ExitStatus::Ok;
+        const std::optional<Json> document = getDocument(context, "/v1/configuration", status);
+        if (!document)
+            return status;
+        const Json& hosts = document->at("hosts");
+        revision = revision == 0 ? highestRevision(hosts) : revision;
+        const auto now = std::chrono::steady_clock::now();
+        const bool inForce = everyLiveHostHas(hosts, revision) && highestRevision(hosts) >= revision;
+        if (inForce || now - start >= options.bound) {
+            const auto waited = std::chrono::duration_cast<Duration>(now - start);
+            std::cout << "revision " << revision
+                      << (inForce ? " is in force on every live host, " : " is not in force everywhere, ")
+                      << waited.count() << " ms\n";
+            printTable(std::cout, hostLines(hosts));
+            return inForce ? ExitStatus::Ok : ExitStatus::WaitEnded;
+        }
+        if (now >= nextProgress) {
+            std::cerr << "waiting for revision " << revision << '\n';
+            nextProgress = now + progressInterval;
+        }
+        context.daemon.sleep(pollInterval);
+    }
+}
+
+ExitStatus setDrained(CommandContext context, const std::string& server, bool drained)
+{
+    const std::string action = drained ? "/drain" : "/undrain";
+    return callAndPrint(context, { .method = "POST", .path = "/v1/servers/" + server + action });
+}
+
+ExitStatus dumpState(CommandContext context) { return callAndPrint(context, { .path = "/v1/dump" }); }
+
+ExitStatus showStatus(CommandContext context)
+{
+    ExitStatus status = ExitStatus::Ok;
+    const std::optional<Json> dump = getDocument(context, "/v1/dump", status);
+    if (!dump)
+        return status;
+    if (context.json) {
+        std::cout << dump->dump() << '\n';
+        return status;
+    }
+    std::cout << "host " << textOf(dump->at("host")) << " in " << textOf(dump->at("zone")) << ", phase "
+              << textOf(dump->at("phase")) << ", revision " << dump->at("revision") << ", table service "
+              << (dump->at("tableAvailable").get<bool>() ? "available" : "away") << "\n\n";
+    printTable(std::cout, hostLines(dump->at("members")));
+    std::vector<TableLine> lines { { "SERVER", "WORK", "IN FLIGHT", "LIMIT", "FREE", "WHY NOT" } };
+    for (const auto& [server, view] : dump->at("servers").items()) {
+        std::string reasons;
+        for (const char* reason : { "leaving", "listedLeaving", "drained", "silent", "ejected", "probation" }) {
+            if (view.at(reason).get<bool>())
+                reasons += std::string(reason) + " ";
+        }
+        lines.push_back({ server, textOf(view.at("acceptsWork")), textOf(view.at("inFlight")),
+            textOf(view.at("concurrencyLimit")), textOf(view.at("free")), reasons });
+    }
+    std::cout << '\n';
+    printTable(std::cout, lines);
+    const Json& uncovered = dump->at("guarantees").at("uncovered");
+    std::cout << "\nguarantees without a home: " << (uncovered.empty() ? "none" : uncovered.dump()) << '\n';
+    return status;
+}
+
+} // namespace WisteriaHill::Ctl
--- /dev/null
+++ b/tests/auto/catchmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/auto/model/tst_acceleratorset.cpp
@@ -0,0 +1,39 @@
+#include "model/acceleratorset.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace WisteriaHill::Model;
+
+TEST_CASE("a block is free, aligned and of the right size")
+{
+    CHECK(rc::check([]() {
+        const AcceleratorSet free = *rc::gen::inRange(0U, 65536U);
+        const auto count = *rc::gen::inRange(1U, 17U);
+        const auto block = alignedBlock(free, count);
+        if (!block)
+            return;
+        RC_ASSERT((*block & ~free) == 0U);
+        RC_ASSERT(acceleratorCount(*block) == count);
+    }));
+}
+
+TEST_CASE("a block is found whenever an aligned one is free")
+{
+    CHECK(rc::check([]() {
+        const AcceleratorSet free = *rc::gen::inRange(0U, 65536U);
+        const std::uint32_t largest = largestAlignedBlock(free);
+        if (largest > 0)
+            RC_ASSERT(alignedBlock(free, largest).has_value());
+        if (largest < MaximumAcceleratorsPerServer)
+            RC_ASSERT(!alignedBlock(free, largest * 2 + (largest == 0 ? 1 : 0)).has_value());
+    }));
+}
+
+TEST_CASE("small gangs leave large blocks whole")
+{
+    CHECK(alignedBlock(0xff, 1) == 0x01U);
+    CHECK(alignedBlock(0xfe, 1) == 0x02U);
+    CHECK(alignedBlock(0xf4, 1) == 0x04U);
+    CHECK(alignedBlock(0xf3, 2) == 0x03U);
+}
