--- a/src/libs/adapters/httpapi.cpp
+++ b/src/libs/adapters/httpapi.cpp
@@ -118,6 +118,8 @@
 void HttpApi::answer(const Controllers::AnswerDocument& effect)
 {
     HttpHeaders headers = retryHeaders(effect.retryAfter);
+    if (effect.document.contains("outcome"))
+        headers[HeaderName::Outcome] = effect.document.at("outcome").get<std::string>();
     if (!effect.entityTag.empty())
         headers[HeaderName::EntityTag] = "\"" + effect.entityTag + "\"";
     this->respondJson(effect.caller, effect.status, effect.document, std::move(headers));
@@ -126,7 +128,10 @@
 void HttpApi::onRequest(HttpExchangeId exchange, HttpRequest request)
 {
     const Segments path = splitPath(request.path);
-    if (request.method == "GET")
+    const bool job = path.size() >= 2 && path[0] == "v1" && path[1] == "jobs";
+    if (job && (request.method == "GET" || request.method == "DELETE"))
+        this->aboutJob(exchange, request, path);
+    else if (request.method == "GET")
         this->routeGet(exchange, request, path);
     else if (request.method == "POST")
         this->routePost(exchange, std::move(request), path);
@@ -158,10 +163,12 @@
 
 void HttpApi::routePost(HttpExchangeId exchange, HttpRequest request, const Segments& path)
 {
-    const bool request4 = path.size() == 4 && path[0] == "v1";
-    if (request4 && path[1] == "services" && path[3] == "requests")
+    const bool hasFour = path.size() == 4 && path[0] == "v1";
+    if (path == Segments { "v1", "jobs" })
+        this->submitJob(exchange, request);
+    else if (hasFour && path[1] == "services" && path[3] == "requests")
         this->submitRequest(exchange, std::move(request), path[2]);
-    else if (request4 && path[1] == "servers" && (path[3] == "drain" || path[3] == "undrain"))
+    else if (hasFour && path[1] == "servers" && (path[3] == "drain" || path[3] == "undrain"))
         this->drain(exchange, request, path[2], path[3] == "drain");
     else
         this->respondError(exchange, statusNotFound, "no such resource");
@@ -224,6 +231,47 @@
         [&](DaemonCore& daemon, SteadyTime now) { daemon.submitRequest(exchange, std::move(callerRequest), now); });
 }
 
+void HttpApi::submitJob(HttpExchangeId exchange, const HttpRequest& request)
+{
+    const std::optional<Model::ClientAccountId> account = this->authenticateAccount(exchange, request);
+    if (!account)
+        return;
+    Utils::JsonFaults faults;
+    const std::optional<Json> document = Utils::parseJsonText(request.body, faults);
+    Model::JobSpecification specification;
+    if (document)
+        specification = Model::jobSpecificationFromJson(*document, faults);
+    if (!faults.empty()) {
+        this->respondError(exchange, statusBadRequest, Utils::formatFaults(faults));
+        return;
+    }
+    specification.account = *account;
+    this->input([&](DaemonCore& daemon, SteadyTime now) { daemon.submitJob(exchange, std::move(specification), now); });
+}
+
+void HttpApi::aboutJob(HttpExchangeId exchange, const HttpRequest& request, const Segments& path)
+{
+    const std::optional<Model::ClientAccountId> account = this->authenticateAccount(exchange, request);
+    if (!account)
+        return;
+    constexpr std::size_t withJob = 3;
+    constexpr std::size_t withAspect = 4;
+    const bool explain = path.size() == withAspect && path[3] == "explain";
+    const bool known = path.size() <= withJob || explain;
+    if (!known || (request.method == "DELETE" && path.size() != withJob)) {
+        this->respondError(exchange, statusNotFound, "no such resource");
+        return;
+    }
+    this->input([&](DaemonCore& daemon, SteadyTime now) {
+        if (path.size() < withJob)
+            daemon.listJobs(exchange, *account);
+        else if (request.method == "DELETE")
+            daemon.cancelJob(exchange, *account, Model::JobId(path[2]), now);
+        else
+            daemon.describeJob(exchange, *account, Model::JobId(path[2]), explain, now);
+    });
+}
+
 void HttpApi::editSection(HttpExchangeId exchange, const HttpRequest& request, const std::string& section)
 {
     const std::optional<Model::TeamId> team = this->authenticateTeam(exchange, request);
--- a/src/libs/adapters/httpserver.cpp
+++ b/src/libs/adapters/httpserver.cpp
@@ -137,8 +137,6 @@
     lws_vhost_destroy(this->vhost);
 }
 
-void HttpServer::stopListening() { this->listening = false; }
-
 int HttpServer::callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length)
 {
     const lws_protocols* protocol = lws_get_protocol(wsi);
@@ -148,8 +146,6 @@
         return lws_callback_http_dummy(wsi, reason, user, in, length);
 
     switch (reason) {
-    case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
-        return server->listening ? 0 : -1;
     case LWS_CALLBACK_HTTP:
         return server->onRequest(wsi, *session);
     case LWS_CALLBACK_HTTP_BODY:
--- a/src/libs/adapters/httpserver.h
+++ b/src/libs/adapters/httpserver.h
@@ -43,9 +43,6 @@
     /// Exchanges whose response was not given or not wholly written yet.
     std::size_t openExchanges() const { return this->exchanges.size(); }
 
-    /// Takes no further connections. The ones that are open are served to their end.
-    void stopListening();
-
 private:
     struct Exchange;
     struct Session;
@@ -65,7 +62,6 @@
     lws_vhost* vhost = nullptr;
     std::map<HttpExchangeId, std::unique_ptr<Exchange>> exchanges;
     HttpExchangeId lastExchange = 0;
-    bool listening = true;
 };
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/controllers/daemoncore.cpp
+++ b/src/libs/controllers/daemoncore.cpp
@@ -38,6 +38,8 @@
           this->blackboard, this->outbox, this->random, [this](SteadyTime now) { this->configurationApplied(now); })
     , claims(this->blackboard, this->outbox, this->writer, this->random)
     , requests(this->blackboard, this->outbox, this->claims, this->health, this->random)
+    , gateway(this->blackboard, this->outbox, this->health)
+    , jobs(this->blackboard, this->outbox, this->writer, this->gateway, this->health, this->random)
 {
 }
 
@@ -46,6 +48,27 @@
     this->requests.submit(caller, std::move(request), now);
 }
 
+void DaemonCore::submitJob(CallerId caller, Model::JobSpecification specification, SteadyTime now)
+{
+    this->jobs.submit(caller, std::move(specification), now);
+    this->gateway.flush(now);
+}
+
+void DaemonCore::cancelJob(
+    CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, SteadyTime now)
+{
+    this->jobs.cancel(caller, account, job, now);
+    this->gateway.flush(now);
+}
+
+void DaemonCore::describeJob(
+    CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, bool explain, SteadyTime now)
+{
+    this->jobs.describe(caller, account, job, explain, now);
+}
+
+void DaemonCore::listJobs(CallerId caller, const Model::ClientAccountId& account) { this->jobs.list(caller, account); }
+
 void DaemonCore::editSection(SectionEdit edit, SteadyTime now) { this->configuration.edit(std::move(edit), now); }
 
 void DaemonCore::setDrained(CallerId caller, const Model::BackendServerId& server, bool drained, SteadyTime now)
@@ -99,19 +122,24 @@
     this->membership.heartbeatReceived(heartbeat, now);
 }
 
-Model::PeerReply DaemonCore::answerPeer(const Model::PeerQuestion& question, SteadyTime)
+Model::PeerReply DaemonCore::answerPeer(const Model::PeerQuestion& question, SteadyTime now)
 {
-    return std::visit(
+    Model::PeerReply reply = std::visit(
         Overloaded {
             [this](const Model::FetchConfiguration&) -> Model::PeerReply { return this->configuration.copy(); },
-            [](const Model::CancelOwnedJob&) -> Model::PeerReply { return Model::JobCancelNoted {}; },
+            [&](const Model::CancelOwnedJob& cancel) -> Model::PeerReply {
+                return Model::JobCancelNoted { this->jobs.cancelOwned(cancel.job, now) };
+            },
         },
         question);
+    this->gateway.flush(now);
+    return reply;
 }
 
 void DaemonCore::callAnswered(CallId call, const CallAnswer& answer, SteadyTime now)
 {
     this->outbox.complete(call, answer, now);
+    this->gateway.flush(now);
 }
 
 void DaemonCore::configurationApplied(SteadyTime now)
@@ -132,6 +160,8 @@
     this->health.tick(now);
     this->writer.tick(now);
     this->requests.tick(now);
+    this->jobs.tick(now);
+    this->gateway.flush(now);
     this->membership.tick(now);
     if (this->blackboard.phase == HostPhase::Stopping)
         this->continueStop(now);
@@ -160,18 +190,21 @@
     this->blackboard.phase = HostPhase::Stopping;
     this->stopBegan = now;
     this->outbox.log(Event::DaemonStopping, this->unfinished());
+    this->jobs.release(now);
+    this->gateway.flush(now);
 }
 
 std::string DaemonCore::unfinished() const
 {
-    return std::to_string(this->requests.open()) + " requests, " + std::to_string(this->claims.open()) + " claims, "
-        + std::to_string(this->configuration.open()) + " edits, " + std::to_string(this->writer.pending()) + " writes";
+    return std::to_string(this->requests.open()) + " requests, " + std::to_string(this->jobs.unfinished()) + " jobs, "
+        + std::to_string(this->claims.open()) + " claims, " + std::to_string(this->configuration.open()) + " edits, "
+        + std::to_string(this->writer.pending()) + " writes";
 }
 
 void DaemonCore::continueStop(SteadyTime now)
 {
-    const bool finished = this->requests.open() == 0 && this->claims.open() == 0 && this->configuration.open() == 0
-        && this->writer.pending() == 0;
+    const bool finished = this->requests.open() == 0 && this->jobs.unfinished() == 0 && this->claims.open() == 0
+        && this->configuration.open() == 0 && this->writer.pending() == 0;
     const bool noticed = now - this->stopBegan >= this->options.stopNotice;
     const bool boundReached = now - this->stopBegan >= this->options.stopBound;
     if (!boundReached && !(finished && noticed))
@@ -190,6 +223,7 @@
     json["queue"] = { { "open", this->requests.open() }, { "queued", this->requests.queued() } };
     json["claims"] = this->claims.open();
     json["writesPending"] = this->writer.pending();
+    json["jobs"] = this->jobs.dump(now);
     json["callsOpen"] = this->outbox.openCalls();
     return json;
 }
--- a/src/libs/controllers/daemoncore.h
+++ b/src/libs/controllers/daemoncore.h
@@ -3,6 +3,8 @@
 
 #include "controllers/claimcontroller.h"
 #include "controllers/configurationcontroller.h"
+#include "controllers/jobcontroller.h"
+#include "controllers/leasegateway.h"
 #include "controllers/membershipcontroller.h"
 #include "controllers/outbox.h"
 #include "controllers/requestcontroller.h"
@@ -35,6 +37,11 @@
 
     /// Callers and operators. Each gets exactly one AnswerCaller or AnswerDocument effect.
     void submitRequest(CallerId caller, Model::CallerRequest request, SteadyTime now);
+    void submitJob(CallerId caller, Model::JobSpecification specification, SteadyTime now);
+    void cancelJob(CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, SteadyTime now);
+    void describeJob(
+        CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, bool explain, SteadyTime now);
+    void listJobs(CallerId caller, const Model::ClientAccountId& account);
     void editSection(SectionEdit edit, SteadyTime now);
     void setDrained(CallerId caller, const Model::BackendServerId& server, bool drained, SteadyTime now);
     void callerGone(CallerId caller, SteadyTime now);
@@ -84,6 +91,8 @@
     ConfigurationController configuration;
     ClaimController claims;
     RequestController requests;
+    LeaseGateway gateway;
+    JobController jobs;
     SteadyTime nextHostList;
     bool hostListOpen = false;
     SteadyTime stopBegan;
--- /dev/null
+++ b/src/libs/controllers/gangcontroller.cpp
@@ -0,0 +1,589 @@
+#include "controllers/gangcontroller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace WisteriaHill::Controllers {
+
+namespace {
+
+using Model::BackendError;
+using Model::LeaseGranted;
+using Model::LeaseOperation;
+using Model::LeaseRefusal;
+using Model::LeaseState;
+using Utils::Event;
+
+constexpr Duration waitingPollInterval { 50 };
+constexpr Duration firstRoundAfter { 100 };
+constexpr Duration startRetryInterval { 200 };
+constexpr int elapsedPerRound = 4;
+
+std::string outcomeText(const LeaseOutcome& outcome)
+{
+    if (const auto* refusal = std::get_if<LeaseRefusal>(&outcome))
+        return std::string(Model::leaseRefusalName(*refusal));
+    if (const auto* error = std::get_if<BackendError>(&outcome))
+        return std::string(Model::backendErrorName(*error));
+    return std::string(Model::leaseStateName(std::get<LeaseGranted>(outcome).state));
+}
+
+bool isRefused(const LeaseOutcome& outcome) { return std::holds_alternative<LeaseRefusal>(outcome); }
+
+} // namespace
+
+GangController::GangController(Model::Blackboard& blackboard, Outbox& outbox, LeaseGateway& gateway, GangEvents events)
+    : blackboard(blackboard)
+    , outbox(outbox)
+    , gateway(gateway)
+    , events(std::move(events))
+{
+}
+
+GangController::Gang* GangController::find(const Model::JobId& job)
+{
+    const auto found = this->gangs.find(job);
+    return found == this->gangs.end() ? nullptr : &found->second;
+}
+
+LeaseTimings GangController::timings() const { return LeaseTimings::from(this->blackboard.configuration->policy); }
+
+void GangController::enter(Gang& gang, Phase phase, SteadyTime now)
+{
+    gang.phase = phase;
+    gang.phaseBegan = now;
+    gang.nextRound = now;
+    for (Member& member : gang.members)
+        member.answered = false;
+}
+
+void GangController::post(Gang& gang, std::size_t index, LeaseOperation operation, Handler handler, SteadyTime now)
+{
+    Member& member = gang.members[index];
+    member.callOpen = true;
+    const bool extendsLease
+        = !std::holds_alternative<Model::StopLease>(operation) && !std::holds_alternative<Model::EvictLease>(operation);
+    // A call that is not answered may still be carried out until its timeout.
+    if (extendsLease)
+        member.lapsesAt = now + this->timings().callTimeout + this->timings().timeToLive;
+    this->gateway.post(member.placement.server, std::move(operation),
+        [this, job = gang.attempt.terms.job, token = gang.attempt.terms.gangToken, phase = gang.phase, index, handler](
+            const LeaseOutcome& outcome, SteadyTime at) {
+            Gang* known = this->find(job);
+            if (!known || known->attempt.terms.gangToken != token)
+                return;
+            Member& answering = known->members[index];
+            answering.callOpen = false;
+            if (const auto* granted = std::get_if<LeaseGranted>(&outcome)) {
+                answering.token = granted->token;
+                answering.state = granted->state;
+                answering.checkpointed = granted->checkpointed;
+            }
+            if (known->phase == phase)
+                (this->*handler)(*known, answering, outcome, at);
+        });
+}
+
+void GangController::postToAll(
+    Gang& gang, const std::function<LeaseOperation(const Member&)>& make, Handler handler, SteadyTime now)
+{
+    for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        const Member& member = gang.members[index];
+        if (!member.callOpen && !member.gone && member.token != 0)
+            this->post(gang, index, make(member), handler, now);
+    }
+}
+
+void GangController::reserve(GangAttempt attempt, SteadyTime now)
+{
+    const Model::JobId job = attempt.terms.job;
+    Gang& gang = this->gangs[job];
+    gang.attempt = std::move(attempt);
+    for (const Model::PlacementMember& placement : gang.attempt.plan.members)
+        gang.members.push_back({ .placement = placement });
+    gang.attempt.terms.members = gang.attempt.plan.members;
+    if (gang.attempt.plan.evicts) {
+        this->enter(gang, Phase::Inspecting, now);
+        this->inspectHolders(gang, now);
+        return;
+    }
+    this->enter(gang, Phase::Reserving, now);
+    this->reserveNext(gang, now);
+}
+
+void GangController::inspectHolders(Gang& gang, SteadyTime)
+{
+    for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        this->gateway.inspect(gang.members[index].placement.server,
+            [this, job = gang.attempt.terms.job, token = gang.attempt.terms.gangToken, index](
+                const InspectOutcome& outcome, SteadyTime at) {
+                Gang* known = this->find(job);
+                if (known && known->attempt.terms.gangToken == token && known->phase == Phase::Inspecting)
+                    this->onInspected(*known, known->members[index], outcome, at);
+            });
+    }
+}
+
+void GangController::onInspected(Gang& gang, Member& member, const InspectOutcome& outcome, SteadyTime now)
+{
+    const auto* report = std::get_if<Model::ServerReport>(&outcome);
+    if (!report) {
+        this->beginStop(
+            gang, GangEndKind::NotReserved, member.placement.server.value() + " could not be inspected", now);
+        return;
+    }
+    for (const Model::LeaseView& lease : report->leases) {
+        const bool ended = lease.state == LeaseState::Finished || lease.state == LeaseState::Failed
+            || lease.state == LeaseState::Evicted;
+        if (ended || (lease.terms.accelerators & member.placement.accelerators) == 0)
+            continue;
+        if (this->mayReplace(gang, member, lease))
+            member.replaces.push_back(lease.token);
+        else
+            gang.end.blocked[member.placement.server] |= lease.terms.accelerators;
+    }
+    member.answered = true;
+    if (!std::ranges::all_of(gang.members, &Member::answered))
+        return;
+    if (!gang.end.blocked.empty()) {
+        this->beginStop(gang, GangEndKind::NotReserved, "accelerators are held by work that may not be evicted", now);
+        return;
+    }
+    ++this->blackboard.counters.reclaims;
+    this->outbox.log(Event::GuaranteeReclaimed, gang.attempt.terms.job.value());
+    this->enter(gang, Phase::Reserving, now);
+    this->reserveNext(gang, now);
+}
+
+bool GangController::mayReplace(const Gang& gang, const Member& member, const Model::LeaseView& lease) const
+{
+    if (!gang.attempt.plan.atHome)
+        return lease.terms.preemptible;
+    // Whatever stands on a home may be evicted, but for the home's own work.
+    const auto home = this->blackboard.layout.homes.find(lease.terms.guarantee);
+    if (home == this->blackboard.layout.homes.end())
+        return true;
+    const auto own = std::ranges::find(home->second, member.placement.server, &Model::PlacementMember::server);
+    return own == home->second.end() || (lease.terms.accelerators & ~own->accelerators) != 0;
+}
+
+void GangController::reserveNext(Gang& gang, SteadyTime now)
+{
+    const auto next = std::ranges::find_if(gang.members, [](const Member& member) { return !member.answered; });
+    if (next == gang.members.end()) {
+        this->enter(gang, Phase::AwaitingSpace, now);
+        this->becomeReservedIfAll(gang, now);
+        return;
+    }
+    Model::LeaseTerms terms = gang.attempt.terms;
+    terms.accelerators = next->placement.accelerators;
+    Model::ReserveLease reserve { .terms = std::move(terms),
+        .timeToLive = gang.attempt.grace + this->timings().timeToLive,
+        .replaces = next->replaces,
+        .grace = gang.attempt.grace };
+    this->post(gang, static_cast<std::size_t>(std::distance(gang.members.begin(), next)), std::move(reserve),
+        &GangController::onReserve, now);
+}
+
+void GangController::onReserve(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now)
+{
+    if (!std::holds_alternative<LeaseGranted>(outcome)) {
+        this->beginStop(gang, GangEndKind::NotReserved,
+            member.placement.server.value() + " refused the reservation: " + outcomeText(outcome), now);
+        return;
+    }
+    member.answered = true;
+    this->reserveNext(gang, now);
+}
+
+void GangController::becomeReservedIfAll(Gang& gang, SteadyTime now)
+{
+    const bool all
+        = std::ranges::all_of(gang.members, [](const Member& member) { return member.state == LeaseState::Reserved; });
+    if (!all)
+        return;
+    this->enter(gang, Phase::Reserved, now);
+    gang.nextRound = now + this->timings().renewInterval;
+    this->events.reserved(gang.attempt.terms.job, now);
+}
+
+void GangController::onWaiting(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now)
+{
+    if (isRefused(outcome)) {
+        this->beginStop(gang, GangEndKind::NotReserved,
+            member.placement.server.value() + " dropped the reservation: " + outcomeText(outcome), now);
+        return;
+    }
+    if (gang.phase == Phase::AwaitingSpace)
+        this->becomeReservedIfAll(gang, now);
+}
+
+void GangController::start(const Model::JobId& job, SteadyTime now)
+{
+    Gang* gang = this->find(job);
+    if (!gang || gang->phase != Phase::Reserved)
+        return;
+    this->enter(*gang, Phase::Starting, now);
+    gang->startSent = true;
+    gang->startedAt = now;
+    this->sendStarts(*gang, now);
+}
+
+void GangController::sendStarts(Gang& gang, SteadyTime now)
+{
+    gang.nextRound = now + startRetryInterval;
+    for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        const Member& member = gang.members[index];
+        if (member.answered || member.callOpen)
+            continue;
+        Model::StartTask start { .token = member.token,
+            .timeToLive = this->timings().timeToLive,
+            .payload = gang.attempt.payload,
+            .resumeFrom = gang.attempt.resumeFrom };
+        this->post(gang, index, std::move(start), &GangController::onStart, now);
+    }
+}
+
+void GangController::onStart(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now)
+{
+    if (isRefused(outcome)) {
+        this->beginStop(gang, GangEndKind::MemberLost,
+            member.placement.server.value() + " refused the start: " + outcomeText(outcome), now);
+        return;
+    }
+    if (std::holds_alternative<BackendError>(outcome))
+        return;
+    if (member.state == LeaseState::Failed) {
+        gang.end.failedServer = member.placement.server;
+        this->beginStop(gang, GangEndKind::TaskFailed, "the task failed on " + member.placement.server.value(), now);
+        return;
+    }
+    member.answered = true;
+    if (!std::ranges::all_of(gang.members, &Member::answered))
+        return;
+    this->enter(gang, Phase::Running, now);
+    gang.nextRound = now + firstRoundAfter;
+    this->events.running(gang.attempt.terms.job, now);
+}
+
+void GangController::renewAll(Gang& gang, Handler handler, SteadyTime now)
+{
+    for (Member& member : gang.members)
+        member.answered = false;
+    this->renewUnanswered(gang, handler, now);
+}
+
+void GangController::renewUnanswered(Gang& gang, Handler handler, SteadyTime now)
+{
+    for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        const Member& member = gang.members[index];
+        if (member.answered || member.callOpen)
+            continue;
+        Model::RenewLease renew { .token = member.token, .timeToLive = this->timings().timeToLive };
+        this->post(gang, index, renew, handler, now);
+    }
+}
+
+void GangController::tickRunning(Gang& gang, SteadyTime now)
+{
+    if (!gang.roundOpen) {
+        if (now < gang.nextRound)
+            return;
+        gang.roundOpen = true;
+        gang.roundBegan = now;
+        this->renewAll(gang, &GangController::onRenew, now);
+        return;
+    }
+    if (now - gang.roundBegan < this->timings().roundBound) {
+        this->renewUnanswered(gang, &GangController::onRenew, now);
+        return;
+    }
+    const auto silent = std::ranges::find_if(gang.members, [](const Member& member) { return !member.answered; });
+    this->beginStop(gang, GangEndKind::MemberLost, silent->placement.server.value() + " does not answer", now);
+}
+
+void GangController::onRenew(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now)
+{
+    if (isRefused(outcome)) {
+        member.gone = true;
+        this->beginStop(gang, GangEndKind::MemberLost,
+            member.placement.server.value() + " lost its lease: " + outcomeText(outcome), now);
+        return;
+    }
+    if (std::holds_alternative<BackendError>(outcome))
+        return;
+    if (member.state == LeaseState::Failed) {
+        gang.end.failedServer = member.placement.server;
+        this->beginStop(gang, GangEndKind::TaskFailed, "the task failed on " + member.placement.server.value(), now);
+        return;
+    }
+    if (member.state == LeaseState::Evicting || member.state == LeaseState::Evicted) {
+        this->evacuate(gang, now);
+        return;
+    }
+    member.answered = true;
+    if (std::ranges::all_of(gang.members, &Member::answered))
+        this->onRoundAnswered(gang, now);
+}
+
+void GangController::onRoundAnswered(Gang& gang, SteadyTime now)
+{
+    gang.roundOpen = false;
+    const bool finished
+        = std::ranges::all_of(gang.members, [](const Member& member) { return member.state == LeaseState::Finished; });
+    if (finished) {
+        this->beginStop(gang, GangEndKind::Finished, "every member finished", now);
+        return;
+    }
+    // Short tasks are asked often, so that their end is noticed soon; long ones at the pace of their leases. The pace
+    // of all gangs is one grid, so that renewals for one server share a message.
+    const Duration interval = this->timings().renewInterval;
+    const auto elapsed = std::chrono::duration_cast<Duration>(now - gang.startedAt);
+    if (elapsed / elapsedPerRound < interval) {
+        gang.nextRound = now + std::max(firstRoundAfter, elapsed / elapsedPerRound);
+        return;
+    }
+    const auto sinceEpoch = now.time_since_epoch();
+    gang.nextRound = SteadyTime(sinceEpoch - sinceEpoch % interval + interval);
+}
+
+void GangController::evacuate(Gang& gang, SteadyTime now)
+{
+    this->enter(gang, Phase::Evacuating, now);
+    this->sendEvictions(gang, now);
+}
+
+void GangController::sendEvictions(Gang& gang, SteadyTime now)
+{
+    // No lease is renewed from here on, so that a member which no message reaches lapses with the rest.
+    gang.nextRound = now + waitingPollInterval;
+    const Duration grace = this->blackboard.configuration->policy.reclaimGrace;
+    this->postToAll(
+        gang, [&](const Member& member) { return Model::EvictLease { .token = member.token, .grace = grace }; },
+        &GangController::onEvacuating, now);
+}
+
+void GangController::onEvacuating(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now)
+{
+    if (isRefused(outcome))
+        member.gone = true;
+    const bool ended = std::ranges::all_of(gang.members, [](const Member& each) {
+        return each.gone || each.state == LeaseState::Evicted || each.state == LeaseState::Finished
+            || each.state == LeaseState::Failed;
+    });
+    if (ended)
+        this->beginStop(gang, GangEndKind::Evicted, "its accelerators were reclaimed", now);
+}
+
+void GangController::adopt(GangAttempt attempt, SteadyTime now)
+{
+    const Model::JobId job = attempt.terms.job;
+    Gang& gang = this->gangs[job];
+    gang.attempt = std::move(attempt);
+    gang.startSent = true;
+    gang.startedAt = now;
+    for (const Model::PlacementMember& placement : gang.attempt.plan.members) {
+        gang.members.push_back(
+            { .placement = placement, .lapsesAt = now + this->timings().timeToLive + this->timings().callTimeout });
+    }
+    this->enter(gang, Phase::Adopting, now);
+    this->inspectForAdoption(gang, now);
+}
+
+void GangController::inspectForAdoption(Gang& gang, SteadyTime now)
+{
+    gang.nextRound = now + this->timings().callTimeout;
+    for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        if (gang.members[index].answered)
+            continue;
+        this->gateway.inspect(gang.members[index].placement.server,
+            [this, job = gang.attempt.terms.job, token = gang.attempt.terms.gangToken, index](
+                const InspectOutcome& outcome, SteadyTime at) {
+                Gang* known = this->find(job);
+                if (known && known->attempt.terms.gangToken == token && known->phase == Phase::Adopting)
+                    this->onAdoptable(*known, known->members[index], outcome, at);
+            });
+    }
+}
+
+void GangController::onAdoptable(Gang& gang, Member& member, const InspectOutcome& outcome, SteadyTime now)
+{
+    const auto* report = std::get_if<Model::ServerReport>(&outcome);
+    if (!report || member.answered)
+        return;
+    const auto lease = std::ranges::find_if(report->leases,
+        [&](const Model::LeaseView& view) { return view.terms.gangToken == gang.attempt.terms.gangToken; });
+    member.answered = true;
+    if (lease == report->leases.end()) {
+        member.gone = true;
+    } else {
+        member.token = lease->token;
+        member.state = lease->state;
+    }
+    if (!std::ranges::all_of(gang.members, &Member::answered))
+        return;
+    const bool whole = std::ranges::all_of(gang.members, [](const Member& each) {
+        return !each.gone && (each.state == LeaseState::Running || each.state == LeaseState::Finished);
+    });
+    if (!whole) {
+        this->beginStop(gang, GangEndKind::MemberLost, "not every member was running when the job was taken over", now);
+        return;
+    }
+    for (Member& each : gang.members)
+        each.answered = false;
+    this->postToAll(
+        gang,
+        [this](const Member& each) {
+            return Model::AdoptLease { .token = each.token, .timeToLive = this->timings().timeToLive };
+        },
+        &GangController::onAdopt, now);
+}
+
+void GangController::onAdopt(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now)
+{
+    if (!std::holds_alternative<LeaseGranted>(outcome)) {
+        this->beginStop(gang, GangEndKind::MemberLost,
+            member.placement.server.value() + " could not be taken over: " + outcomeText(outcome), now);
+        return;
+    }
+    member.answered = true;
+    if (!std::ranges::all_of(gang.members, &Member::answered))
+        return;
+    this->enter(gang, Phase::Running, now);
+    gang.nextRound = now + firstRoundAfter;
+    this->events.running(gang.attempt.terms.job, now);
+}
+
+void GangController::stop(const Model::JobId& job, std::string reason, SteadyTime now)
+{
+    Gang* gang = this->find(job);
+    if (gang && gang->phase != Phase::Stopping)
+        this->beginStop(*gang, GangEndKind::Stopped, std::move(reason), now);
+}
+
+void GangController::abandonReservation(const Model::JobId& job, std::string reason, SteadyTime now)
+{
+    Gang* gang = this->find(job);
+    if (gang && gang->phase == Phase::Reserved)
+        this->beginStop(*gang, GangEndKind::NotReserved, std::move(reason), now);
+}
+
+void GangController::beginStop(Gang& gang, GangEndKind kind, std::string reason, SteadyTime now)
+{
+    gang.end.kind = kind;
+    gang.end.reason = std::move(reason);
+    gang.end.mayHaveRun = gang.startSent;
+    gang.end.checkpointed = gang.attempt.resumeFrom;
+    if (gang.startSent && !gang.members.empty())
+        gang.end.checkpointed = std::ranges::min(gang.members, {}, &Member::checkpointed).checkpointed;
+    this->enter(gang, Phase::Stopping, now);
+    this->sendStops(gang, now);
+    // A finished gang holds nothing; leases whose stop is lost lapse by themselves.
+    if (kind == GangEndKind::Finished) {
+        for (Member& member : gang.members)
+            member.gone = true;
+    }
+    this->endIfAllGone(gang, now);
+}
+
+void GangController::sendStops(Gang& gang, SteadyTime now)
+{
+    gang.nextRound = now + this->timings().callTimeout;
+    for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        Member& member = gang.members[index];
+        // A lease whose token was never learnt was never started; it lapses by itself.
+        if (member.token == 0)
+            member.gone = member.gone || !gang.startSent;
+        if (member.gone || member.token == 0)
+            continue;
+        // Stops are sent although another call may be open, whose answer no longer matters.
+        this->post(gang, index, Model::StopLease { .token = member.token }, &GangController::onStop, now);
+    }
+}
+
+void GangController::onStop(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now)
+{
+    if (std::holds_alternative<LeaseGranted>(outcome))
+        member.gone = true;
+    this->endIfAllGone(gang, now);
+}
+
+void GangController::endIfAllGone(Gang& gang, SteadyTime now)
+{
+    const bool over = std::ranges::all_of(
+        gang.members, [&](const Member& member) { return member.gone || now >= member.lapsesAt; });
+    if (!over)
+        return;
+    const Model::JobId job = gang.attempt.terms.job;
+    const GangEnd end = gang.end;
+    this->gangs.erase(job);
+    this->events.ended(job, end, now);
+}
+
+void GangController::tick(SteadyTime now)
+{
+    std::vector<Model::JobId> jobs;
+    for (const auto& [job, gang] : this->gangs)
+        jobs.push_back(job);
+    for (const Model::JobId& job : jobs) {
+        if (Gang* gang = this->find(job))
+            this->tickGang(*gang, now);
+    }
+}
+
+void GangController::tickGang(Gang& gang, SteadyTime now)
+{
+    const LeaseTimings times = this->timings();
+    const Duration inPhase = std::chrono::duration_cast<Duration>(now - gang.phaseBegan);
+    const bool due = now >= gang.nextRound;
+    switch (gang.phase) {
+    case Phase::Inspecting:
+    case Phase::Reserving:
+        if (inPhase >= this->blackboard.configuration->policy.leasePeriod)
+            this->beginStop(gang, GangEndKind::NotReserved, "the members could not be reserved in time", now);
+        return;
+    case Phase::AwaitingSpace:
+        if (inPhase >= gang.attempt.grace + times.callTimeout) {
+            this->beginStop(gang, GangEndKind::NotReserved, "evicted work did not leave in time", now);
+        } else if (due) {
+            gang.nextRound = now + waitingPollInterval;
+            this->renewAll(gang, &GangController::onWaiting, now);
+        }
+        return;
+    case Phase::Reserved:
+        if (due) {
+            gang.nextRound = now + times.renewInterval;
+            this->renewAll(gang, &GangController::onWaiting, now);
+        }
+        return;
+    case Phase::Starting:
+        if (inPhase >= times.startBound)
+            this->beginStop(gang, GangEndKind::NotStarted, "not every start was confirmed in time", now);
+        else if (due)
+            this->sendStarts(gang, now);
+        return;
+    case Phase::Running:
+        this->tickRunning(gang, now);
+        return;
+    case Phase::Adopting:
+        if (inPhase >= this->blackboard.configuration->policy.leasePeriod)
+            this->beginStop(gang, GangEndKind::MemberLost, "the members could not be inspected in time", now);
+        else if (due)
+            this->inspectForAdoption(gang, now);
+        return;
+    case Phase::Evacuating:
+        if (inPhase >= this->blackboard.configuration->policy.reclaimGrace + times.callTimeout) {
+            this->beginStop(gang, GangEndKind::Evicted, "its accelerators were reclaimed", now);
+        } else if (due) {
+            this->sendEvictions(gang, now);
+        }
+        return;
+    case Phase::Stopping:
+        if (due)
+            this->sendStops(gang, now);
+        this->endIfAllGone(gang, now);
+        return;
+    }
+}
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/jobcontroller.cpp
@@ -0,0 +1,876 @@
+#include "controllers/jobcontroller.h"
+
+#include "utils/digest.h"
+
+#include <algorithm>
+#include <sstream>
+#include <tuple>
+
+namespace WisteriaHill::Controllers {
+
+namespace {
+
+using Model::JobEntry;
+using Model::JobId;
+using Model::JobRecord;
+using Model::JobState;
+using Utils::Event;
+using Utils::Json;
+
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusUnprocessable = 422;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+constexpr Duration planInterval { 50 };
+constexpr Duration submissionBound { 5000 };
+constexpr Duration tableTimeout { 1500 };
+constexpr Duration peerTimeout { 1000 };
+constexpr Duration commitBound { 3000 };
+constexpr Duration tableRetryAfter { 2000 };
+constexpr Duration notReadyRetryAfter { 1000 };
+constexpr Duration firstBackoff { 100 };
+constexpr Duration afterFailureBackoff { 1000 };
+constexpr Duration finalRetention = std::chrono::minutes(10);
+constexpr std::size_t mostFinalsKept = 500;
+constexpr std::uint32_t mostTaskFailures = 3;
+constexpr std::size_t keyDigestLength = 24;
+
+std::string hexadecimal(std::uint64_t number)
+{
+    std::ostringstream text;
+    text << std::hex << number;
+    return std::move(text).str();
+}
+
+Json publicJob(const JobRecord& job)
+{
+    return { { "id", job.id }, { "zone", job.zone }, { "state", Model::jobStateName(job.state) },
+        { "attempt", job.attempt }, { "placement", job.placement }, { "reason", job.reason }, { "owner", job.owner },
+        { "checkpointedMs", job.checkpointed.count() } };
+}
+
+} // namespace
+
+JobController::JobController(Model::Blackboard& blackboard, Outbox& outbox, TableWriter& writer, LeaseGateway& gateway,
+    ServerHealthController& health, Utils::RandomSource& random)
+    : blackboard(blackboard)
+    , outbox(outbox)
+    , writer(writer)
+    , health(health)
+    , random(random)
+    , gangs(blackboard, outbox, gateway,
+          { .reserved = [this](const JobId& job, SteadyTime now) { this->onReserved(job, now); },
+              .running = [this](const JobId& job, SteadyTime now) { this->onRunning(job, now); },
+              .ended = [this](const JobId& job, const GangEnd& end, SteadyTime now) { this->onEnded(job, end, now); } })
+    , sessions(blackboard, outbox, writer, random,
+          [this](const LapsedSession& session, SteadyTime now) { this->takeOver(session, now); })
+{
+}
+
+JobEntry* JobController::find(const JobId& job)
+{
+    const auto found = this->blackboard.jobs.find(job);
+    return found == this->blackboard.jobs.end() ? nullptr : &found->second;
+}
+
+void JobController::answer(CallerId caller, int status, Json document, std::optional<Duration> retryAfter)
+{
+    this->outbox.add(AnswerDocument {
+        .caller = caller, .status = status, .document = std::move(document), .retryAfter = retryAfter });
+}
+
+void JobController::refuse(CallerId caller, int status, const std::string& reason, std::optional<Duration> retryAfter)
+{
+    this->answer(caller, status, { { "outcome", "notRun" }, { "reason", reason } }, retryAfter);
+}
+
+std::optional<std::string> JobController::refusalOf(const Model::JobSpecification& specification) const
+{
+    const Model::Configuration& configuration = *this->blackboard.configuration;
+    const Model::AvailabilityZone* zone = this->blackboard.ownZone();
+    if (!zone)
+        return "the availability zone of this entry host is not in the inventory";
+    const auto account = configuration.accounts.find(specification.account);
+    if (account == configuration.accounts.end())
+        return "the client account does not exist";
+    const std::uint32_t quota = account->second.acceleratorQuota;
+    if (specification.guarantee.empty() && quota > 0 && specification.shape.accelerators() > quota)
+        return "the shape is larger than the client account's quota of " + std::to_string(quota) + " accelerators";
+    if (!specification.guarantee.empty()) {
+        const auto guarantee = configuration.guarantees.find(specification.guarantee);
+        if (guarantee == configuration.guarantees.end() || guarantee->second.account != specification.account)
+            return "the client account has no guarantee " + specification.guarantee.value();
+        if (guarantee->second.zone != zone->id)
+            return "the guarantee is in availability zone " + guarantee->second.zone.value();
+        const Model::GangShape& guaranteed = guarantee->second.shape;
+        if (specification.shape.servers > guaranteed.servers
+            || specification.shape.acceleratorsPerServer > guaranteed.acceleratorsPerServer)
+            return "the shape is larger than the guaranteed one";
+    }
+    const std::string impossible = impossibility(*zone, specification.shape);
+    return impossible.empty() ? std::nullopt : std::optional(impossible);
+}
+
+JobRecord JobController::newRecord(Model::JobSpecification specification)
+{
+    JobRecord record { .zone = this->blackboard.self.zone,
+        .owner = this->blackboard.self.host,
+        .ownerIncarnation = this->blackboard.self.incarnation,
+        .reason = "waits for its first placement" };
+    if (specification.idempotencyKey.empty()) {
+        record.id = JobId(this->blackboard.self.host.value() + "-" + hexadecimal(this->blackboard.self.incarnation)
+            + "-" + std::to_string(++this->lastNumber));
+    } else {
+        const std::string digest
+            = Utils::sha256Hex(specification.account.value() + "\n" + specification.idempotencyKey);
+        record.id = JobId("key-" + digest.substr(0, keyDigestLength));
+    }
+    record.specification = std::move(specification);
+    return record;
+}
+
+void JobController::submit(CallerId caller, Model::JobSpecification specification, SteadyTime now)
+{
+    if (this->released || this->blackboard.phase != Model::HostPhase::Ready) {
+        this->refuse(caller, statusUnavailable, "this entry host takes no jobs now", notReadyRetryAfter);
+        return;
+    }
+    if (const std::optional<std::string> refusal = this->refusalOf(specification)) {
+        this->outbox.log(Event::JobRejected, specification.account.value() + ": " + *refusal);
+        this->refuse(caller, statusUnprocessable, *refusal);
+        return;
+    }
+    const bool attached = specification.attached;
+    if (!attached && !this->writer.available()) {
+        this->refuse(caller, statusUnavailable, "the table service that keeps jobs is away", tableRetryAfter);
+        return;
+    }
+    JobEntry entry { .record = this->newRecord(std::move(specification)), .queuedSince = now };
+    entry.note(now, "accepted");
+    const JobId id = entry.record.id;
+    if (!attached) {
+        this->insertRow(caller, std::move(entry), now);
+        return;
+    }
+    if (this->blackboard.jobs.contains(id)) {
+        this->refuse(caller, statusConflict, "a job with this idempotencyKey is known");
+        return;
+    }
+    entry.attachedCaller = caller;
+    this->outbox.log(Event::JobAccepted, id.value() + " attached");
+    this->blackboard.jobs.emplace(id, std::move(entry));
+    this->nextPlan = now;
+}
+
+void JobController::insertRow(CallerId caller, JobEntry entry, SteadyTime now)
+{
+    const JobId id = entry.record.id;
+    if (this->submissions.contains(id)) {
+        this->refuse(caller, statusConflict, "the same job is being submitted", notReadyRetryAfter);
+        return;
+    }
+    entry.record.nonce = this->random.bits();
+    RowChange change { .key = Model::jobRowKey(entry.record.zone, id),
+        .value = Utils::toText(Model::jobToJson(entry.record)),
+        .priority = WritePriority::Job };
+    Submission& submission = this->submissions[id];
+    submission = { .caller = caller, .entry = std::move(entry), .deadline = now + submissionBound };
+    submission.write = this->writer.write(
+        std::move(change), [this, id](const RowOutcome& outcome, SteadyTime at) { this->onInserted(id, outcome, at); },
+        now);
+}
+
+void JobController::onInserted(const JobId& job, const RowOutcome& outcome, SteadyTime now)
+{
+    auto node = this->submissions.extract(job);
+    if (node.empty())
+        return;
+    Submission& submission = node.mapped();
+    if (const auto* written = std::get_if<RowWritten>(&outcome)) {
+        submission.entry.version = written->version;
+        submission.entry.queuedSince = now;
+        this->outbox.log(Event::JobAccepted, job.value());
+        if (submission.caller != 0)
+            this->answer(submission.caller, statusAccepted, publicJob(submission.entry.record));
+        this->blackboard.jobs.insert_or_assign(job, std::move(submission.entry));
+        this->nextPlan = now;
+        return;
+    }
+    if (submission.caller == 0)
+        return;
+    const std::optional<JobRecord> existing = Model::jobFromText(std::get<RowConflict>(outcome).current.value);
+    const bool same = existing && existing->specification.payload == submission.entry.record.specification.payload
+        && existing->specification.shape == submission.entry.record.specification.shape;
+    if (same)
+        this->answer(submission.caller, statusOk, publicJob(*existing));
+    else
+        this->refuse(submission.caller, statusUnprocessable, "the idempotencyKey belongs to another job");
+}
+
+void JobController::expireSubmissions(SteadyTime now)
+{
+    for (auto entry = this->submissions.begin(); entry != this->submissions.end();) {
+        Submission& submission = entry->second;
+        if (now < submission.deadline || submission.caller == 0) {
+            ++entry;
+            continue;
+        }
+        if (this->writer.cancel(submission.write)) {
+            this->refuse(
+                submission.caller, statusUnavailable, "the table service that keeps jobs is away", tableRetryAfter);
+            entry = this->submissions.erase(entry);
+            continue;
+        }
+        this->answer(submission.caller, statusTimeout,
+            { { "outcome", "unknown" }, { "id", entry->first },
+                { "reason", "the table service gave no answer; ask for the job by its id" } },
+            tableRetryAfter);
+        submission.caller = 0;
+        ++entry;
+    }
+}
+
+void JobController::persist(JobEntry& entry, SteadyTime now)
+{
+    if (entry.record.specification.attached)
+        return;
+    if (entry.writing) {
+        entry.rewrite = true;
+        return;
+    }
+    entry.writing = true;
+    entry.rewrite = false;
+    entry.record.nonce = this->random.bits();
+    RowChange change { .key = Model::jobRowKey(entry.record.zone, entry.record.id),
+        .expected = entry.version,
+        .value = Utils::toText(Model::jobToJson(entry.record)),
+        .priority = WritePriority::Job };
+    this->writer.write(
+        std::move(change),
+        [this, job = entry.record.id](
+            const RowOutcome& outcome, SteadyTime at) { this->onPersisted(job, outcome, at); },
+        now);
+}
+
+void JobController::onPersisted(const JobId& job, const RowOutcome& outcome, SteadyTime now)
+{
+    JobEntry* entry = this->find(job);
+    if (!entry)
+        return;
+    entry->writing = false;
+    if (const auto* conflict = std::get_if<RowConflict>(&outcome)) {
+        this->onRowChanged(*entry, conflict->current, now);
+        return;
+    }
+    entry->version = std::get<RowWritten>(outcome).version;
+    if (entry->rewrite) {
+        this->persist(*entry, now);
+        return;
+    }
+    if (entry->record.owner.empty()) {
+        this->lose(job);
+        return;
+    }
+    if (entry->record.state == JobState::Starting)
+        this->startAttempt(*entry, now);
+}
+
+void JobController::startAttempt(JobEntry& entry, SteadyTime now)
+{
+    if (std::exchange(entry.startSent, true))
+        return;
+    entry.mayHaveRun = true;
+    this->gangs.start(entry.record.id, now);
+}
+
+void JobController::onRowChanged(JobEntry& entry, const Model::TableRow& row, SteadyTime now)
+{
+    const JobId job = entry.record.id;
+    const std::optional<JobRecord> current = Model::jobFromText(row.value);
+    const bool stillOwned = current && current->owner == this->blackboard.self.host
+        && current->ownerIncarnation == this->blackboard.self.incarnation;
+    if (!stillOwned) {
+        this->outbox.log(Event::JobLost, job.value());
+        this->lose(job);
+        return;
+    }
+    entry.version = row.version;
+    entry.rewrite = false;
+    if (current->cancelRequested && !entry.record.cancelRequested) {
+        this->cancelEntry(entry, now);
+        return;
+    }
+    this->persist(entry, now);
+}
+
+void JobController::lose(const JobId& job)
+{
+    this->gangs.forget(job);
+    this->blackboard.jobs.erase(job);
+}
+
+void JobController::tick(SteadyTime now)
+{
+    if (!this->blackboard.configuration)
+        return;
+    this->sessions.tick(now);
+    this->gangs.tick(now);
+    this->expireSubmissions(now);
+    this->enforceCommitBound(now);
+    this->enforceHardLimits(now);
+    this->recheckFeasibility(now);
+    if (now >= this->nextPlan) {
+        this->nextPlan = now + planInterval;
+        this->planQueue(now);
+        this->forgetOldFinals(now);
+    }
+}
+
+std::vector<JobEntry*> JobController::plannable(SteadyTime now)
+{
+    std::map<Model::ClientAccountId, double> usage;
+    std::vector<JobEntry*> queue;
+    for (auto& [id, entry] : this->blackboard.jobs) {
+        const Model::JobSpecification& specification = entry.record.specification;
+        if (entry.record.state == JobState::Running && specification.guarantee.empty())
+            usage[specification.account] += specification.shape.accelerators();
+        const bool durable = !specification.attached;
+        const bool mayStart = !durable || (this->writer.available() && this->sessions.holds(now) && !entry.writing);
+        if (entry.record.state == JobState::Queued && now >= entry.notBefore && mayStart)
+            queue.push_back(&entry);
+    }
+    const Model::Configuration& configuration = *this->blackboard.configuration;
+    for (auto& [account, accelerators] : usage) {
+        const auto known = configuration.accounts.find(account);
+        accelerators /= known == configuration.accounts.end() ? 1 : known->second.weight;
+    }
+    const auto rank = [&](const JobEntry* entry) {
+        const Model::JobSpecification& specification = entry->record.specification;
+        const bool aged = now - entry->queuedSince >= configuration.policy.agingBound;
+        const auto used = usage.find(specification.account);
+        return std::tuple(!specification.urgent, specification.guarantee.empty(), !aged,
+            used == usage.end() ? 0.0 : used->second, entry->queuedSince);
+    };
+    std::ranges::stable_sort(queue, {}, rank);
+    return queue;
+}
+
+void JobController::planQueue(SteadyTime now)
+{
+    if (this->released || !this->blackboard.ownZone())
+        return;
+    const std::vector<JobEntry*> queue = this->plannable(now);
+    if (queue.empty())
+        return;
+    PlannerZone zone = plannerZone(this->blackboard);
+    for (JobEntry* entry : queue)
+        this->planOne(*entry, zone, now);
+}
+
+std::map<Model::BackendServerId, Model::AcceleratorSet> JobController::siblingsOf(const JobEntry& entry) const
+{
+    std::map<Model::BackendServerId, Model::AcceleratorSet> held;
+    for (const auto& [id, other] : this->blackboard.jobs) {
+        const bool sibling = &other != &entry && !Model::isFinal(other.record.state)
+            && other.record.specification.guarantee == entry.record.specification.guarantee;
+        if (!sibling)
+            continue;
+        for (const Model::PlacementMember& member : other.record.placement)
+            held[member.server] |= member.accelerators;
+    }
+    return held;
+}
+
+PlacementRequest JobController::placementRequest(const JobEntry& entry, bool aged) const
+{
+    const Model::JobSpecification& specification = entry.record.specification;
+    PlacementRequest request { .shape = specification.shape,
+        .mayEvict = specification.urgent || aged,
+        .avoid = entry.failedOn,
+        .blocked = entry.blocked };
+    const auto home = this->blackboard.layout.homes.find(specification.guarantee);
+    if (home != this->blackboard.layout.homes.end()) {
+        request.home = &home->second;
+        request.heldBySiblings = this->siblingsOf(entry);
+    }
+    return request;
+}
+
+void JobController::planOne(JobEntry& entry, PlannerZone& zone, SteadyTime now)
+{
+    const bool aged = now - entry.queuedSince >= this->blackboard.configuration->policy.agingBound;
+    PlacementResult result = planPlacement(zone, this->placementRequest(entry, aged));
+    entry.blocked.clear();
+    if (const auto* refusal = std::get_if<PlacementRefusal>(&result)) {
+        entry.record.reason = refusal->reason;
+        entry.note(now, "waits: " + refusal->reason);
+        return;
+    }
+    auto& plan = std::get<PlacementPlan>(result);
+    // Until the servers report again, what is planned counts as held.
+    std::size_t index = 0;
+    for (const Model::PlacementMember& member : plan.members) {
+        while (zone.zone.servers[index].id != member.server)
+            ++index;
+        zone.servers[index].free &= ~member.accelerators;
+        zone.servers[index].preemptible &= ~member.accelerators;
+        Model::ServerView& view = this->blackboard.servers.at(member.server);
+        view.free &= ~member.accelerators;
+        view.preemptible &= ~member.accelerators;
+    }
+    this->beginAttempt(entry, std::move(plan), aged, now);
+}
+
+Model::LeaseTerms JobController::termsOf(const JobEntry& entry) const
+{
+    const Model::JobSpecification& specification = entry.record.specification;
+    return { .job = entry.record.id,
+        .account = specification.account,
+        .guarantee = specification.guarantee,
+        .attempt = entry.record.attempt,
+        .gangToken = entry.record.gangToken,
+        .members = entry.record.placement };
+}
+
+void JobController::beginAttempt(JobEntry& entry, PlacementPlan plan, bool aged, SteadyTime now)
+{
+    const Model::Policy& policy = this->blackboard.configuration->policy;
+    const Model::JobSpecification& specification = entry.record.specification;
+    std::string note
+        = "reserves " + std::to_string(plan.members.size()) + " servers from " + plan.members.front().server.value();
+    note += plan.atHome ? " at its guarantee's home" : "";
+    note += plan.borrows ? " on another guarantee's home" : "";
+    note += plan.evicts ? ", evicting what stands there" : "";
+    entry.note(now, note);
+    this->outbox.log(Event::JobPlaced, entry.record.id.value() + " " + note);
+
+    entry.startSent = false;
+    entry.record.state = JobState::Reserving;
+    entry.record.reason = note;
+    entry.record.gangToken = this->random.bits();
+    entry.record.placement = plan.members;
+    GangAttempt attempt { .terms = this->termsOf(entry),
+        .plan = std::move(plan),
+        .payload = specification.payload,
+        .grace = specification.urgent ? policy.urgentGrace : policy.reclaimGrace,
+        .resumeFrom = entry.record.checkpointed };
+    ++attempt.terms.attempt;
+    attempt.terms.preemptible = !specification.urgent && !aged && !attempt.plan.atHome;
+    this->gangs.reserve(std::move(attempt), now);
+}
+
+void JobController::onReserved(const JobId& job, SteadyTime now)
+{
+    JobEntry* entry = this->find(job);
+    if (!entry)
+        return;
+    ++entry->record.attempt;
+    entry->record.state = JobState::Starting;
+    entry->runningSince = now;
+    entry->note(now, "every member is reserved");
+    if (entry->record.specification.attached) {
+        this->startAttempt(*entry, now);
+        return;
+    }
+    this->persist(*entry, now);
+}
+
+void JobController::onRunning(const JobId& job, SteadyTime now)
+{
+    JobEntry* entry = this->find(job);
+    if (!entry)
+        return;
+    entry->record.state = JobState::Running;
+    entry->record.reason = "every member runs";
+    entry->runningSince = now;
+    entry->note(now, "every member confirmed its start");
+    ++this->blackboard.counters.gangsStarted;
+    this->outbox.log(Event::JobRunning, job.value());
+}
+
+void JobController::onEnded(const JobId& job, const GangEnd& end, SteadyTime now)
+{
+    JobEntry* entry = this->find(job);
+    if (!entry)
+        return;
+    entry->mayHaveRun = entry->mayHaveRun || end.mayHaveRun;
+    entry->note(now, "attempt ended: " + end.reason);
+    if (entry->record.cancelRequested && end.kind != GangEndKind::Finished) {
+        this->finish(*entry, JobState::Cancelled, "cancelled by its client account", now);
+        return;
+    }
+    if (end.kind == GangEndKind::Finished) {
+        for (const Model::PlacementMember& member : entry->record.placement)
+            this->health.recordSuccess(member.server, now);
+        for (const Model::BackendServerId& failed : entry->failedOn)
+            this->health.recordFailure(failed, now);
+        this->finish(*entry, JobState::Finished, "every member finished", now);
+        return;
+    }
+    if (end.kind == GangEndKind::Stopped) {
+        this->finish(*entry, JobState::Failed, end.reason, now);
+        return;
+    }
+    this->requeue(*entry, end, now);
+}
+
+void JobController::requeue(JobEntry& entry, const GangEnd& end, SteadyTime now)
+{
+    if (end.kind == GangEndKind::TaskFailed) {
+        entry.failedOn.insert(end.failedServer);
+        if (++entry.failures >= mostTaskFailures) {
+            this->finish(entry, JobState::Failed, end.reason + "; it failed on several servers", now);
+            return;
+        }
+    }
+    if (end.mayHaveRun && !entry.record.specification.idempotent) {
+        this->finish(entry, JobState::Failed, end.reason + "; it may have run and is not started twice", now);
+        return;
+    }
+    ++this->blackboard.counters.gangsRequeued;
+    this->outbox.log(Event::JobRequeued, entry.record.id.value() + ": " + end.reason);
+    entry.blocked = end.blocked;
+    entry.record.checkpointed = std::max(entry.record.checkpointed, end.checkpointed);
+    entry.record.state = JobState::Queued;
+    entry.record.placement.clear();
+    entry.record.reason = end.reason;
+    const bool failed = end.kind == GangEndKind::TaskFailed || end.kind == GangEndKind::MemberLost;
+    entry.notBefore = now + this->random.jittered(failed ? afterFailureBackoff : firstBackoff);
+    if (end.kind != GangEndKind::NotReserved || entry.record.attempt > 0)
+        this->persist(entry, now);
+}
+
+void JobController::finish(JobEntry& entry, JobState state, std::string reason, SteadyTime now)
+{
+    entry.record.state = state;
+    entry.record.reason = std::move(reason);
+    entry.finalSince = now;
+    entry.note(now, std::string(Model::jobStateName(state)) + ": " + entry.record.reason);
+    const Event event = state == JobState::Finished ? Event::JobFinished
+        : state == JobState::Cancelled              ? Event::JobCancelled
+        : state == JobState::Rejected               ? Event::JobRejected
+                                                    : Event::JobFailed;
+    this->outbox.log(event, entry.record.id.value() + ": " + entry.record.reason);
+    this->persist(entry, now);
+    this->answerAttached(entry);
+}
+
+void JobController::answerAttached(JobEntry& entry)
+{
+    if (entry.attachedCaller == 0)
+        return;
+    const bool finished = entry.record.state == JobState::Finished;
+    Json document = publicJob(entry.record);
+    document["outcome"] = finished ? "completed" : entry.mayHaveRun ? "unknown" : "notRun";
+    const int status = finished ? statusOk : entry.mayHaveRun ? statusBadGateway : statusUnavailable;
+    this->answer(std::exchange(entry.attachedCaller, 0), status, std::move(document));
+}
+
+void JobController::enforceCommitBound(SteadyTime now)
+{
+    for (auto& [id, entry] : this->blackboard.jobs) {
+        const bool uncommitted = entry.record.state == JobState::Starting && entry.writing && !entry.startSent;
+        if (uncommitted && now - entry.runningSince >= commitBound)
+            this->gangs.abandonReservation(id, "the attempt could not be committed in time", now);
+    }
+}
+
+void JobController::enforceHardLimits(SteadyTime now)
+{
+    const Model::Configuration& configuration = *this->blackboard.configuration;
+    for (auto& [id, entry] : this->blackboard.jobs) {
+        const auto account = configuration.accounts.find(entry.record.specification.account);
+        const bool tooLong = entry.record.state == JobState::Running && account != configuration.accounts.end()
+            && now - entry.runningSince >= account->second.hardRunLimit;
+        if (!tooLong)
+            continue;
+        entry.record.state = JobState::Stopping;
+        this->gangs.stop(id, "it ran longer than the client account's hard limit", now);
+    }
+}
+
+void JobController::recheckFeasibility(SteadyTime now)
+{
+    if (this->checkedRevision == this->blackboard.configuration->revision)
+        return;
+    this->checkedRevision = this->blackboard.configuration->revision;
+    for (auto& [id, entry] : this->blackboard.jobs) {
+        if (entry.record.state != JobState::Queued || entry.writing)
+            continue;
+        const std::optional<std::string> refusal = this->refusalOf(entry.record.specification);
+        if (refusal)
+            this->finish(entry, JobState::Rejected, *refusal, now);
+    }
+}
+
+void JobController::forgetOldFinals(SteadyTime now)
+{
+    std::size_t finals = static_cast<std::size_t>(std::ranges::count_if(
+        this->blackboard.jobs, [](const auto& entry) { return Model::isFinal(entry.second.record.state); }));
+    std::erase_if(this->blackboard.jobs, [&](const auto& item) {
+        const JobEntry& entry = item.second;
+        const bool settled = Model::isFinal(entry.record.state) && !entry.writing;
+        const bool old = settled && (now - entry.finalSince >= finalRetention || finals > mostFinalsKept);
+        finals -= old ? 1 : 0;
+        return old;
+    });
+}
+
+void JobController::cancelEntry(JobEntry& entry, SteadyTime now)
+{
+    entry.record.cancelRequested = true;
+    if (this->gangs.knows(entry.record.id)) {
+        entry.record.state = JobState::Stopping;
+        this->gangs.stop(entry.record.id, "cancelled by its client account", now);
+        return;
+    }
+    if (!Model::isFinal(entry.record.state))
+        this->finish(entry, JobState::Cancelled, "cancelled by its client account", now);
+}
+
+bool JobController::cancelOwned(const JobId& job, SteadyTime now)
+{
+    JobEntry* entry = this->find(job);
+    if (!entry || Model::isFinal(entry->record.state))
+        return false;
+    this->cancelEntry(*entry, now);
+    return true;
+}
+
+void JobController::callerGone(CallerId caller, SteadyTime now)
+{
+    for (auto& [id, entry] : this->blackboard.jobs) {
+        if (entry.attachedCaller != caller)
+            continue;
+        entry.attachedCaller = 0;
+        this->cancelEntry(entry, now);
+        return;
+    }
+}
+
+void JobController::cancel(CallerId caller, const Model::ClientAccountId& account, const JobId& job, SteadyTime now)
+{
+    JobEntry* entry = this->find(job);
+    if (!entry || entry->record.specification.account != account) {
+        this->requestCancelByRow(caller, account, job);
+        return;
+    }
+    if (!Model::isFinal(entry->record.state))
+        this->cancelEntry(*entry, now);
+    this->answer(caller, statusAccepted, publicJob(entry->record));
+}
+
+void JobController::requestCancelByRow(CallerId caller, const Model::ClientAccountId& account, const JobId& job)
+{
+    ++this->blackboard.counters.tableReads;
+    this->outbox.callTable(Model::TableRead { .keys = { Model::jobRowKey(this->blackboard.self.zone, job) } },
+        tableTimeout, [this, caller, account](const Model::TableAnswer& answer, SteadyTime now) {
+            const auto* rows = std::get_if<Model::TableRows>(&answer);
+            if (!rows) {
+                this->refuse(caller, statusUnavailable, "the table service is away", tableRetryAfter);
+                return;
+            }
+            std::optional<JobRecord> record
+                = rows->rows.empty() ? std::nullopt : Model::jobFromText(rows->rows.front().value);
+            if (!record || record->specification.account != account) {
+                this->refuse(caller, statusNotFound, "no such job");
+                return;
+            }
+            this->onRowForCancel(caller, rows->rows.front(), *std::move(record), now);
+        });
+}
+
+void JobController::onRowForCancel(CallerId caller, const Model::TableRow& row, JobRecord record, SteadyTime now)
+{
+    if (Model::isFinal(record.state)) {
+        this->answer(caller, statusOk, publicJob(record));
+        return;
+    }
+    record.cancelRequested = true;
+    record.nonce = this->random.bits();
+    RowChange change { .key = row.key,
+        .expected = row.version,
+        .value = Utils::toText(Model::jobToJson(record)),
+        .priority = WritePriority::Job };
+    this->writer.write(
+        std::move(change),
+        [this, caller, record](const RowOutcome& outcome, SteadyTime) {
+            if (std::holds_alternative<RowConflict>(outcome)) {
+                this->refuse(caller, statusConflict, "the job changed meanwhile; ask again", notReadyRetryAfter);
+                return;
+            }
+            this->answer(caller, statusAccepted, publicJob(record));
+            const auto owner = this->blackboard.members.find(record.owner);
+            if (owner != this->blackboard.members.end() && owner->second.live)
+                this->outbox.askPeer(owner->second.address, Model::CancelOwnedJob { record.id }, peerTimeout,
+                    [](const PeerResult&, SteadyTime) {});
+        },
+        now);
+}
+
+void JobController::describe(
+    CallerId caller, const Model::ClientAccountId& account, const JobId& job, bool explain, SteadyTime now)
+{
+    const JobEntry* entry = this->find(job);
+    if (!entry || entry->record.specification.account != account) {
+        this->answerFromRow(caller, account, job);
+        return;
+    }
+    Json document = publicJob(entry->record);
+    if (explain) {
+        document["notes"] = Json::array();
+        for (const JobEntry::Note& note : entry->notes)
+            document["notes"].push_back(
+                { { "msAgo", std::chrono::duration_cast<Duration>(now - note.at).count() }, { "text", note.text } });
+    }
+    this->answer(caller, statusOk, std::move(document));
+}
+
+void JobController::answerFromRow(CallerId caller, const Model::ClientAccountId& account, const JobId& job)
+{
+    ++this->blackboard.counters.tableReads;
+    this->outbox.callTable(Model::TableRead { .keys = { Model::jobRowKey(this->blackboard.self.zone, job) } },
+        tableTimeout, [this, caller, account](const Model::TableAnswer& answer, SteadyTime) {
+            const auto* rows = std::get_if<Model::TableRows>(&answer);
+            if (!rows) {
+                this->refuse(caller, statusUnavailable, "the table service is away", tableRetryAfter);
+                return;
+            }
+            const std::optional<JobRecord> record
+                = rows->rows.empty() ? std::nullopt : Model::jobFromText(rows->rows.front().value);
+            if (record && record->specification.account == account)
+                this->answer(caller, statusOk, publicJob(*record));
+            else
+                this->refuse(caller, statusNotFound, "no such job");
+        });
+}
+
+void JobController::list(CallerId caller, const Model::ClientAccountId& account)
+{
+    Json jobs = Json::array();
+    for (const auto& [id, entry] : this->blackboard.jobs) {
+        if (entry.record.specification.account == account)
+            jobs.push_back(publicJob(entry.record));
+    }
+    this->answer(caller, statusOk, { { "host", this->blackboard.self.host }, { "jobs", jobs } });
+}
+
+void JobController::takeOver(const LapsedSession& session, SteadyTime)
+{
+    if (this->released)
+        return;
+    this->scanForTakeover(session, {});
+}
+
+void JobController::scanForTakeover(const LapsedSession& session, std::string after)
+{
+    ++this->blackboard.counters.tableReads;
+    const std::string prefix = Model::jobRowPrefix(this->blackboard.self.zone);
+    this->outbox.callTable(Model::TableScan { .prefix = prefix, .after = std::move(after) }, tableTimeout,
+        [this, session](const Model::TableAnswer& answer, SteadyTime now) {
+            const auto* rows = std::get_if<Model::TableRows>(&answer);
+            if (!rows)
+                return;
+            for (const Model::TableRow& row : rows->rows)
+                this->takeOverRow(session, row, now);
+            if (rows->more)
+                this->scanForTakeover(session, rows->rows.back().key);
+            else
+                this->sessions.remove(session, now);
+        });
+}
+
+void JobController::takeOverRow(const LapsedSession& session, const Model::TableRow& row, SteadyTime now)
+{
+    std::optional<JobRecord> record = Model::jobFromText(row.value);
+    if (!record || Model::isFinal(record->state) || this->blackboard.jobs.contains(record->id))
+        return;
+    const bool theirs = record->owner == session.host && record->ownerIncarnation == session.incarnation;
+    if (!theirs && !record->owner.empty())
+        return;
+    record->owner = this->blackboard.self.host;
+    record->ownerIncarnation = this->blackboard.self.incarnation;
+    record->nonce = this->random.bits();
+    RowChange change { .key = row.key,
+        .expected = row.version,
+        .value = Utils::toText(Model::jobToJson(*record)),
+        .priority = WritePriority::Job };
+    this->writer.write(
+        std::move(change),
+        [this, record = *record](const RowOutcome& outcome, SteadyTime at) {
+            const auto* written = std::get_if<RowWritten>(&outcome);
+            if (!written || this->blackboard.jobs.contains(record.id))
+                return;
+            this->outbox.log(Event::JobTakenOver, record.id.value());
+            JobEntry entry { .record = record, .version = written->version, .queuedSince = at };
+            entry.note(at, "taken over from a daemon that is gone");
+            this->resume(this->blackboard.jobs.emplace(record.id, std::move(entry)).first->second, at);
+        },
+        now);
+}
+
+void JobController::resume(JobEntry& entry, SteadyTime now)
+{
+    const bool attemptCommitted = entry.record.state != JobState::Queued && !entry.record.placement.empty();
+    if (!attemptCommitted) {
+        entry.record.state = JobState::Queued;
+        if (entry.record.cancelRequested)
+            this->cancelEntry(entry, now);
+        return;
+    }
+    entry.record.state = JobState::Starting;
+    entry.mayHaveRun = true;
+    entry.startSent = true;
+    entry.runningSince = now;
+    GangAttempt attempt { .terms = this->termsOf(entry),
+        .plan = { .members = entry.record.placement },
+        .payload = entry.record.specification.payload,
+        .resumeFrom = entry.record.checkpointed };
+    this->gangs.adopt(std::move(attempt), now);
+    if (entry.record.cancelRequested)
+        this->cancelEntry(entry, now);
+}
+
+void JobController::release(SteadyTime now)
+{
+    if (std::exchange(this->released, true))
+        return;
+    for (auto& [id, entry] : this->blackboard.jobs) {
+        if (entry.record.specification.attached || Model::isFinal(entry.record.state))
+            continue;
+        entry.note(now, "let go by a graceful stop");
+        const bool unstarted = entry.record.state == JobState::Reserving
+            || (entry.record.state == JobState::Starting && !entry.startSent);
+        if (unstarted)
+            entry.record.state = JobState::Queued;
+        entry.record.owner = Model::EntryHostId();
+        entry.record.ownerIncarnation = 0;
+        this->persist(entry, now);
+    }
+}
+
+std::size_t JobController::unfinished() const
+{
+    const auto open = std::ranges::count_if(
+        this->blackboard.jobs, [](const auto& entry) { return !Model::isFinal(entry.second.record.state); });
+    return static_cast<std::size_t>(open) + this->submissions.size();
+}
+
+Json JobController::dump(SteadyTime now) const
+{
+    Json jobs = Json::object();
+    for (const auto& [id, entry] : this->blackboard.jobs) {
+        Json job = publicJob(entry.record);
+        job["account"] = entry.record.specification.account;
+        job["inStateMs"] = std::chrono::duration_cast<Duration>(now - entry.queuedSince).count();
+        jobs[id.value()] = std::move(job);
+    }
+    return { { "jobs", jobs }, { "gangs", this->gangs.open() }, { "holdsSession", this->sessions.holds(now) } };
+}
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/jobcontroller.h
@@ -0,0 +1,114 @@
+/// Jobs from submission to their end: rows, the queue, attempts, cancellation and takeover.
+#pragma once
+
+#include "controllers/gangcontroller.h"
+#include "controllers/outbox.h"
+#include "controllers/sessioncontroller.h"
+#include "controllers/tablewriter.h"
+#include "model/blackboard.h"
+#include "utils/randomsource.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::Controllers {
+
+/// Thread safety: none.
+class JobController {
+public:
+    JobController(Model::Blackboard& blackboard, Outbox& outbox, TableWriter& writer, LeaseGateway& gateway,
+        ServerHealthController& health, Utils::RandomSource& random);
+
+    /// Takes a job in. A durable one is answered once its row is committed, an attached one when it ends.
+    void submit(CallerId caller, Model::JobSpecification specification, SteadyTime now);
+    void cancel(CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, SteadyTime now);
+    void describe(
+        CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, bool explain, SteadyTime now);
+    void list(CallerId caller, const Model::ClientAccountId& account);
+
+    /// A peer passes a cancellation on. True if the job is owned here.
+    bool cancelOwned(const Model::JobId& job, SteadyTime now);
+
+    /// The caller of an attached job went away: the job is cancelled.
+    void callerGone(CallerId caller, SteadyTime now);
+
+    void tick(SteadyTime now);
+
+    /// Lets go of durable jobs, so that peers take them over, and takes no more. Attached jobs run on.
+    void release(SteadyTime now);
+
+    /// Durable jobs that are not let go yet, attached ones that have not ended, and submissions without an answer.
+    std::size_t unfinished() const;
+
+    Utils::Json dump(SteadyTime now) const;
+
+private:
+    struct Submission {
+        CallerId caller = 0;
+        Model::JobEntry entry;
+        WriteId write = 0;
+        SteadyTime deadline;
+    };
+
+    std::optional<std::string> refusalOf(const Model::JobSpecification& specification) const;
+    Model::JobRecord newRecord(Model::JobSpecification specification);
+    void insertRow(CallerId caller, Model::JobEntry entry, SteadyTime now);
+    void onInserted(const Model::JobId& job, const RowOutcome& outcome, SteadyTime now);
+    void expireSubmissions(SteadyTime now);
+
+    Model::JobEntry* find(const Model::JobId& job);
+    void persist(Model::JobEntry& entry, SteadyTime now);
+    void onPersisted(const Model::JobId& job, const RowOutcome& outcome, SteadyTime now);
+    void onRowChanged(Model::JobEntry& entry, const Model::TableRow& row, SteadyTime now);
+    void lose(const Model::JobId& job);
+
+    void planQueue(SteadyTime now);
+    std::vector<Model::JobEntry*> plannable(SteadyTime now);
+    void planOne(Model::JobEntry& entry, PlannerZone& zone, SteadyTime now);
+    PlacementRequest placementRequest(const Model::JobEntry& entry, bool aged) const;
+    std::map<Model::BackendServerId, Model::AcceleratorSet> siblingsOf(const Model::JobEntry& entry) const;
+    void beginAttempt(Model::JobEntry& entry, PlacementPlan plan, bool aged, SteadyTime now);
+    Model::LeaseTerms termsOf(const Model::JobEntry& entry) const;
+
+    void onReserved(const Model::JobId& job, SteadyTime now);
+    void onRunning(const Model::JobId& job, SteadyTime now);
+    void onEnded(const Model::JobId& job, const GangEnd& end, SteadyTime now);
+    void requeue(Model::JobEntry& entry, const GangEnd& end, SteadyTime now);
+    void finish(Model::JobEntry& entry, Model::JobState state, std::string reason, SteadyTime now);
+    void cancelEntry(Model::JobEntry& entry, SteadyTime now);
+    void startAttempt(Model::JobEntry& entry, SteadyTime now);
+    void enforceCommitBound(SteadyTime now);
+    void enforceHardLimits(SteadyTime now);
+    void recheckFeasibility(SteadyTime now);
+    void forgetOldFinals(SteadyTime now);
+
+    void takeOver(const LapsedSession& session, SteadyTime now);
+    void scanForTakeover(const LapsedSession& session, std::string after);
+    void takeOverRow(const LapsedSession& session, const Model::TableRow& row, SteadyTime now);
+    void resume(Model::JobEntry& entry, SteadyTime now);
+
+    void answer(CallerId caller, int status, Utils::Json document, std::optional<Duration> retryAfter = {});
+    void refuse(CallerId caller, int status, const std::string& reason, std::optional<Duration> retryAfter = {});
+    void answerAttached(Model::JobEntry& entry);
+    void answerFromRow(CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job);
+    void requestCancelByRow(CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job);
+    void onRowForCancel(CallerId caller, const Model::TableRow& row, Model::JobRecord record, SteadyTime now);
+
+    Model::Blackboard& blackboard;
+    Outbox& outbox;
+    TableWriter& writer;
+    ServerHealthController& health;
+    Utils::RandomSource& random;
+    GangController gangs;
+    SessionController sessions;
+    std::map<Model::JobId, Submission> submissions;
+    SteadyTime nextPlan;
+    Model::Revision checkedRevision = 0;
+    std::uint64_t lastNumber = 0;
+    bool released = false;
+};
+
+} // namespace WisteriaHill::Controllers
--- /dev/null
+++ b/src/libs/controllers/sessioncontroller.h
@@ -0,0 +1,63 @@
+/// Sessions: one row per daemon in the table service, by which others see that it lives even when they can't hear it.
+#pragma once
+
+#include "controllers/tablewriter.h"
+#include "model/blackboard.h"
+#include "utils/randomsource.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace WisteriaHill::Controllers {
+
+/// Whose jobs are to be taken over.
+struct LapsedSession {
+    Model::EntryHostId host;
+    Model::Incarnation incarnation = 0;
+};
+
+/// Thread safety: none.
+class SessionController {
+public:
+    /// `lapsed` is called for a daemon of this zone whose row was not renewed for the session's length plus a margin,
+    /// or which said goodbye, when this daemon is the one to take its jobs over.
+    SessionController(Model::Blackboard& blackboard, Outbox& outbox, TableWriter& writer, Utils::RandomSource& random,
+        std::function<void(const LapsedSession&, SteadyTime)> lapsed);
+
+    /// True while no other daemon may have taken this one's jobs over.
+    bool holds(SteadyTime now) const;
+
+    /// Deletes the row of a lapsed session whose jobs were all taken over.
+    void remove(const LapsedSession& session, SteadyTime now);
+
+    void tick(SteadyTime now);
+
+private:
+    struct Observed {
+        Model::RowVersion version = 0;
+        SteadyTime since;
+        LapsedSession session;
+    };
+
+    std::string ownKey() const;
+    void renew(SteadyTime now);
+    void observe();
+    void onRows(const std::vector<Model::TableRow>& rows, SteadyTime now);
+    void reportLapsed(SteadyTime now);
+
+    Model::Blackboard& blackboard;
+    Outbox& outbox;
+    TableWriter& writer;
+    Utils::RandomSource& random;
+    std::function<void(const LapsedSession&, SteadyTime)> lapsed;
+    Model::RowVersion ownVersion = 0;
+    bool writing = false;
+    SteadyTime heldUntil;
+    SteadyTime nextRenewal;
+    SteadyTime nextObservation;
+    std::map<std::string, Observed> observed;
+    std::uint64_t counter = 0;
+};
+
+} // namespace WisteriaHill::Controllers
--- a/src/libs/model/blackboard.h
+++ b/src/libs/model/blackboard.h
@@ -69,6 +69,34 @@
     bool acceptsWork() const { return !this->leaving && !this->listedLeaving && !this->drained && !this->silent; }
 };
 
+/// A job that this daemon owns.
+struct JobEntry {
+    /// Why something was decided, for explain.
+    struct Note {
+        SteadyTime at;
+        std::string text;
+    };
+
+    JobRecord record;
+    RowVersion version = 0; ///< of the row as last written or read; zero for attached jobs
+    SteadyTime queuedSince;
+    SteadyTime notBefore; ///< no attempt before
+    SteadyTime runningSince;
+    SteadyTime finalSince;
+    std::uint32_t failures = 0; ///< attempts that ended because a task failed
+    std::set<BackendServerId> failedOn; ///< servers on which a task of the job failed
+    std::map<BackendServerId, AcceleratorSet> blocked; ///< found held by work that may not be evicted
+    std::deque<Note> notes; ///< newest last
+    std::uint64_t attachedCaller = 0; ///< the caller of an attached job
+    bool mayHaveRun = false; ///< a start was sent in some attempt
+    bool startSent = false; ///< in this attempt
+    bool writing = false;
+    bool rewrite = false; ///< changed while a write was under way
+
+    /// Keeps the latest notes.
+    void note(SteadyTime at, std::string text);
+};
+
 /// Counters since the start, for metrics and dumps.
 struct Counters {
     std::uint64_t requestsCompleted = 0;
@@ -98,6 +126,7 @@
     std::map<BackendServerId, DrainMark> drains; ///< of all zones
     std::set<BackendServerId> listedLeaving; ///< by the platform's list, all zones
     GuaranteeLayout layout; ///< of this zone
+    std::map<JobId, JobEntry> jobs; ///< owned by this daemon, and final ones for a while
     bool tableAvailable = true;
     Counters counters;
 
--- a/src/libs/model/configurationsections.cpp
+++ b/src/libs/model/configurationsections.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t sha256HexLength = 64;
 constexpr IntegerRange portRange { 1, 65535 };
 constexpr IntegerRange serversRange { 1, 256 };
+constexpr int longestGraceFifths = 2;
 constexpr std::int64_t maximumBodyBytes = 1'048'576;
 
 std::string readCredential(JsonObjectReader& reader)
@@ -130,8 +131,11 @@
     policy.completionWeight = section.numberOr("completionWeight", 0, 100, 1);
     policy.fragmentationWeight = section.numberOr("fragmentationWeight", 0, 100, 1);
     policy.leasePeriod = section.durationOr("leasePeriod", { 2s, 300s }, 10s);
-    policy.reclaimGrace = section.durationOr("reclaimGrace", { 0s, 600s }, 5s);
+    policy.reclaimGrace = section.durationOr("reclaimGrace", { 0s, 120s }, 4s);
     policy.urgentGrace = section.durationOr("urgentGrace", { 0s, 60s }, 1s);
+    // A gang whose member is evicted gets no more renewals; its leases must outlast the grace.
+    if (policy.reclaimGrace > policy.leasePeriod * longestGraceFifths / 5)
+        section.fault("reclaimGrace", "must be at most two fifths of leasePeriod");
     policy.agingBound = section.durationOr("agingBound", { 1s, 24h }, 10min);
     section.finish();
 }
--- a/src/libs/model/lease.cpp
+++ b/src/libs/model/lease.cpp
@@ -16,11 +16,12 @@
     std::string_view name;
 };
 
-constexpr std::array<Named<LeaseState>, 6> states { {
+constexpr std::array<Named<LeaseState>, 7> states { {
     { LeaseState::Waiting, "waiting" },
     { LeaseState::Reserved, "reserved" },
     { LeaseState::Running, "running" },
     { LeaseState::Evicting, "evicting" },
+    { LeaseState::Evicted, "evicted" },
     { LeaseState::Finished, "finished" },
     { LeaseState::Failed, "failed" },
 } };
--- a/src/libs/model/lease.h
+++ b/src/libs/model/lease.h
@@ -20,7 +20,8 @@
     Waiting, ///< granted, but replaced leases still hold the accelerators
     Reserved,
     Running,
-    Evicting, ///< running, and stopped when its grace ends
+    Evicting, ///< running, and stopped when its checkpoint is complete or its grace ends
+    Evicted, ///< stopped by an eviction; holds no accelerators any more
     Finished,
     Failed,
 };
--- a/tests/support/serverstate.cpp
+++ b/tests/support/serverstate.cpp
@@ -152,8 +152,8 @@
 {
     if (lease.state == LeaseState::Running) {
         lease.state = LeaseState::Evicting;
-        lease.evictedBy = now + evict.grace;
-        lease.checkpointed = this->workDone(lease, now);
+        lease.checkpointCompletes = this->checkpointTime <= evict.grace;
+        lease.evictedBy = now + std::min(evict.grace, this->checkpointTime);
     } else if (lease.state == LeaseState::Waiting || lease.state == LeaseState::Reserved) {
         lease.expires = now;
     }
@@ -211,12 +211,13 @@
     }
     for (auto entry = this->leases.begin(); entry != this->leases.end();) {
         Lease& lease = entry->second;
-        const bool graceEnded = lease.state == LeaseState::Evicting && now >= lease.evictedBy;
-        if (now < lease.expires && !graceEnded) {
+        if (lease.state == LeaseState::Evicting && now >= lease.evictedBy && lease.evictedBy <= lease.expires)
+            this->finishEviction(lease);
+        if (now < lease.expires) {
             ++entry;
             continue;
         }
-        this->stop(lease, graceEnded ? std::min(lease.evictedBy, lease.expires) : lease.expires);
+        this->stop(lease, lease.expires);
         entry = this->leases.erase(entry);
     }
     for (auto& [token, lease] : this->leases) {
@@ -225,6 +226,14 @@
     }
 }
 
+void ServerState::finishEviction(Lease& lease)
+{
+    if (lease.checkpointCompletes)
+        lease.checkpointed = this->workDone(lease, lease.evictedBy);
+    this->stop(lease, lease.evictedBy);
+    lease.state = LeaseState::Evicted;
+}
+
 void ServerState::restart(Model::Incarnation newIncarnation, SteadyTime now)
 {
     for (auto& [token, lease] : this->leases)
--- a/tests/support/serverstate.h
+++ b/tests/support/serverstate.h
@@ -17,7 +17,7 @@
     SteadyTime at;
     Model::JobId job;
     std::uint64_t gangToken = 0;
-    bool running = false; ///< started if true, else stopped, lapsed or lost
+    bool running = false; ///< started if true, else it ended in any way
     bool finished = false; ///< it ran to its end
 };
 
@@ -37,6 +37,8 @@
 
     void setLeaving(bool value) { this->leaving = value; }
     bool isLeaving() const { return this->leaving; }
+    /// How long a task takes to save its work when it is evicted.
+    void setCheckpointTime(Duration value) { this->checkpointTime = value; }
     /// Every task that starts fails at once.
     void setFailsEverything(bool value) { this->failsEverything = value; }
 
@@ -57,6 +59,7 @@
         Duration resumedFrom { 0 };
         std::uint32_t percent = 100;
         Duration checkpointed { 0 };
+        bool checkpointCompletes = false; ///< within the grace of an eviction
 
         bool running() const
         {
@@ -65,7 +68,8 @@
         /// A task that ended leaves its accelerators; the lease stays until it is stopped or lapses.
         bool holdsAccelerators() const
         {
-            return this->state != Model::LeaseState::Finished && this->state != Model::LeaseState::Failed;
+            return this->state != Model::LeaseState::Finished && this->state != Model::LeaseState::Failed
+                && this->state != Model::LeaseState::Evicted;
         }
     };
 
@@ -76,6 +80,7 @@
     Model::LeaseResult adopt(Lease& lease, const Model::AdoptLease& adopt, SteadyTime now);
     Model::LeaseResult evict(Lease& lease, const Model::EvictLease& evict, SteadyTime now);
     Model::LeaseResult checkpoint(Lease& lease, SteadyTime now);
+    void finishEviction(Lease& lease);
     void stop(Lease& lease, SteadyTime now);
     void note(const Lease& lease, bool running, bool finished, SteadyTime now);
     Duration workDone(const Lease& lease, SteadyTime now) const;
@@ -86,6 +91,7 @@
     Model::Incarnation incarnation;
     bool leaving = false;
     bool failsEverything = false;
+    Duration checkpointTime { 200 };
     Model::LeaseToken lastToken = 0;
     std::map<Model::LeaseToken, Lease> leases;
     std::vector<TaskChange> changes;
