--- a/src/libs/adapters/backendclient.cpp
+++ b/src/libs/adapters/backendclient.cpp
@@ -34,7 +34,7 @@
     if (const auto* error = std::get_if<HttpClientError>(&result))
         return translate(*error);
     auto& response = std::get<HttpResponse>(result);
-    const std::string notRun = response.header(HeaderName::NotRun);
+    const std::string notRun = response.header(HeaderName::notRun);
     if (notRun == "leaving")
         return BackendError::Leaving;
     if (!notRun.empty())
@@ -45,8 +45,8 @@
     Model::RunAnswer answer { .status = response.status,
         .body = std::move(response.body),
         .contentType = response.contentType,
-        .leaving = response.header(HeaderName::Leaving) == "true" };
-    const std::string busySlots = response.header(HeaderName::BusySlots);
+        .leaving = response.header(HeaderName::leaving) == "true" };
+    const std::string busySlots = response.header(HeaderName::busySlots);
     std::uint32_t busy = 0;
     const auto [end, fault] = std::from_chars(busySlots.data(), busySlots.data() + busySlots.size(), busy);
     if (fault == std::errc() && end != busySlots.data())
@@ -85,8 +85,8 @@
         .port = server.port,
         .method = "POST",
         .path = "/v1/services/" + request.service.value(),
-        .headers = { { HeaderName::Account, request.account.value() },
-            { HeaderName::RequestId, std::to_string(request.requestId) } },
+        .headers = { { HeaderName::account, request.account.value() },
+            { HeaderName::requestId, std::to_string(request.requestId) } },
         .body = request.body,
         .timeout = timeout,
         .maximumAnswer = request.maximumAnswer };
--- a/src/libs/adapters/httpapi.cpp
+++ b/src/libs/adapters/httpapi.cpp
@@ -39,7 +39,7 @@
 std::string credentialOf(const HttpRequest& request)
 {
     constexpr std::string_view scheme = "Bearer ";
-    const std::string value = request.header(HeaderName::Authorization);
+    const std::string value = request.header(HeaderName::authorization);
     return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string();
 }
 
@@ -48,8 +48,8 @@
     if (!retryAfter)
         return {};
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(*retryAfter);
-    return { { HeaderName::RetryAfter, std::to_string(seconds.count()) },
-        { HeaderName::RetryAfterMs, std::to_string(retryAfter->count()) } };
+    return { { HeaderName::retryAfter, std::to_string(seconds.count()) },
+        { HeaderName::retryAfterMs, std::to_string(retryAfter->count()) } };
 }
 
 /// Reads a version from an If-Match header: a number, with or without quotes.
@@ -87,7 +87,7 @@
 void HttpApi::respondError(HttpExchangeId exchange, int status, const std::string& reason)
 {
     this->respondJson(
-        exchange, status, { { "error", reason }, { "outcome", "notRun" } }, { { HeaderName::Outcome, "notRun" } });
+        exchange, status, { { "error", reason }, { "outcome", "notRun" } }, { { HeaderName::outcome, "notRun" } });
 }
 
 void HttpApi::answer(const Controllers::AnswerCaller& effect)
@@ -100,9 +100,9 @@
     }
     HttpResponse response { .status = answer.status, .headers = retryHeaders(answer.retryAfter) };
     const std::string outcome(Model::outcomeName(answer.outcome));
-    response.headers[HeaderName::Outcome] = outcome;
+    response.headers[HeaderName::outcome] = outcome;
     if (answer.replayed)
-        response.headers[HeaderName::Replayed] = "true";
+        response.headers[HeaderName::replayed] = "true";
     if (answer.outcome == Model::Outcome::Completed) {
         response.body = answer.body;
         response.contentType = answer.contentType.empty() ? "application/octet-stream" : answer.contentType;
@@ -119,9 +119,9 @@
 {
     HttpHeaders headers = retryHeaders(effect.retryAfter);
     if (effect.document.contains("outcome"))
-        headers[HeaderName::Outcome] = effect.document.at("outcome").get<std::string>();
+        headers[HeaderName::outcome] = effect.document.at("outcome").get<std::string>();
     if (!effect.entityTag.empty())
-        headers[HeaderName::EntityTag] = "\"" + effect.entityTag + "\"";
+        headers[HeaderName::entityTag] = "\"" + effect.entityTag + "\"";
     this->respondJson(effect.caller, effect.status, effect.document, std::move(headers));
 }
 
@@ -187,10 +187,10 @@
     if (!this->core.state().configuration) {
         this->respondJson(exchange, statusUnavailable,
             { { "outcome", "notRun" }, { "reason", "this entry host has no configuration yet" } },
-            { { HeaderName::Outcome, "notRun" }, { HeaderName::RetryAfter, "1" } });
+            { { HeaderName::outcome, "notRun" }, { HeaderName::retryAfter, "1" } });
         return std::nullopt;
     }
-    const std::optional<Model::ClientAccountId> account = this->core.accountOf(credentialOf(request));
+    std::optional<Model::ClientAccountId> account = this->core.accountOf(credentialOf(request));
     if (!account)
         this->respondError(exchange, statusUnauthorised, "the credential belongs to no client account");
     return account;
@@ -198,7 +198,7 @@
 
 std::optional<Model::TeamId> HttpApi::authenticateTeam(HttpExchangeId exchange, const HttpRequest& request)
 {
-    const std::optional<Model::TeamId> team = this->core.teamOf(credentialOf(request));
+    std::optional<Model::TeamId> team = this->core.teamOf(credentialOf(request));
     if (!team)
         this->respondError(exchange, statusUnauthorised, "the credential belongs to no team");
     return team;
@@ -209,13 +209,13 @@
     const std::optional<Model::ClientAccountId> account = this->authenticateAccount(exchange, request);
     if (!account)
         return;
-    const std::string key = request.header(HeaderName::IdempotencyKey);
+    const std::string key = request.header(HeaderName::idempotencyKey);
     if (key.size() > longestKey || (!key.empty() && !Utils::isIdentifier(key))) {
         this->respondError(
             exchange, statusBadRequest, "Idempotency-Key must be 1 to 128 letters, digits, '.', '_' or '-'");
         return;
     }
-    const std::string deadline = request.header(HeaderName::Deadline);
+    const std::string deadline = request.header(HeaderName::deadline);
     const std::optional<Duration> timeout = Utils::parseDuration(deadline);
     if (!deadline.empty() && (!timeout || timeout->count() == 0)) {
         this->respondError(exchange, statusBadRequest, "Wisteriahill-Deadline must be a duration such as 250ms or 2s");
@@ -285,13 +285,13 @@
         this->respondError(exchange, statusForbidden, "section " + section + " is not owned by team " + team->value());
         return;
     }
-    const std::optional<Model::RowVersion> expected = versionFrom(request.header(HeaderName::IfMatch));
+    const std::optional<Model::RowVersion> expected = versionFrom(request.header(HeaderName::ifMatch));
     if (!expected) {
         this->respondError(
             exchange, statusPreconditionRequired, "If-Match must hold the version that the edit is based on, or 0");
         return;
     }
-    const std::string changeId = request.header(HeaderName::ChangeId);
+    const std::string changeId = request.header(HeaderName::changeId);
     if (!Utils::isIdentifier(changeId)) {
         this->respondError(exchange, statusBadRequest,
             "Wisteriahill-Change-Id must be 1 to 128 letters, digits, '.', '_' or '-', new for each change");
@@ -353,7 +353,7 @@
     }
     const Model::RowVersion version = configuration->versions.at(section);
     this->respondJson(exchange, statusOk, configuration->documents.at(section),
-        { { HeaderName::EntityTag, "\"" + std::to_string(version) + "\"" } });
+        { { HeaderName::entityTag, "\"" + std::to_string(version) + "\"" } });
 }
 
 void HttpApi::showDump(HttpExchangeId exchange, const HttpRequest& request)
--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -15,8 +15,8 @@
 constexpr lws_usec_t usecPerMs = 1000;
 constexpr int longestHeaderValue = 2048;
 
-constexpr std::array answerHeaders { HeaderName::Outcome, HeaderName::Reason, HeaderName::RetryAfterMs,
-    HeaderName::Replayed, HeaderName::NotRun, HeaderName::BusySlots, HeaderName::Leaving };
+constexpr std::array answerHeaders { HeaderName::outcome, HeaderName::reason, HeaderName::retryAfterMs,
+    HeaderName::replayed, HeaderName::notRun, HeaderName::busySlots, HeaderName::leaving };
 
 std::string tokenValue(lws* wsi, lws_token_indexes token)
 {
@@ -169,8 +169,8 @@
     HttpResponse& response = transaction.response;
     response.status = static_cast<int>(lws_http_client_http_response(wsi));
     response.contentType = tokenValue(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
-    response.headers[HeaderName::RetryAfter] = tokenValue(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
-    response.headers[HeaderName::EntityTag] = tokenValue(wsi, WSI_TOKEN_HTTP_ETAG);
+    response.headers[HeaderName::retryAfter] = tokenValue(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
+    response.headers[HeaderName::entityTag] = tokenValue(wsi, WSI_TOKEN_HTTP_ETAG);
     for (const char* name : answerHeaders) {
         const std::string withColon = std::string(name) + ":";
         std::array<char, longestHeaderValue> value {};
--- a/src/libs/adapters/httpmessage.h
+++ b/src/libs/adapters/httpmessage.h
@@ -46,22 +46,22 @@
 
 /// Names of the product's own headers and of the others that are read.
 namespace HeaderName {
-inline constexpr const char* Authorization = "authorization";
-inline constexpr const char* IdempotencyKey = "idempotency-key";
-inline constexpr const char* IfMatch = "if-match";
-inline constexpr const char* RetryAfter = "retry-after";
-inline constexpr const char* EntityTag = "etag";
-inline constexpr const char* ChangeId = "wisteriahill-change-id";
-inline constexpr const char* Deadline = "wisteriahill-deadline";
-inline constexpr const char* Outcome = "wisteriahill-outcome";
-inline constexpr const char* Reason = "wisteriahill-reason";
-inline constexpr const char* RetryAfterMs = "wisteriahill-retry-after-ms";
-inline constexpr const char* Replayed = "wisteriahill-replayed";
-inline constexpr const char* Account = "wisteriahill-account";
-inline constexpr const char* RequestId = "wisteriahill-request-id";
-inline constexpr const char* NotRun = "wisteriahill-not-run";
-inline constexpr const char* BusySlots = "wisteriahill-busy-slots";
-inline constexpr const char* Leaving = "wisteriahill-leaving";
+inline constexpr const char* authorization = "authorization";
+inline constexpr const char* idempotencyKey = "idempotency-key";
+inline constexpr const char* ifMatch = "if-match";
+inline constexpr const char* retryAfter = "retry-after";
+inline constexpr const char* entityTag = "etag";
+inline constexpr const char* changeId = "wisteriahill-change-id";
+inline constexpr const char* deadline = "wisteriahill-deadline";
+inline constexpr const char* outcome = "wisteriahill-outcome";
+inline constexpr const char* reason = "wisteriahill-reason";
+inline constexpr const char* retryAfterMs = "wisteriahill-retry-after-ms";
+inline constexpr const char* replayed = "wisteriahill-replayed";
+inline constexpr const char* account = "wisteriahill-account";
+inline constexpr const char* requestId = "wisteriahill-request-id";
+inline constexpr const char* notRun = "wisteriahill-not-run";
+inline constexpr const char* busySlots = "wisteriahill-busy-slots";
+inline constexpr const char* leaving = "wisteriahill-leaving";
 } // namespace HeaderName
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/adapters/httpserver.cpp
+++ b/src/libs/adapters/httpserver.cpp
@@ -17,8 +17,8 @@
 constexpr int statusLengthRequired = 411;
 constexpr int statusTooLarge = 413;
 
-constexpr std::array customHeaders { HeaderName::IdempotencyKey, HeaderName::ChangeId, HeaderName::Deadline,
-    HeaderName::Account, HeaderName::RequestId };
+constexpr std::array customHeaders { HeaderName::idempotencyKey, HeaderName::changeId, HeaderName::deadline,
+    HeaderName::account, HeaderName::requestId };
 
 std::string knownHeader(lws* wsi, lws_token_indexes token)
 {
@@ -81,8 +81,8 @@
         request.query[argument.substr(0, equals)] = equals == std::string::npos ? "" : argument.substr(equals + 1);
     }
 
-    request.headers[HeaderName::Authorization] = knownHeader(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
-    request.headers[HeaderName::IfMatch] = knownHeader(wsi, WSI_TOKEN_HTTP_IF_MATCH);
+    request.headers[HeaderName::authorization] = knownHeader(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
+    request.headers[HeaderName::ifMatch] = knownHeader(wsi, WSI_TOKEN_HTTP_IF_MATCH);
     for (const char* name : customHeaders)
         request.headers[name] = customHeader(wsi, name);
     return request;
--- a/src/libs/adapters/peerlink.cpp
+++ b/src/libs/adapters/peerlink.cpp
@@ -30,7 +30,7 @@
     : client(client)
     , answerer(std::move(answerer))
     , rejected(std::move(rejected))
-    , server(loop, { .address = own.address, .port = own.port, .maximumBody = Model::MaximumPeerMessageBytes },
+    , server(loop, { .address = own.address, .port = own.port, .maximumBody = Model::maximumPeerMessageBytes },
           [this](HttpExchangeId exchange, const HttpRequest& request) { this->onRequest(exchange, request); })
 {
 }
@@ -57,7 +57,7 @@
         .path = messagePath,
         .body = Model::encodeQuestion(question),
         .timeout = timeout,
-        .maximumAnswer = Model::MaximumPeerMessageBytes };
+        .maximumAnswer = Model::maximumPeerMessageBytes };
     this->client.send(
         std::move(call), [done = std::move(done)](const HttpCallResult& result) { done(readReply(result)); });
 }
--- a/src/libs/controllers/retrybudget.h
+++ b/src/libs/controllers/retrybudget.h
@@ -8,7 +8,7 @@
 /// Each success earns a tenth of a retry, up to a small reserve. Thread safety: none.
 class RetryBudget {
 public:
-    void recordSuccess() { this->tokens = std::min(Reserve, this->tokens + PerSuccess); }
+    void recordSuccess() { this->tokens = std::min(largestReserve, this->tokens + tokensPerSuccess); }
 
     /// True when a retry may be made; it is then paid for.
     bool tryTake()
@@ -20,9 +20,9 @@
     }
 
 private:
-    static constexpr double PerSuccess = 0.1;
-    static constexpr double Reserve = 10;
-    double tokens = Reserve;
+    static constexpr double tokensPerSuccess = 0.1;
+    static constexpr double largestReserve = 10;
+    double tokens = largestReserve;
 };
 
 } // namespace WisteriaHill::Controllers
--- a/src/libs/model/acceleratorset.cpp
+++ b/src/libs/model/acceleratorset.cpp
@@ -10,9 +10,9 @@
 
 std::uint32_t largestAlignedBlock(AcceleratorSet free)
 {
-    for (std::uint32_t size = MaximumAcceleratorsPerServer; size > 0; size /= 2) {
+    for (std::uint32_t size = maximumAcceleratorsPerServer; size > 0; size /= 2) {
         const AcceleratorSet block = allAccelerators(size);
-        for (std::uint32_t start = 0; start < MaximumAcceleratorsPerServer; start += size) {
+        for (std::uint32_t start = 0; start < maximumAcceleratorsPerServer; start += size) {
             if ((free >> start & block) == block)
                 return size;
         }
@@ -26,7 +26,7 @@
     const AcceleratorSet block = allAccelerators(count);
     std::optional<AcceleratorSet> best;
     std::uint32_t bestRemaining = 0;
-    for (std::uint32_t start = 0; start + count <= MaximumAcceleratorsPerServer; start += alignment) {
+    for (std::uint32_t start = 0; start + count <= maximumAcceleratorsPerServer; start += alignment) {
         const AcceleratorSet candidate = block << start;
         if ((free & candidate) != candidate)
             continue;
--- a/src/libs/model/acceleratorset.h
+++ b/src/libs/model/acceleratorset.h
@@ -9,9 +9,9 @@
 /// Bit n stands for accelerator n of a backend server.
 using AcceleratorSet = std::uint32_t;
 
-constexpr std::uint32_t MaximumAcceleratorsPerServer = 16;
+constexpr std::uint32_t maximumAcceleratorsPerServer = 16;
 
-/// All accelerators of a server that has `count` of them. Precondition: count <= MaximumAcceleratorsPerServer.
+/// All accelerators of a server that has `count` of them. Precondition: count <= maximumAcceleratorsPerServer.
 AcceleratorSet allAccelerators(std::uint32_t count);
 
 /// How many accelerators are in the set.
--- a/src/libs/model/configurationsections.cpp
+++ b/src/libs/model/configurationsections.cpp
@@ -36,7 +36,7 @@
     reader.object("shape", [&](JsonObjectReader& member) {
         shape.servers = static_cast<std::uint32_t>(member.integer("servers", serversRange));
         shape.acceleratorsPerServer
-            = static_cast<std::uint32_t>(member.integer("acceleratorsPerServer", { 1, MaximumAcceleratorsPerServer }));
+            = static_cast<std::uint32_t>(member.integer("acceleratorsPerServer", { 1, maximumAcceleratorsPerServer }));
     });
     return shape;
 }
@@ -53,7 +53,7 @@
     server.slots = static_cast<std::uint32_t>(reader.integerOr("slots", { 1, 1024 }, 8));
     server.connections = static_cast<std::uint32_t>(reader.integerOr("connections", { 1, 4096 }, 64));
     server.accelerators
-        = static_cast<std::uint32_t>(reader.integerOr("accelerators", { 0, MaximumAcceleratorsPerServer }, 8));
+        = static_cast<std::uint32_t>(reader.integerOr("accelerators", { 0, maximumAcceleratorsPerServer }, 8));
     return server;
 }
 
--- a/src/libs/model/job.cpp
+++ b/src/libs/model/job.cpp
@@ -113,7 +113,7 @@
     reader.object("shape", [&](Utils::JsonObjectReader& shape) {
         specification.shape.servers = static_cast<std::uint32_t>(shape.integerOr("servers", { 1, 256 }, 1));
         specification.shape.acceleratorsPerServer
-            = static_cast<std::uint32_t>(shape.integer("acceleratorsPerServer", { 1, MaximumAcceleratorsPerServer }));
+            = static_cast<std::uint32_t>(shape.integer("acceleratorsPerServer", { 1, maximumAcceleratorsPerServer }));
     });
     specification.guarantee = GuaranteeId(reader.textOr("guarantee", ""));
     specification.urgent = reader.booleanOr("urgent", false);
--- a/src/libs/model/peermessage.cpp
+++ b/src/libs/model/peermessage.cpp
@@ -52,7 +52,7 @@
 {
     std::string bytes = encode(heartbeat);
     Heartbeat shortened = heartbeat;
-    while (bytes.size() > MaximumHeartbeatBytes) {
+    while (bytes.size() > maximumHeartbeatBytes) {
         shortened.servers.resize(shortened.servers.size() / 2);
         shortened.drains.resize(shortened.drains.size() / 2);
         bytes = encode(shortened);
@@ -62,7 +62,7 @@
 
 std::optional<Heartbeat> decodeHeartbeat(const std::string& bytes)
 {
-    std::optional<Heartbeat> heartbeat = decode<Heartbeat>(bytes, MaximumHeartbeatBytes);
+    std::optional<Heartbeat> heartbeat = decode<Heartbeat>(bytes, maximumHeartbeatBytes);
     if (heartbeat && (heartbeat->host.empty() || heartbeat->phase > HostPhase::Left))
         return std::nullopt;
     return heartbeat;
@@ -72,14 +72,14 @@
 
 std::optional<PeerQuestion> decodeQuestion(const std::string& bytes)
 {
-    return decode<PeerQuestion>(bytes, MaximumPeerMessageBytes);
+    return decode<PeerQuestion>(bytes, maximumPeerMessageBytes);
 }
 
 std::string encodeReply(const PeerReply& reply) { return encode(reply); }
 
 std::optional<PeerReply> decodeReply(const std::string& bytes)
 {
-    return decode<PeerReply>(bytes, MaximumPeerMessageBytes);
+    return decode<PeerReply>(bytes, maximumPeerMessageBytes);
 }
 
 } // namespace WisteriaHill::Model
--- a/src/libs/model/peermessage.h
+++ b/src/libs/model/peermessage.h
@@ -25,7 +25,7 @@
     std::string address; ///< an IP number
     std::uint16_t port = 0; ///< UDP for heartbeats, TCP for messages
 
-    auto operator<=>(const PeerAddress&) const = default;
+    auto operator<=>(const PeerAddress&) const = default; // NOLINT(modernize-use-nullptr): false alarm on <=>
     template <typename Archive> void serialize(Archive& archive) { archive(this->address, this->port); }
 };
 
@@ -119,8 +119,8 @@
 
 using PeerReply = std::variant<ConfigurationCopy, JobCancelNoted>;
 
-constexpr std::size_t MaximumHeartbeatBytes = 60'000;
-constexpr std::size_t MaximumPeerMessageBytes = 4'194'304;
+constexpr std::size_t maximumHeartbeatBytes = 60'000;
+constexpr std::size_t maximumPeerMessageBytes = 4'194'304;
 
 /// Encodes a heartbeat that fits a datagram; digests that would not fit are left out.
 std::string encodeHeartbeat(const Heartbeat& heartbeat);
--- a/src/libs/utils/identifier.h
+++ b/src/libs/utils/identifier.h
@@ -22,7 +22,7 @@
     const std::string& value() const { return this->text; }
     bool empty() const { return this->text.empty(); }
 
-    auto operator<=>(const Identifier&) const = default;
+    auto operator<=>(const Identifier&) const = default; // NOLINT(modernize-use-nullptr): false alarm on <=>
 
     /// cereal: an identifier travels as its text.
     template <typename Archive> void serialize(Archive& archive) { archive(this->text); }
--- a/src/libs/utils/randomsource.h
+++ b/src/libs/utils/randomsource.h
@@ -25,7 +25,7 @@
     /// True with the given probability in [0, 1].
     bool chance(double probability)
     {
-        return static_cast<double>(this->below(ChanceSteps)) < probability * ChanceSteps;
+        return static_cast<double>(this->below(chanceSteps)) < probability * chanceSteps;
     }
 
     /// `base` spread evenly over [base / 2, base * 3 / 2), so that many callers don't act in step.
@@ -37,7 +37,7 @@
     }
 
 private:
-    static constexpr std::uint64_t ChanceSteps = 1'000'000;
+    static constexpr std::uint64_t chanceSteps = 1'000'000;
     std::mt19937_64 engine;
 };
 
--- a/src/tools/wisteriahillctl/commands.cpp
+++ b/src/tools/wisteriahillctl/commands.cpp
@@ -42,7 +42,7 @@
 
 ExitStatus statusOf(const HttpResponse& response)
 {
-    if (response.header(Adapters::HeaderName::Outcome) == "unknown")
+    if (response.header(Adapters::HeaderName::outcome) == "unknown")
         return ExitStatus::Unknown;
     if (response.status == statusConflict)
         return ExitStatus::Conflict;
@@ -153,9 +153,9 @@
 {
     HttpCall call { .method = "POST", .path = "/v1/services/" + options.service + "/requests", .body = options.body };
     if (!options.key.empty())
-        call.headers[Adapters::HeaderName::IdempotencyKey] = options.key;
+        call.headers[Adapters::HeaderName::idempotencyKey] = options.key;
     if (!options.deadline.empty())
-        call.headers[Adapters::HeaderName::Deadline] = options.deadline;
+        call.headers[Adapters::HeaderName::deadline] = options.deadline;
     return callAndPrint(context, std::move(call));
 }
 
@@ -262,13 +262,13 @@
         if (!response)
             return failureOf(result);
         if (response->status != statusNotFound)
-            version = response->header(Adapters::HeaderName::EntityTag);
+            version = response->header(Adapters::HeaderName::entityTag);
     }
     return callAndPrint(context,
         { .method = "PUT",
             .path = path,
             .headers
-            = { { Adapters::HeaderName::IfMatch, version }, { Adapters::HeaderName::ChangeId, newChangeId() } },
+            = { { Adapters::HeaderName::ifMatch, version }, { Adapters::HeaderName::changeId, newChangeId() } },
             .body = *body });
 }
 
--- a/src/tools/wisteriahillctl/daemonconnection.cpp
+++ b/src/tools/wisteriahillctl/daemonconnection.cpp
@@ -24,7 +24,7 @@
     if (call.timeout.count() == 0)
         call.timeout = defaultTimeout;
     if (!this->credential.empty())
-        call.headers[Adapters::HeaderName::Authorization] = "Bearer " + this->credential;
+        call.headers[Adapters::HeaderName::authorization] = "Bearer " + this->credential;
 
     std::optional<Adapters::HttpCallResult> outcome;
     this->client.send(std::move(call), [&](Adapters::HttpCallResult result) { outcome = std::move(result); });
--- a/tests/auto/model/tst_acceleratorset.cpp
+++ b/tests/auto/model/tst_acceleratorset.cpp
@@ -25,7 +25,7 @@
         const std::uint32_t largest = largestAlignedBlock(free);
         if (largest > 0)
             RC_ASSERT(alignedBlock(free, largest).has_value());
-        if (largest < MaximumAcceleratorsPerServer)
+        if (largest < maximumAcceleratorsPerServer)
             RC_ASSERT(!alignedBlock(free, largest * 2 + (largest == 0 ? 1 : 0)).has_value());
     }));
 }
--- a/tests/auto/model/tst_peermessage.cpp
+++ b/tests/auto/model/tst_peermessage.cpp
@@ -42,7 +42,7 @@
     Heartbeat heartbeat = sampleHeartbeat();
     heartbeat.servers.resize(5000, heartbeat.servers.front());
     const std::string bytes = encodeHeartbeat(heartbeat);
-    CHECK(bytes.size() <= MaximumHeartbeatBytes);
+    CHECK(bytes.size() <= maximumHeartbeatBytes);
     CHECK(decodeHeartbeat(bytes));
 }
 
--- a/tests/standins/backendserverstandin.cpp
+++ b/tests/standins/backendserverstandin.cpp
@@ -113,12 +113,12 @@
     {
         if (this->state.isLeaving()) {
             this->server.respond(
-                exchange, { .status = statusUnavailable, .headers = { { Adapters::HeaderName::NotRun, "leaving" } } });
+                exchange, { .status = statusUnavailable, .headers = { { Adapters::HeaderName::notRun, "leaving" } } });
             return;
         }
         if (this->busySlots >= this->options.slots) {
             this->server.respond(
-                exchange, { .status = statusUnavailable, .headers = { { Adapters::HeaderName::NotRun, "busy" } } });
+                exchange, { .status = statusUnavailable, .headers = { { Adapters::HeaderName::notRun, "busy" } } });
             return;
         }
         ++this->runs[request.body];
@@ -141,11 +141,11 @@
             this->server.abort(exchange);
             return;
         }
-        const Json answer { { "service", service }, { "account", request.header(Adapters::HeaderName::Account) },
+        const Json answer { { "service", service }, { "account", request.header(Adapters::HeaderName::account) },
             { "answerTo", request.body }, { "server", this->options.port } };
-        Adapters::HttpHeaders headers { { Adapters::HeaderName::BusySlots, std::to_string(this->busySlots) } };
+        Adapters::HttpHeaders headers { { Adapters::HeaderName::busySlots, std::to_string(this->busySlots) } };
         if (this->state.isLeaving())
-            headers[Adapters::HeaderName::Leaving] = "true";
+            headers[Adapters::HeaderName::leaving] = "true";
         this->server.respond(exchange, { .headers = std::move(headers), .body = Utils::toText(answer) });
     }
 
