Probes every 2.5 s, the host list every 2 s

Cause: probes of idle backend servers cost 25 KB/s both ways at 127 servers. Ruled out: probing by load alone; an idle server that says it leaves must be heard within 3 s, which 2.5 s and an urgent heartbeat still keep, also with the prober killed in the same moment (scenario leaving-prober-killed).

--- a/src/libs/controllers/daemoncore.cpp
+++ b/src/libs/controllers/daemoncore.cpp
@@ -13,7 +13,7 @@
 using Utils::Event;
 using Utils::Overloaded;
 
-constexpr Duration hostListInterval { 1000 };
+constexpr Duration hostListInterval { 2000 };
 constexpr Duration hostListTimeout { 900 };
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
--- a/src/libs/controllers/serverhealthcontroller.cpp
+++ b/src/libs/controllers/serverhealthcontroller.cpp
@@ -14,11 +14,11 @@
 using Model::ServerView;
 using Utils::Event;
 
-constexpr Duration probeInterval { 1000 };
+constexpr Duration probeInterval { 2500 };
 constexpr Duration quickProbeInterval { 200 };
 constexpr Duration probeTimeout { 800 };
-constexpr Duration gossipRefresh { 5000 };
-constexpr Duration unheardAfter { 12'000 };
+constexpr Duration gossipRefresh { 10'000 };
+constexpr Duration unheardAfter { 25'000 };
 constexpr std::uint32_t failedProbesUntilSilent = 2;
 
 constexpr std::size_t outcomeWindow = 16;
