--- a/src/libs/controllers/membershipcontroller.cpp
+++ b/src/libs/controllers/membershipcontroller.cpp
@@ -91,7 +91,8 @@
         this->sendRound(true, now);
     }
     // Other zones hear of a new revision at once, and otherwise seldom: the platform tells them too.
-    const bool newRevision = this->blackboard.configuration && this->blackboard.configuration->revision != this->toldRevision;
+    const bool newRevision
+        = this->blackboard.configuration && this->blackboard.configuration->revision != this->toldRevision;
     if (newRevision || now >= this->nextOtherZoneRound) {
         this->toldRevision = this->blackboard.configuration ? this->blackboard.configuration->revision : 0;
         this->nextOtherZoneRound = now + this->random.jittered(otherZoneInterval);
