--- a/src/libs/adapters/eventloop.cpp
+++ b/src/libs/adapters/eventloop.cpp
@@ -78,14 +78,18 @@
 void EventLoop::timerFired(lws_sorted_usec_list_t* entry)
 {
     auto* timer = reinterpret_cast<Timer*>(entry);
-    timer->loop->wake();
+    EventLoop* loop = timer->loop;
     if (timer->interval.count() > 0) {
         lws_sul_schedule(timer->loop->lwsContext, 0, &timer->entry, timerFired, timer->interval.count() * usecPerMs);
         timer->action();
+        // The wait that follows need not end unless there is something to do before it.
+        if (!loop->posted.empty() || !loop->running)
+            loop->wake();
         return;
     }
+    loop->wake();
     const std::function<void()> action = std::move(timer->action);
-    timer->loop->removeTimer(timer);
+    loop->removeTimer(timer);
     action();
 }
 
--- a/tests/benchmarks/benchload.cpp
+++ b/tests/benchmarks/benchload.cpp
@@ -17,7 +17,7 @@
 constexpr const char* usage = R"(benchload - requests in a closed loop
 
 Usage:
-  benchload --port PORT --path PATH --credential TEXT --requests N --in-flight N
+  benchload --port=PORT --path=PATH --credential=TEXT --requests=N --in-flight=N
 )";
 
 /// Thread safety: none.
