--- a/tests/auto/controllers/tst_statemachine.cpp
+++ b/tests/auto/controllers/tst_statemachine.cpp
@@ -94,6 +94,8 @@
     if (std::getenv("WISTERIAHILL_SHOW_LOG"))
         showLog(machine.fleet);
     if (jobsMustSettle) {
+        for (const std::string& configuration : lostConfiguration(machine.fleet, machine.memory))
+            wrong.push_back(configuration);
         for (const std::string& job : unsettledJobs(machine.fleet, machine.memory))
             wrong.push_back(job);
     }
@@ -120,6 +122,8 @@
         machine.fleet.healAndSettle(120s);
         for (const std::string& violation : machine.fleet.violations())
             RC_FAIL(violation);
+        for (const std::string& configuration : lostConfiguration(machine.fleet, machine.memory))
+            RC_FAIL(configuration);
         for (const std::string& job : unsettledJobs(machine.fleet, machine.memory))
             RC_FAIL(job);
     }));
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -36,6 +36,7 @@
     std::uint64_t life = 0; ///< one per process; messages to earlier ones are lost
     bool paused = false;
     bool exited = false;
+    Model::Revision revision = 0; ///< last seen in force
     bool cutFromPlatform = false;
     bool cutFromPeers = false;
     std::set<std::size_t> cutServers;
@@ -75,6 +76,7 @@
         this->servers.push_back(std::make_unique<Server>(accelerators, ++this->lastIncarnation));
         this->servers.back()->serviceTime = this->options.serviceTime;
         this->servers.back()->state.setIgnoresExpiry(this->options.broken == BrokenVariant::ServerIgnoresLeaseExpiry);
+        this->servers.back()->state.setCheckpointTime(this->options.checkpointTime);
         this->scheduleLeaseCheck(index);
     }
     this->seedConfiguration();
@@ -120,6 +122,7 @@
     host.life = ++this->lastLife;
     host.paused = false;
     host.exited = false;
+    host.revision = 0;
     host.deferred.clear();
     this->scheduleTick(index, host.life);
 }
@@ -190,9 +193,20 @@
     if (!host.core)
         return;
     give(*host.core);
+    this->checkRevision(index);
     this->carryOut(index);
 }
 
+void Fleet::checkRevision(std::size_t index)
+{
+    Host& host = *this->hosts[index];
+    const auto& configuration = host.core->state().configuration;
+    const Model::Revision revision = configuration ? configuration->revision : 0;
+    if (revision < host.revision)
+        this->facts.violation("the configuration in force on host" + std::to_string(index) + " reverted");
+    host.revision = revision;
+}
+
 void Fleet::deliver(std::size_t index, std::uint64_t life, Input give)
 {
     Host& host = *this->hosts[index];
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -34,6 +34,7 @@
     Utils::Json policy = { { "leasePeriod", "10s" }, { "reclaimGrace", "2s" }, { "urgentGrace", "500ms" } };
     Utils::Json guarantees = Utils::Json::object();
     Duration serviceTime { 20 };
+    Duration checkpointTime { 200 }; ///< of a task that is evicted
     BrokenVariant broken = BrokenVariant::None;
 };
 
@@ -120,6 +121,7 @@
     void seedConfiguration();
     void input(std::size_t host, const Input& give);
     void deliver(std::size_t host, std::uint64_t life, Input give);
+    void checkRevision(std::size_t host);
     void carryOut(std::size_t host);
     void scheduleTick(std::size_t host, std::uint64_t life);
     Duration networkDelay();
--- a/tests/support/fleetsteps.cpp
+++ b/tests/support/fleetsteps.cpp
@@ -219,6 +219,29 @@
         fleet.advance(Duration(step.second % 40));
 }
 
+std::vector<std::string> lostConfiguration(Fleet& fleet, const StepMemory& memory)
+{
+    std::vector<std::string> lost;
+    const auto row = Utils::Json::parse(fleet.table().rows().at("configuration/revision").value);
+    const auto revision = row.at("revision").get<Model::Revision>();
+    for (std::size_t host = 0; host < fleet.hostCount(); ++host) {
+        const auto& configuration = fleet.core(host).state().configuration;
+        if (!configuration || configuration->revision != revision)
+            lost.push_back("host" + std::to_string(host) + " has not the revision " + std::to_string(revision));
+    }
+    std::size_t accepted = 0;
+    for (const Model::CallerId caller : memory.edits) {
+        const auto* answer = fleet.documentAnswer(caller);
+        constexpr int ok = 200;
+        accepted += answer && answer->status == ok ? 1 : 0;
+    }
+    const auto services = Utils::Json::parse(fleet.table().rows().at("configuration/section/services").value);
+    constexpr std::size_t seeded = 2;
+    if (services.at("document").size() < seeded + accepted)
+        lost.push_back("an accepted edit is not in the document");
+    return lost;
+}
+
 std::vector<std::string> unsettledJobs(Fleet& fleet, const StepMemory& memory)
 {
     std::vector<std::string> unsettled;
--- a/tests/support/fleetsteps.h
+++ b/tests/support/fleetsteps.h
@@ -53,7 +53,7 @@
     std::vector<Model::CallerId> jobCallers;
     std::vector<std::string> keys;
     std::set<std::size_t> leftServers;
-    std::uint32_t acceptedEdits = 0;
+    std::vector<Model::CallerId> edits;
 };
 
 /// The words for a step, for reports.
@@ -61,6 +61,9 @@
 
 void applyStep(Fleet& fleet, StepMemory& memory, const FleetStep& step);
 
+/// Hosts that have another revision in force than the platform, and accepted edits that the platform does not hold.
+std::vector<std::string> lostConfiguration(Fleet& fleet, const StepMemory& memory);
+
 /// Durable jobs that were accepted but have no final state in the table.
 std::vector<std::string> unsettledJobs(Fleet& fleet, const StepMemory& memory);
 
