--- a/src/libs/adapters/backendclient.cpp
+++ b/src/libs/adapters/backendclient.cpp
@@ -1,5 +1,7 @@
 #include "adapters/backendclient.h"
 
+#include "utils/httpstatus.h"
+
 #include <charconv>
 
 namespace WisteriaHill::Adapters {
@@ -11,7 +13,6 @@
 using Model::BackendError;
 using Utils::Json;
 
-constexpr int statusOk = 200;
 constexpr int firstServerErrorStatus = 500;
 
 BackendError translate(HttpClientError error)
@@ -59,7 +60,7 @@
     if (const auto* error = std::get_if<HttpClientError>(&result))
         return translate(*error);
     const auto& response = std::get<HttpResponse>(result);
-    if (response.status != statusOk)
+    if (response.status != Utils::HttpStatus::ok)
         return BackendError::Failed;
     try {
         Model::LeaseBatchAnswer answer = Model::leaseBatchAnswerFromJson(Json::parse(response.body));
--- a/src/libs/adapters/httpapi.cpp
+++ b/src/libs/adapters/httpapi.cpp
@@ -2,6 +2,7 @@
 
 #include "controllers/statedump.h"
 #include "utils/duration.h"
+#include "utils/httpstatus.h"
 
 #include <algorithm>
 #include <charconv>
@@ -14,14 +15,6 @@
 using Utils::Json;
 using Utils::SteadyTime;
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusUnauthorised = 401;
-constexpr int statusForbidden = 403;
-constexpr int statusNotFound = 404;
-constexpr int statusMethodNotAllowed = 405;
-constexpr int statusPreconditionRequired = 428;
-constexpr int statusUnavailable = 503;
 constexpr std::size_t longestKey = 128;
 
 std::vector<std::string> splitPath(const std::string& path)
@@ -138,15 +131,15 @@
     else if (request.method == "PUT")
         this->routePut(exchange, request, path);
     else
-        this->respondError(exchange, statusMethodNotAllowed, "this method is not supported");
+        this->respondError(exchange, Utils::HttpStatus::methodNotAllowed, "this method is not supported");
 }
 
 void HttpApi::routeGet(HttpExchangeId exchange, const HttpRequest& request, const Segments& path)
 {
     if (path == Segments { "healthz" })
-        this->respondJson(exchange, statusOk, { { "alive", true } });
+        this->respondJson(exchange, Utils::HttpStatus::ok, { { "alive", true } });
     else if (path == Segments { "readyz" })
-        this->respondJson(exchange, this->core.ready() ? statusOk : statusUnavailable,
+        this->respondJson(exchange, this->core.ready() ? Utils::HttpStatus::ok : Utils::HttpStatus::unavailable,
             { { "ready", this->core.ready() }, { "phase", Controllers::hostPhaseName(this->core.state().phase) } });
     else if (path == Segments { "metrics" })
         this->server.respond(exchange,
@@ -158,7 +151,7 @@
     else if (path.size() == 3 && path[0] == "v1" && path[1] == "configuration")
         this->showSection(exchange, request, path[2]);
     else
-        this->respondError(exchange, statusNotFound, "no such resource");
+        this->respondError(exchange, Utils::HttpStatus::notFound, "no such resource");
 }
 
 void HttpApi::routePost(HttpExchangeId exchange, HttpRequest request, const Segments& path)
@@ -171,7 +164,7 @@
     else if (hasFour && path[1] == "servers" && (path[3] == "drain" || path[3] == "undrain"))
         this->drain(exchange, request, path[2], path[3] == "drain");
     else
-        this->respondError(exchange, statusNotFound, "no such resource");
+        this->respondError(exchange, Utils::HttpStatus::notFound, "no such resource");
 }
 
 void HttpApi::routePut(HttpExchangeId exchange, const HttpRequest& request, const Segments& path)
@@ -179,20 +172,20 @@
     if (path.size() == 3 && path[0] == "v1" && path[1] == "configuration")
         this->editSection(exchange, request, path[2]);
     else
-        this->respondError(exchange, statusNotFound, "no such resource");
+        this->respondError(exchange, Utils::HttpStatus::notFound, "no such resource");
 }
 
 std::optional<Model::ClientAccountId> HttpApi::authenticateAccount(HttpExchangeId exchange, const HttpRequest& request)
 {
     if (!this->core.state().configuration) {
-        this->respondJson(exchange, statusUnavailable,
+        this->respondJson(exchange, Utils::HttpStatus::unavailable,
             { { "outcome", "notRun" }, { "reason", "this entry host has no configuration yet" } },
             { { HeaderName::outcome, "notRun" }, { HeaderName::retryAfter, "1" } });
         return std::nullopt;
     }
     std::optional<Model::ClientAccountId> account = this->core.accountOf(credentialOf(request));
     if (!account)
-        this->respondError(exchange, statusUnauthorised, "the credential belongs to no client account");
+        this->respondError(exchange, Utils::HttpStatus::unauthorised, "the credential belongs to no client account");
     return account;
 }
 
@@ -200,7 +193,7 @@
 {
     std::optional<Model::TeamId> team = this->core.teamOf(credentialOf(request));
     if (!team)
-        this->respondError(exchange, statusUnauthorised, "the credential belongs to no team");
+        this->respondError(exchange, Utils::HttpStatus::unauthorised, "the credential belongs to no team");
     return team;
 }
 
@@ -211,14 +204,15 @@
         return;
     const std::string key = request.header(HeaderName::idempotencyKey);
     if (key.size() > longestKey || (!key.empty() && !Utils::isIdentifier(key))) {
-        this->respondError(
-            exchange, statusBadRequest, "Idempotency-Key must be 1 to 128 letters, digits, '.', '_' or '-'");
+        this->respondError(exchange, Utils::HttpStatus::badRequest,
+            "Idempotency-Key must be 1 to 128 letters, digits, '.', '_' or '-'");
         return;
     }
     const std::string deadline = request.header(HeaderName::deadline);
     const std::optional<Duration> timeout = Utils::parseDuration(deadline);
     if (!deadline.empty() && (!timeout || timeout->count() == 0)) {
-        this->respondError(exchange, statusBadRequest, "Wisteriahill-Deadline must be a duration such as 250ms or 2s");
+        this->respondError(
+            exchange, Utils::HttpStatus::badRequest, "Wisteriahill-Deadline must be a duration such as 250ms or 2s");
         return;
     }
     this->arrivals[exchange] = std::chrono::steady_clock::now();
@@ -242,7 +236,7 @@
     if (document)
         specification = Model::jobSpecificationFromJson(*document, faults);
     if (!faults.empty()) {
-        this->respondError(exchange, statusBadRequest, Utils::formatFaults(faults));
+        this->respondError(exchange, Utils::HttpStatus::badRequest, Utils::formatFaults(faults));
         return;
     }
     specification.account = *account;
@@ -259,7 +253,7 @@
     const bool explain = path.size() == withAspect && path[3] == "explain";
     const bool known = path.size() <= withJob || explain;
     if (!known || (request.method == "DELETE" && path.size() != withJob)) {
-        this->respondError(exchange, statusNotFound, "no such resource");
+        this->respondError(exchange, Utils::HttpStatus::notFound, "no such resource");
         return;
     }
     this->input([&](DaemonCore& daemon, SteadyTime now) {
@@ -278,29 +272,30 @@
     if (!team)
         return;
     if (std::ranges::find(Model::sectionNames, section) == Model::sectionNames.end()) {
-        this->respondError(exchange, statusNotFound, "no such section");
+        this->respondError(exchange, Utils::HttpStatus::notFound, "no such section");
         return;
     }
     if (!this->core.mayEdit(*team, section)) {
-        this->respondError(exchange, statusForbidden, "section " + section + " is not owned by team " + team->value());
+        this->respondError(
+            exchange, Utils::HttpStatus::forbidden, "section " + section + " is not owned by team " + team->value());
         return;
     }
     const std::optional<Model::RowVersion> expected = versionFrom(request.header(HeaderName::ifMatch));
     if (!expected) {
-        this->respondError(
-            exchange, statusPreconditionRequired, "If-Match must hold the version that the edit is based on, or 0");
+        this->respondError(exchange, Utils::HttpStatus::preconditionRequired,
+            "If-Match must hold the version that the edit is based on, or 0");
         return;
     }
     const std::string changeId = request.header(HeaderName::changeId);
     if (!Utils::isIdentifier(changeId)) {
-        this->respondError(exchange, statusBadRequest,
+        this->respondError(exchange, Utils::HttpStatus::badRequest,
             "Wisteriahill-Change-Id must be 1 to 128 letters, digits, '.', '_' or '-', new for each change");
         return;
     }
     Utils::JsonFaults faults;
     std::optional<Json> document = Utils::parseJsonText(request.body, faults);
     if (!document) {
-        this->respondError(exchange, statusBadRequest, "the body is not JSON: " + faults.front().reason);
+        this->respondError(exchange, Utils::HttpStatus::badRequest, "the body is not JSON: " + faults.front().reason);
         return;
     }
     Controllers::SectionEdit edit { .caller = exchange,
@@ -337,7 +332,7 @@
         for (const auto& [name, document] : configuration->documents)
             sections[name] = { { "version", configuration->versions.at(name) }, { "document", document } };
     }
-    this->respondJson(exchange, statusOk,
+    this->respondJson(exchange, Utils::HttpStatus::ok,
         { { "revision", configuration ? configuration->revision : 0 }, { "hosts", hosts }, { "sections", sections } });
 }
 
@@ -348,11 +343,12 @@
     const Model::SharedConfiguration& configuration = this->core.state().configuration;
     const bool present = configuration && configuration->documents.contains(section);
     if (!present) {
-        this->respondError(exchange, statusNotFound, "the section does not exist yet; edit it with If-Match: 0");
+        this->respondError(
+            exchange, Utils::HttpStatus::notFound, "the section does not exist yet; edit it with If-Match: 0");
         return;
     }
     const Model::RowVersion version = configuration->versions.at(section);
-    this->respondJson(exchange, statusOk, configuration->documents.at(section),
+    this->respondJson(exchange, Utils::HttpStatus::ok, configuration->documents.at(section),
         { { HeaderName::entityTag, "\"" + std::to_string(version) + "\"" } });
 }
 
@@ -362,7 +358,7 @@
         return;
     Json dump = this->core.dump(std::chrono::steady_clock::now());
     dump["openExchanges"] = this->server.openExchanges();
-    this->respondJson(exchange, statusOk, dump);
+    this->respondJson(exchange, Utils::HttpStatus::ok, dump);
 }
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/adapters/httpserver.cpp
+++ b/src/libs/adapters/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "adapters/httpserver.h"
 
+#include "utils/httpstatus.h"
+
 #include <algorithm>
 #include <array>
 #include <stdexcept>
@@ -15,8 +17,6 @@
 constexpr int longestHeaderValue = 2048;
 constexpr int headerTimeoutSeconds = 20;
 constexpr int keepAliveSeconds = 60;
-constexpr int statusLengthRequired = 411;
-constexpr int statusTooLarge = 413;
 
 constexpr std::array customHeaders { HeaderName::idempotencyKey, HeaderName::changeId, HeaderName::deadline,
     HeaderName::account, HeaderName::requestId };
@@ -182,11 +182,13 @@
     if (hasBody && lengthText.empty()) {
         open.closeAfter = true;
         open.handedOver = true;
-        this->respond(open.id, { .status = statusLengthRequired, .body = R"({"error":"Content-Length is missing"})" });
+        this->respond(open.id,
+            { .status = Utils::HttpStatus::lengthRequired, .body = R"({"error":"Content-Length is missing"})" });
     } else if (bodyLength > this->options.maximumBody) {
         open.closeAfter = true;
         open.handedOver = true;
-        this->respond(open.id, { .status = statusTooLarge, .body = R"({"error":"the body is too large"})" });
+        this->respond(
+            open.id, { .status = Utils::HttpStatus::tooLarge, .body = R"({"error":"the body is too large"})" });
     } else if (!hasBody || bodyLength == 0) {
         this->onBodyComplete(session);
     }
--- a/src/libs/adapters/peerlink.cpp
+++ b/src/libs/adapters/peerlink.cpp
@@ -1,5 +1,7 @@
 #include "adapters/peerlink.h"
 
+#include "utils/httpstatus.h"
+
 namespace WisteriaHill::Adapters {
 
 namespace {
@@ -9,13 +11,11 @@
 
 constexpr const char* messagePath = "/peer";
 constexpr const char* messageType = "application/x-cereal";
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
 
 PeerResult readReply(const HttpCallResult& result)
 {
     const auto* response = std::get_if<HttpResponse>(&result);
-    if (!response || response->status != statusOk)
+    if (!response || response->status != Utils::HttpStatus::ok)
         return PeerError::Unreachable;
     std::optional<Model::PeerReply> reply = Model::decodeReply(response->body);
     if (!reply)
@@ -41,7 +41,8 @@
         = request.path == messagePath ? Model::decodeQuestion(request.body) : std::nullopt;
     if (!question) {
         this->rejected(request.body.size());
-        this->server.respond(exchange, { .status = statusBadRequest, .body = R"({"error":"not a peer message"})" });
+        this->server.respond(
+            exchange, { .status = Utils::HttpStatus::badRequest, .body = R"({"error":"not a peer message"})" });
         return;
     }
     this->server.respond(
--- a/src/libs/adapters/platformclient.cpp
+++ b/src/libs/adapters/platformclient.cpp
@@ -1,6 +1,7 @@
 #include "adapters/platformclient.h"
 
 #include "adapters/tablecodec.h"
+#include "utils/httpstatus.h"
 
 namespace WisteriaHill::Adapters {
 
@@ -13,15 +14,12 @@
 using Model::TableError;
 using Utils::Json;
 
-constexpr int statusOk = 200;
-constexpr int statusConflict = 409;
-
 TableAnswer readTableAnswer(const HttpCallResult& result)
 {
     if (const auto* error = std::get_if<HttpClientError>(&result))
         return *error == HttpClientError::NotSent ? TableError::NotSent : TableError::Unknown;
     const auto& response = std::get<HttpResponse>(result);
-    if (response.status != statusOk && response.status != statusConflict)
+    if (response.status != Utils::HttpStatus::ok && response.status != Utils::HttpStatus::conflict)
         return TableError::Unknown;
     try {
         return tableAnswerFromJson(Json::parse(response.body));
@@ -68,7 +66,7 @@
         .timeout = timeout };
     this->client.send(std::move(call), [this, done = std::move(done)](const HttpCallResult& result) {
         const auto* response = std::get_if<HttpResponse>(&result);
-        if (!response || response->status != statusOk) {
+        if (!response || response->status != Utils::HttpStatus::ok) {
             done(HostListError::Unavailable);
             return;
         }
--- a/src/libs/controllers/configurationcontroller.cpp
+++ b/src/libs/controllers/configurationcontroller.cpp
@@ -1,5 +1,7 @@
 #include "controllers/configurationcontroller.h"
 
+#include "utils/httpstatus.h"
+
 #include <algorithm>
 
 namespace WisteriaHill::Controllers {
@@ -24,12 +26,6 @@
 constexpr Duration editRetryAfter { 1000 };
 constexpr std::uint32_t mostEditRounds = 8;
 
-constexpr int statusOk = 200;
-constexpr int statusConflict = 409;
-constexpr int statusUnprocessable = 422;
-constexpr int statusUnavailable = 503;
-constexpr int statusTimeout = 504;
-
 /// The rows of one scan.
 struct StoredDocument {
     ConfigurationCopy copy;
@@ -130,14 +126,14 @@
     const Model::RowVersion present = stored.copy.sections[section].version;
     if (present != 0 && stored.changeIds[section] == edit->edit.changeId) {
         this->apply(stored.copy, now);
-        this->answer(
-            edit, statusOk, { { "revision", stored.copy.revision }, { "version", present } }, std::to_string(present));
+        this->answer(edit, Utils::HttpStatus::ok, { { "revision", stored.copy.revision }, { "version", present } },
+            std::to_string(present));
         return;
     }
     if (present != edit->edit.expectedVersion) {
         this->outbox.log(Event::ConfigurationConflict, section + " by team " + edit->edit.team.value());
         const Json current = present == 0 ? Json() : Json::parse(stored.copy.sections[section].document);
-        this->answer(edit, statusConflict,
+        this->answer(edit, Utils::HttpStatus::conflict,
             { { "error", "the section was changed by another edit" }, { "expectedVersion", edit->edit.expectedVersion },
                 { "presentVersion", present }, { "presentDocument", current } },
             std::to_string(present));
@@ -149,7 +145,7 @@
     proposed.revision = stored.copy.revision + 1;
     auto checked = parseCopy(proposed);
     if (const auto* faults = std::get_if<Utils::JsonFaults>(&checked)) {
-        this->answer(edit, statusUnprocessable,
+        this->answer(edit, Utils::HttpStatus::unprocessable,
             { { "error", "the document is not valid" }, { "faults", faultsToJson(*faults) } });
         return;
     }
@@ -187,7 +183,8 @@
         this->outbox.log(Event::ConfigurationEdited,
             edit->edit.section + " by team " + edit->edit.team.value() + ", revision " + std::to_string(revision));
         this->putInForce(std::move(next), now);
-        this->answer(edit, statusOk, { { "revision", revision }, { "version", version } }, std::to_string(version));
+        this->answer(
+            edit, Utils::HttpStatus::ok, { { "revision", revision }, { "version", version } }, std::to_string(version));
         return;
     }
     const auto* error = std::get_if<Model::TableError>(&answer);
@@ -232,7 +229,7 @@
     --this->openEdits;
     const char* outcome = mayHaveTakenEffect ? "unknown" : "notRun";
     this->outbox.add(AnswerDocument { .caller = edit->edit.caller,
-        .status = mayHaveTakenEffect ? statusTimeout : statusUnavailable,
+        .status = mayHaveTakenEffect ? Utils::HttpStatus::timeout : Utils::HttpStatus::unavailable,
         .document = { { "error", "the table service gave no answer; send the edit again with the same change id" },
             { "outcome", outcome } },
         .retryAfter = this->random.jittered(editRetryAfter) });
--- a/src/libs/controllers/daemoncore.cpp
+++ b/src/libs/controllers/daemoncore.cpp
@@ -2,6 +2,7 @@
 
 #include "controllers/statedump.h"
 #include "utils/digest.h"
+#include "utils/httpstatus.h"
 
 #include <algorithm>
 
@@ -15,8 +16,6 @@
 
 constexpr Duration hostListInterval { 2000 };
 constexpr Duration hostListTimeout { 900 };
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
 
 Model::Blackboard initialBlackboard(const CoreOptions& options)
 {
@@ -64,10 +63,13 @@
 void DaemonCore::describeJob(
     CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, bool explain, SteadyTime now)
 {
-    this->jobs.describe(caller, account, job, explain, now);
+    this->jobs.asked().describe(caller, account, job, explain, now);
 }
 
-void DaemonCore::listJobs(CallerId caller, const Model::ClientAccountId& account) { this->jobs.list(caller, account); }
+void DaemonCore::listJobs(CallerId caller, const Model::ClientAccountId& account)
+{
+    this->jobs.asked().list(caller, account);
+}
 
 void DaemonCore::editSection(SectionEdit edit, SteadyTime now) { this->configuration.edit(std::move(edit), now); }
 
@@ -76,13 +78,14 @@
     const bool known = this->blackboard.configuration && this->blackboard.configuration->server(server);
     if (!known) {
         this->outbox.add(AnswerDocument { .caller = caller,
-            .status = statusNotFound,
+            .status = Utils::HttpStatus::notFound,
             .document = { { "error", "unknown backend server " + server.value() } } });
         return;
     }
     this->health.setDrained(server, drained, now);
-    this->outbox.add(AnswerDocument {
-        .caller = caller, .status = statusOk, .document = { { "server", server }, { "drained", drained } } });
+    this->outbox.add(AnswerDocument { .caller = caller,
+        .status = Utils::HttpStatus::ok,
+        .document = { { "server", server }, { "drained", drained } } });
 }
 
 void DaemonCore::callerGone(CallerId caller, SteadyTime now) { this->requests.callerGone(caller, now); }
--- a/src/libs/controllers/gangcontroller.cpp
+++ b/src/libs/controllers/gangcontroller.cpp
@@ -106,22 +106,24 @@
     gang.attempt.terms.members = gang.attempt.plan.members;
     if (gang.attempt.plan.evicts) {
         this->enter(gang, Phase::Inspecting, now);
-        this->inspectHolders(gang, now);
+        this->inspectMembers(gang, &GangController::onInspected);
         return;
     }
     this->enter(gang, Phase::Reserving, now);
     this->reserveNext(gang, now);
 }
 
-void GangController::inspectHolders(Gang& gang, SteadyTime)
+void GangController::inspectMembers(Gang& gang, InspectHandler handler)
 {
     for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        if (gang.members[index].answered || gang.members[index].callOpen)
+            continue;
         this->gateway.inspect(gang.members[index].placement.server,
-            [this, job = gang.attempt.terms.job, token = gang.attempt.terms.gangToken, index](
-                const InspectOutcome& outcome, SteadyTime at) {
+            [this, job = gang.attempt.terms.job, token = gang.attempt.terms.gangToken, phase = gang.phase, index,
+                handler](const InspectOutcome& outcome, SteadyTime at) {
                 Gang* known = this->find(job);
-                if (known && known->attempt.terms.gangToken == token && known->phase == Phase::Inspecting)
-                    this->onInspected(*known, known->members[index], outcome, at);
+                if (known && known->attempt.terms.gangToken == token && known->phase == phase)
+                    (this->*handler)(*known, known->members[index], outcome, at);
             });
     }
 }
@@ -395,17 +397,7 @@
 void GangController::inspectForAdoption(Gang& gang, SteadyTime now)
 {
     gang.nextRound = now + this->timings().callTimeout;
-    for (std::size_t index = 0; index < gang.members.size(); ++index) {
-        if (gang.members[index].answered || gang.members[index].callOpen)
-            continue;
-        this->gateway.inspect(gang.members[index].placement.server,
-            [this, job = gang.attempt.terms.job, token = gang.attempt.terms.gangToken, index](
-                const InspectOutcome& outcome, SteadyTime at) {
-                Gang* known = this->find(job);
-                if (known && known->attempt.terms.gangToken == token && known->phase == Phase::Adopting)
-                    this->onAdoptable(*known, known->members[index], outcome, at);
-            });
-    }
+    this->inspectMembers(gang, &GangController::onAdoptable);
 }
 
 void GangController::onAdoptable(Gang& gang, Member& member, const InspectOutcome& outcome, SteadyTime now)
--- a/src/libs/controllers/gangcontroller.h
+++ b/src/libs/controllers/gangcontroller.h
@@ -117,6 +117,8 @@
 
     using Handler = void (GangController::*)(Gang&, Member&, const LeaseOutcome&, SteadyTime);
 
+    using InspectHandler = void (GangController::*)(Gang&, Member&, const InspectOutcome&, SteadyTime);
+
     Gang* find(const Model::JobId& job);
     LeaseTimings timings() const;
     void enter(Gang& gang, Phase phase, SteadyTime now);
@@ -124,7 +126,7 @@
     void postToAll(
         Gang& gang, const std::function<Model::LeaseOperation(const Member&)>& make, Handler handler, SteadyTime now);
 
-    void inspectHolders(Gang& gang, SteadyTime now);
+    void inspectMembers(Gang& gang, InspectHandler handler);
     void onInspected(Gang& gang, Member& member, const InspectOutcome& outcome, SteadyTime now);
     bool mayReplace(const Gang& gang, const Member& member, const Model::LeaseView& lease) const;
     void reserveNext(Gang& gang, SteadyTime now);
--- a/src/libs/controllers/jobcontroller.cpp
+++ b/src/libs/controllers/jobcontroller.cpp
@@ -1,6 +1,8 @@
 #include "controllers/jobcontroller.h"
 
+#include "controllers/documentanswers.h"
 #include "utils/digest.h"
+#include "utils/httpstatus.h"
 
 #include <algorithm>
 #include <sstream>
@@ -17,19 +19,8 @@
 using Utils::Event;
 using Utils::Json;
 
-constexpr int statusOk = 200;
-constexpr int statusAccepted = 202;
-constexpr int statusNotFound = 404;
-constexpr int statusConflict = 409;
-constexpr int statusUnprocessable = 422;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusTimeout = 504;
-
 constexpr Duration planInterval { 50 };
 constexpr Duration submissionBound { 5000 };
-constexpr Duration tableTimeout { 1500 };
-constexpr Duration peerTimeout { 1000 };
 constexpr Duration commitBound { 3000 };
 constexpr Duration tableRetryAfter { 2000 };
 constexpr Duration notReadyRetryAfter { 1000 };
@@ -49,13 +40,6 @@
     return std::move(text).str();
 }
 
-Json publicJob(const JobRecord& job)
-{
-    return { { "id", job.id }, { "zone", job.zone }, { "state", Model::jobStateName(job.state) },
-        { "attempt", job.attempt }, { "placement", job.placement }, { "reason", job.reason }, { "owner", job.owner },
-        { "checkpointedMs", job.checkpointed.count() } };
-}
-
 } // namespace
 
 JobController::JobController(Model::Blackboard& blackboard, Outbox& outbox, TableWriter& writer, LeaseGateway& gateway,
@@ -71,6 +55,12 @@
               .ended = [this](const JobId& job, const GangEnd& end, SteadyTime now) { this->onEnded(job, end, now); } })
     , sessions(blackboard, outbox, writer, random,
           [this](const LapsedSession& session, SteadyTime now) { this->takeOver(session, now); })
+    , queries(blackboard, outbox, writer, random)
+    , takeover(blackboard, outbox, writer, random,
+          { .takenOver = [this](const JobRecord& record, Model::RowVersion version,
+                             SteadyTime now) { this->onTakenOver(record, version, now); },
+              .finished
+              = [this](const LapsedSession& session, SteadyTime now) { this->sessions.remove(session, now); } })
 {
 }
 
@@ -80,17 +70,6 @@
     return found == this->blackboard.jobs.end() ? nullptr : &found->second;
 }
 
-void JobController::answer(CallerId caller, int status, Json document, std::optional<Duration> retryAfter)
-{
-    this->outbox.add(AnswerDocument {
-        .caller = caller, .status = status, .document = std::move(document), .retryAfter = retryAfter });
-}
-
-void JobController::refuse(CallerId caller, int status, const std::string& reason, std::optional<Duration> retryAfter)
-{
-    this->answer(caller, status, { { "outcome", "notRun" }, { "reason", reason } }, retryAfter);
-}
-
 std::optional<std::string> JobController::refusalOf(const Model::JobSpecification& specification) const
 {
     const Model::Configuration& configuration = *this->blackboard.configuration;
@@ -139,19 +118,21 @@
 void JobController::submit(CallerId caller, Model::JobSpecification specification, SteadyTime now)
 {
     if (this->released || this->blackboard.phase != Model::HostPhase::Ready) {
-        this->refuse(caller, statusUnavailable, "this entry host takes no jobs now", notReadyRetryAfter);
+        refuseDocument(this->outbox, caller, Utils::HttpStatus::unavailable, "this entry host takes no jobs now",
+            notReadyRetryAfter);
         return;
     }
     if (const std::optional<std::string> refusal = this->refusalOf(specification)) {
         this->outbox.log(Event::JobRejected, specification.account.value() + ": " + *refusal);
-        this->refuse(caller, statusUnprocessable, *refusal);
+        refuseDocument(this->outbox, caller, Utils::HttpStatus::unprocessable, *refusal);
         return;
     }
     const bool attached = specification.attached;
     // A row without a live session would have no one to take it over.
     const bool durablePossible = this->writer.available() && this->sessions.holds(now);
     if (!attached && !durablePossible) {
-        this->refuse(caller, statusUnavailable, "the table service that keeps jobs is away", tableRetryAfter);
+        refuseDocument(this->outbox, caller, Utils::HttpStatus::unavailable,
+            "the table service that keeps jobs is away", tableRetryAfter);
         return;
     }
     JobEntry entry { .record = this->newRecord(std::move(specification)), .queuedSince = now };
@@ -162,7 +143,7 @@
         return;
     }
     if (this->blackboard.jobs.contains(id)) {
-        this->refuse(caller, statusConflict, "a job with this idempotencyKey is known");
+        refuseDocument(this->outbox, caller, Utils::HttpStatus::conflict, "a job with this idempotencyKey is known");
         return;
     }
     entry.attachedCaller = caller;
@@ -175,7 +156,8 @@
 {
     const JobId id = entry.record.id;
     if (this->submissions.contains(id)) {
-        this->refuse(caller, statusConflict, "the same job is being submitted", notReadyRetryAfter);
+        refuseDocument(
+            this->outbox, caller, Utils::HttpStatus::conflict, "the same job is being submitted", notReadyRetryAfter);
         return;
     }
     entry.record.nonce = this->random.bits();
@@ -200,7 +182,8 @@
         submission.entry.queuedSince = now;
         this->outbox.log(Event::JobAccepted, job.value());
         if (submission.caller != 0)
-            this->answer(submission.caller, statusAccepted, publicJob(submission.entry.record));
+            answerDocument(
+                this->outbox, submission.caller, Utils::HttpStatus::accepted, publicJob(submission.entry.record));
         JobEntry& entry = this->blackboard.jobs.insert_or_assign(job, std::move(submission.entry)).first->second;
         if (this->released)
             this->releaseEntry(entry, now);
@@ -213,9 +196,10 @@
     const bool same = existing && existing->specification.payload == submission.entry.record.specification.payload
         && existing->specification.shape == submission.entry.record.specification.shape;
     if (same)
-        this->answer(submission.caller, statusOk, publicJob(*existing));
+        answerDocument(this->outbox, submission.caller, Utils::HttpStatus::ok, publicJob(*existing));
     else
-        this->refuse(submission.caller, statusUnprocessable, "the idempotencyKey belongs to another job");
+        refuseDocument(this->outbox, submission.caller, Utils::HttpStatus::unprocessable,
+            "the idempotencyKey belongs to another job");
 }
 
 void JobController::expireSubmissions(SteadyTime now)
@@ -227,12 +211,12 @@
             continue;
         }
         if (this->writer.cancel(submission.write)) {
-            this->refuse(
-                submission.caller, statusUnavailable, "the table service that keeps jobs is away", tableRetryAfter);
+            refuseDocument(this->outbox, submission.caller, Utils::HttpStatus::unavailable,
+                "the table service that keeps jobs is away", tableRetryAfter);
             entry = this->submissions.erase(entry);
             continue;
         }
-        this->answer(submission.caller, statusTimeout,
+        answerDocument(this->outbox, submission.caller, Utils::HttpStatus::timeout,
             { { "outcome", "unknown" }, { "id", entry->first },
                 { "reason", "the table service gave no answer; ask for the job by its id" } },
             tableRetryAfter);
@@ -587,9 +571,11 @@
     const bool finished = entry.record.state == JobState::Finished;
     Json document = publicJob(entry.record);
     document["outcome"] = finished ? "completed" : entry.mayHaveRun ? "unknown" : "notRun";
-    const int status = finished ? statusOk : entry.mayHaveRun ? statusBadGateway : statusUnavailable;
+    const int status = finished ? Utils::HttpStatus::ok
+        : entry.mayHaveRun      ? Utils::HttpStatus::badGateway
+                                : Utils::HttpStatus::unavailable;
     const std::optional<Duration> retryAfter = finished ? std::nullopt : std::optional(notReadyRetryAfter);
-    this->answer(std::exchange(entry.attachedCaller, 0), status, std::move(document), retryAfter);
+    answerDocument(this->outbox, std::exchange(entry.attachedCaller, 0), status, std::move(document), retryAfter);
 }
 
 void JobController::enforceCommitBound(SteadyTime now)
@@ -678,161 +664,27 @@
 {
     JobEntry* entry = this->find(job);
     if (!entry || entry->record.specification.account != account) {
-        this->requestCancelByRow(caller, account, job);
+        this->queries.requestCancel(caller, account, job);
         return;
     }
     if (!Model::isFinal(entry->record.state))
         this->cancelEntry(*entry, now);
-    this->answer(caller, statusAccepted, publicJob(entry->record));
-}
-
-void JobController::requestCancelByRow(CallerId caller, const Model::ClientAccountId& account, const JobId& job)
-{
-    ++this->blackboard.counters.tableReads;
-    this->outbox.callTable(Model::TableRead { .keys = { Model::jobRowKey(this->blackboard.self.zone, job) } },
-        tableTimeout, [this, caller, account](const Model::TableAnswer& answer, SteadyTime now) {
-            const auto* rows = std::get_if<Model::TableRows>(&answer);
-            if (!rows) {
-                this->refuse(caller, statusUnavailable, "the table service is away", tableRetryAfter);
-                return;
-            }
-            std::optional<JobRecord> record
-                = rows->rows.empty() ? std::nullopt : Model::jobFromText(rows->rows.front().value);
-            if (!record || record->specification.account != account) {
-                this->refuse(caller, statusNotFound, "no such job");
-                return;
-            }
-            this->onRowForCancel(caller, rows->rows.front(), *std::move(record), now);
-        });
-}
-
-void JobController::onRowForCancel(CallerId caller, const Model::TableRow& row, JobRecord record, SteadyTime now)
-{
-    if (Model::isFinal(record.state)) {
-        this->answer(caller, statusOk, publicJob(record));
-        return;
-    }
-    record.cancelRequested = true;
-    record.nonce = this->random.bits();
-    RowChange change { .key = row.key,
-        .expected = row.version,
-        .value = Utils::toText(Model::jobToJson(record)),
-        .priority = WritePriority::Job };
-    this->writer.write(
-        std::move(change),
-        [this, caller, record](const RowOutcome& outcome, SteadyTime) {
-            if (std::holds_alternative<RowConflict>(outcome)) {
-                this->refuse(caller, statusConflict, "the job changed meanwhile; ask again", notReadyRetryAfter);
-                return;
-            }
-            this->answer(caller, statusAccepted, publicJob(record));
-            const auto owner = this->blackboard.members.find(record.owner);
-            if (owner != this->blackboard.members.end() && owner->second.live)
-                this->outbox.askPeer(owner->second.address, Model::CancelOwnedJob { record.id }, peerTimeout,
-                    [](const PeerResult&, SteadyTime) {});
-        },
-        now);
-}
-
-void JobController::describe(
-    CallerId caller, const Model::ClientAccountId& account, const JobId& job, bool explain, SteadyTime now)
-{
-    const JobEntry* entry = this->find(job);
-    if (!entry || entry->record.specification.account != account) {
-        this->answerFromRow(caller, account, job);
-        return;
-    }
-    Json document = publicJob(entry->record);
-    if (explain) {
-        document["notes"] = Json::array();
-        for (const JobEntry::Note& note : entry->notes)
-            document["notes"].push_back(
-                { { "msAgo", std::chrono::duration_cast<Duration>(now - note.at).count() }, { "text", note.text } });
-    }
-    this->answer(caller, statusOk, std::move(document));
-}
-
-void JobController::answerFromRow(CallerId caller, const Model::ClientAccountId& account, const JobId& job)
-{
-    ++this->blackboard.counters.tableReads;
-    this->outbox.callTable(Model::TableRead { .keys = { Model::jobRowKey(this->blackboard.self.zone, job) } },
-        tableTimeout, [this, caller, account](const Model::TableAnswer& answer, SteadyTime) {
-            const auto* rows = std::get_if<Model::TableRows>(&answer);
-            if (!rows) {
-                this->refuse(caller, statusUnavailable, "the table service is away", tableRetryAfter);
-                return;
-            }
-            const std::optional<JobRecord> record
-                = rows->rows.empty() ? std::nullopt : Model::jobFromText(rows->rows.front().value);
-            if (record && record->specification.account == account)
-                this->answer(caller, statusOk, publicJob(*record));
-            else
-                this->refuse(caller, statusNotFound, "no such job");
-        });
-}
-
-void JobController::list(CallerId caller, const Model::ClientAccountId& account)
-{
-    Json jobs = Json::array();
-    for (const auto& [id, entry] : this->blackboard.jobs) {
-        if (entry.record.specification.account == account)
-            jobs.push_back(publicJob(entry.record));
-    }
-    this->answer(caller, statusOk, { { "host", this->blackboard.self.host }, { "jobs", jobs } });
+    answerDocument(this->outbox, caller, Utils::HttpStatus::accepted, publicJob(entry->record));
 }
 
 void JobController::takeOver(const LapsedSession& session, SteadyTime now)
 {
     if (this->released || !this->sessions.holds(now))
         return;
-    this->scanForTakeover(session, {});
-}
-
-void JobController::scanForTakeover(const LapsedSession& session, std::string after)
-{
-    ++this->blackboard.counters.tableReads;
-    const std::string prefix = Model::jobRowPrefix(this->blackboard.self.zone);
-    this->outbox.callTable(Model::TableScan { .prefix = prefix, .after = std::move(after) }, tableTimeout,
-        [this, session](const Model::TableAnswer& answer, SteadyTime now) {
-            const auto* rows = std::get_if<Model::TableRows>(&answer);
-            if (!rows)
-                return;
-            for (const Model::TableRow& row : rows->rows)
-                this->takeOverRow(session, row, now);
-            if (rows->more)
-                this->scanForTakeover(session, rows->rows.back().key);
-            else
-                this->sessions.remove(session, now);
-        });
+    this->takeover.scan(session, {});
 }
 
-void JobController::takeOverRow(const LapsedSession& session, const Model::TableRow& row, SteadyTime now)
+void JobController::onTakenOver(const JobRecord& record, Model::RowVersion version, SteadyTime now)
 {
-    std::optional<JobRecord> record = Model::jobFromText(row.value);
-    if (!record || Model::isFinal(record->state) || this->blackboard.jobs.contains(record->id))
-        return;
-    const bool theirs = record->owner == session.host && record->ownerIncarnation == session.incarnation;
-    if (!theirs && !record->owner.empty())
-        return;
-    record->owner = this->blackboard.self.host;
-    record->ownerIncarnation = this->blackboard.self.incarnation;
-    record->nonce = this->random.bits();
-    RowChange change { .key = row.key,
-        .expected = row.version,
-        .value = Utils::toText(Model::jobToJson(*record)),
-        .priority = WritePriority::Job };
-    this->writer.write(
-        std::move(change),
-        [this, record = *record](const RowOutcome& outcome, SteadyTime at) {
-            const auto* written = std::get_if<RowWritten>(&outcome);
-            if (!written || this->blackboard.jobs.contains(record.id))
-                return;
-            this->outbox.log(Event::JobTakenOver, record.id.value());
-            JobEntry entry { .record = record, .version = written->version, .queuedSince = at };
-            entry.note(at, "taken over from a daemon that is gone");
-            this->resume(this->blackboard.jobs.emplace(record.id, std::move(entry)).first->second, at);
-        },
-        now);
+    this->outbox.log(Event::JobTakenOver, record.id.value());
+    JobEntry entry { .record = record, .version = version, .queuedSince = now };
+    entry.note(now, "taken over from a daemon that is gone");
+    this->resume(this->blackboard.jobs.emplace(record.id, std::move(entry)).first->second, now);
 }
 
 void JobController::resume(JobEntry& entry, SteadyTime now)
@@ -895,7 +747,7 @@
     }
     for (auto& [id, submission] : this->submissions) {
         if (submission.caller != 0)
-            this->answer(submission.caller, statusTimeout,
+            answerDocument(this->outbox, submission.caller, Utils::HttpStatus::timeout,
                 { { "outcome", "unknown" }, { "id", id }, { "reason", stoppingReason } }, notReadyRetryAfter);
         submission.caller = 0;
     }
--- a/src/libs/controllers/jobcontroller.h
+++ b/src/libs/controllers/jobcontroller.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "controllers/gangcontroller.h"
+#include "controllers/jobqueries.h"
+#include "controllers/jobtakeover.h"
 #include "controllers/outbox.h"
 #include "controllers/sessioncontroller.h"
 #include "controllers/tablewriter.h"
@@ -29,6 +31,9 @@
         CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job, bool explain, SteadyTime now);
     void list(CallerId caller, const Model::ClientAccountId& account);
 
+    /// Answers what callers ask about jobs.
+    JobQueries& asked() { return this->queries; }
+
     /// A peer passes a cancellation on. True if the job is owned here.
     bool cancelOwned(const Model::JobId& job, SteadyTime now);
 
@@ -89,17 +94,11 @@
     void forgetOldFinals(SteadyTime now);
 
     void takeOver(const LapsedSession& session, SteadyTime now);
-    void scanForTakeover(const LapsedSession& session, std::string after);
-    void takeOverRow(const LapsedSession& session, const Model::TableRow& row, SteadyTime now);
+    void onTakenOver(const Model::JobRecord& record, Model::RowVersion version, SteadyTime now);
     void resume(Model::JobEntry& entry, SteadyTime now);
 
-    void answer(CallerId caller, int status, Utils::Json document, std::optional<Duration> retryAfter = {});
-    void refuse(CallerId caller, int status, const std::string& reason, std::optional<Duration> retryAfter = {});
     void releaseEntry(Model::JobEntry& entry, SteadyTime now);
     void answerAttached(Model::JobEntry& entry);
-    void answerFromRow(CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job);
-    void requestCancelByRow(CallerId caller, const Model::ClientAccountId& account, const Model::JobId& job);
-    void onRowForCancel(CallerId caller, const Model::TableRow& row, Model::JobRecord record, SteadyTime now);
 
     Model::Blackboard& blackboard;
     Outbox& outbox;
@@ -108,6 +107,8 @@
     Utils::RandomSource& random;
     GangController gangs;
     SessionController sessions;
+    JobQueries queries;
+    JobTakeover takeover;
     std::map<Model::JobId, Submission> submissions;
     SteadyTime nextPlan;
     Model::Revision checkedRevision = 0;
--- a/src/libs/controllers/requestcontroller.cpp
+++ b/src/libs/controllers/requestcontroller.cpp
@@ -1,6 +1,7 @@
 #include "controllers/requestcontroller.h"
 
 #include "controllers/serverselection.h"
+#include "utils/httpstatus.h"
 
 #include <algorithm>
 
@@ -14,16 +15,6 @@
 using Utils::Event;
 using Utils::Overloaded;
 
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusConflict = 409;
-constexpr int statusTooLarge = 413;
-constexpr int statusUnprocessable = 422;
-constexpr int statusTooManyRequests = 429;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusTimeout = 504;
-
 constexpr Duration shortestRetryAfter { 100 };
 constexpr Duration longestRetryAfter { 30'000 };
 constexpr Duration tableRetryAfter { 2000 };
@@ -49,27 +40,28 @@
 {
     const Model::SharedConfiguration& configuration = this->blackboard.configuration;
     if (!configuration) {
-        this->refuse(caller, statusUnavailable, "this entry host has no configuration yet", notReadyRetryAfter);
+        this->refuse(
+            caller, Utils::HttpStatus::unavailable, "this entry host has no configuration yet", notReadyRetryAfter);
         return;
     }
     const auto service = configuration->services.find(request.service);
     if (service == configuration->services.end()) {
-        this->reject(caller, statusNotFound, "unknown service " + request.service.value());
+        this->reject(caller, Utils::HttpStatus::notFound, "unknown service " + request.service.value());
         return;
     }
     if (request.body.size() > service->second.maximumBody) {
-        this->reject(caller, statusTooLarge,
+        this->reject(caller, Utils::HttpStatus::tooLarge,
             "the body is larger than " + std::to_string(service->second.maximumBody) + " bytes");
         return;
     }
     const bool idempotent = service->second.idempotent;
     if (!idempotent && request.idempotencyKey.empty()) {
-        this->reject(caller, statusBadRequest, "this service needs an Idempotency-Key header");
+        this->reject(caller, Utils::HttpStatus::badRequest, "this service needs an Idempotency-Key header");
         return;
     }
     const auto account = configuration->accounts.find(request.account);
     if (account == configuration->accounts.end()) {
-        this->reject(caller, statusNotFound, "unknown client account " + request.account.value());
+        this->reject(caller, Utils::HttpStatus::notFound, "unknown client account " + request.account.value());
         return;
     }
 
@@ -86,19 +78,21 @@
     const std::size_t ahead = this->queue.sizeOf(account->first);
     const Duration wait = this->expectedWait(pending, ahead);
     if (usableConcurrency(this->blackboard) <= 0) {
-        this->refuse(caller, statusUnavailable, "no backend server of this zone accepts work", notReadyRetryAfter);
+        this->refuse(
+            caller, Utils::HttpStatus::unavailable, "no backend server of this zone accepts work", notReadyRetryAfter);
         return;
     }
     if (ahead >= account->second.queueLimit) {
-        this->refuse(caller, statusTooManyRequests, "the queue of this client account is full", wait);
+        this->refuse(caller, Utils::HttpStatus::tooManyRequests, "the queue of this client account is full", wait);
         return;
     }
     if (wait > timeout) {
-        this->refuse(caller, statusUnavailable, "the deadline would pass in the queue", wait);
+        this->refuse(caller, Utils::HttpStatus::unavailable, "the deadline would pass in the queue", wait);
         return;
     }
     if (!idempotent && !this->blackboard.tableAvailable) {
-        this->refuse(caller, statusUnavailable, "the table service that keeps claims is away", tableRetryAfter);
+        this->refuse(
+            caller, Utils::HttpStatus::unavailable, "the table service that keeps claims is away", tableRetryAfter);
         return;
     }
 
@@ -135,12 +129,13 @@
                 this->outbox.add(AnswerCaller { caller, std::move(answer) });
             },
             [&](const ClaimMismatch&) {
-                this->reject(caller, statusUnprocessable, "the Idempotency-Key belongs to another request");
+                this->reject(
+                    caller, Utils::HttpStatus::unprocessable, "the Idempotency-Key belongs to another request");
             },
             [&](const ClaimInProgress&) {
                 ++this->blackboard.counters.requestsUnknown;
                 this->outbox.add(AnswerCaller { caller,
-                    { .status = statusConflict,
+                    { .status = Utils::HttpStatus::conflict,
                         .outcome = Outcome::Unknown,
                         .reason = "a request with this Idempotency-Key is in progress",
                         .retryAfter = this->random.jittered(inProgressRetryAfter) } });
@@ -148,7 +143,7 @@
             [&](const ClaimUnresolved&) {
                 ++this->blackboard.counters.requestsUnknown;
                 this->outbox.add(AnswerCaller { caller,
-                    { .status = statusConflict,
+                    { .status = Utils::HttpStatus::conflict,
                         .outcome = Outcome::Unknown,
                         .reason
                         = "an earlier request with this Idempotency-Key may have run; it is never run again" } });
@@ -243,8 +238,8 @@
     PendingRequest& request = this->requests.at(id);
     --request.attempts;
     if (++request.refusals >= mostRefusals && request.failedOn.empty()) {
-        this->finishNotRun(
-            id, statusUnavailable, "backend servers refused it: " + std::string(Model::backendErrorName(error)), now);
+        this->finishNotRun(id, Utils::HttpStatus::unavailable,
+            "backend servers refused it: " + std::string(Model::backendErrorName(error)), now);
         return;
     }
     request.stage = Stage::Queued;
@@ -267,7 +262,7 @@
     // A request that fails on several servers is more likely at fault than they are.
     if (request.failedOn.size() == 1 && !oversized)
         this->health.recordFailure(server, now);
-    const int status = error == BackendError::TimedOut ? statusTimeout : statusBadGateway;
+    const int status = error == BackendError::TimedOut ? Utils::HttpStatus::timeout : Utils::HttpStatus::badGateway;
     this->finishUnknown(id, status,
         "backend server " + server.value() + " gave no whole answer: " + std::string(Model::backendErrorName(error)),
         now);
@@ -344,7 +339,7 @@
         return;
     const std::uint64_t id = found->first;
     this->queue.removeIf([&](std::uint64_t queuedId) { return queuedId == id; });
-    this->finishNotRun(id, statusUnavailable, "the caller went away", now);
+    this->finishNotRun(id, Utils::HttpStatus::unavailable, "the caller went away", now);
 }
 
 void RequestController::expire(SteadyTime now)
@@ -359,9 +354,10 @@
     this->queue.removeIf([&](std::uint64_t id) { return std::ranges::binary_search(expired, id); });
     for (const std::uint64_t id : expired) {
         if (this->requests.at(id).failedOn.empty())
-            this->finishNotRun(id, statusUnavailable, "the deadline passed before it could be run", now);
+            this->finishNotRun(id, Utils::HttpStatus::unavailable, "the deadline passed before it could be run", now);
         else
-            this->finishUnknown(id, statusTimeout, "the deadline passed after a backend server failed it", now);
+            this->finishUnknown(
+                id, Utils::HttpStatus::timeout, "the deadline passed after a backend server failed it", now);
     }
 }
 
@@ -371,9 +367,10 @@
         const auto& [id, request] = *this->requests.begin();
         const bool mayHaveRun = request.stage == Stage::Dispatched || !request.failedOn.empty();
         if (mayHaveRun)
-            this->finishUnknown(id, statusUnavailable, "this entry host stops before the answer came", now);
+            this->finishUnknown(
+                id, Utils::HttpStatus::unavailable, "this entry host stops before the answer came", now);
         else
-            this->finishNotRun(id, statusUnavailable, "this entry host stops; ask another one", now);
+            this->finishNotRun(id, Utils::HttpStatus::unavailable, "this entry host stops; ask another one", now);
     }
 }
 
--- a/src/libs/controllers/tablewriter.cpp
+++ b/src/libs/controllers/tablewriter.cpp
@@ -132,7 +132,7 @@
         this->settleFromRow(std::move(write), row ? *row : absent, settled);
     }
     this->succeeded();
-    this->finish(std::move(settled), now);
+    finish(settled, now);
     this->sendNext(now);
 }
 
@@ -162,7 +162,7 @@
         settled.emplace_back(std::move(batch[index]), RowWritten { version });
     }
     this->succeeded();
-    this->finish(std::move(settled), now);
+    finish(settled, now);
 }
 
 void TableWriter::settleConflicts(const Model::TableConflict& conflict, SteadyTime now)
@@ -177,10 +177,10 @@
             this->requeue(std::move(write));
     }
     this->succeeded();
-    this->finish(std::move(settled), now);
+    finish(settled, now);
 }
 
-void TableWriter::finish(std::vector<std::pair<PendingWrite, RowOutcome>> settled, SteadyTime now)
+void TableWriter::finish(const std::vector<std::pair<PendingWrite, RowOutcome>>& settled, SteadyTime now)
 {
     for (const auto& [write, outcome] : settled)
         write.done(outcome, now);
--- a/src/libs/controllers/tablewriter.h
+++ b/src/libs/controllers/tablewriter.h
@@ -78,7 +78,7 @@
     void settleConflicts(const Model::TableConflict& conflict, SteadyTime now);
     void settleFromRow(
         PendingWrite write, const Model::TableRow& row, std::vector<std::pair<PendingWrite, RowOutcome>>& settled);
-    void finish(std::vector<std::pair<PendingWrite, RowOutcome>> settled, SteadyTime now);
+    static void finish(const std::vector<std::pair<PendingWrite, RowOutcome>>& settled, SteadyTime now);
     void requeue(PendingWrite write);
     void failed(SteadyTime now);
     void succeeded();
--- a/src/libs/model/configurationsections.cpp
+++ b/src/libs/model/configurationsections.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-using Utils::DurationRange;
 using Utils::IntegerRange;
 using Utils::JsonObjectReader;
 
--- a/src/libs/model/guaranteelayout.cpp
+++ b/src/libs/model/guaranteelayout.cpp
@@ -167,7 +167,7 @@
 std::optional<LayoutFault> checkLayout(const Configuration& configuration, const AvailabilityZoneId& zoneId)
 {
     const AvailabilityZone& zone = *configuration.zone(zoneId);
-    if (const std::optional<LayoutFault> fault = checkWithAway(configuration, zoneId, {}))
+    if (std::optional<LayoutFault> fault = checkWithAway(configuration, zoneId, {}))
         return fault;
     if (zone.spareServers == 0)
         return std::nullopt;
@@ -175,7 +175,7 @@
         const std::size_t last = zone.spareServers == 1 ? first + 1 : zone.servers.size();
         for (std::size_t second = first; second < last; ++second) {
             const std::set<BackendServerId> away { zone.servers[first].id, zone.servers[second].id };
-            if (const std::optional<LayoutFault> fault = checkWithAway(configuration, zoneId, away))
+            if (std::optional<LayoutFault> fault = checkWithAway(configuration, zoneId, away))
                 return fault;
         }
     }
--- a/src/tools/wisteriahillctl/commands.cpp
+++ b/src/tools/wisteriahillctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "wisteriahillctl/commands.h"
 
 #include "utils/checkedjson.h"
+#include "utils/httpstatus.h"
 #include "wisteriahillctl/tableprinter.h"
 
 #include <chrono>
@@ -20,8 +21,6 @@
 using Utils::Json;
 
 constexpr int firstErrorStatus = 400;
-constexpr int statusConflict = 409;
-constexpr int statusNotFound = 404;
 constexpr Duration pollInterval { 200 };
 constexpr Duration progressInterval { 1000 };
 
@@ -44,7 +43,7 @@
 {
     if (response.header(Adapters::HeaderName::outcome) == "unknown")
         return ExitStatus::Unknown;
-    if (response.status == statusConflict)
+    if (response.status == Utils::HttpStatus::conflict)
         return ExitStatus::Conflict;
     return response.status >= firstErrorStatus ? ExitStatus::Refused : ExitStatus::Ok;
 }
@@ -261,7 +260,7 @@
         const std::optional<HttpResponse> response = responseOf(result);
         if (!response)
             return failureOf(result);
-        if (response->status != statusNotFound)
+        if (response->status != Utils::HttpStatus::notFound)
             version = response->header(Adapters::HeaderName::entityTag);
     }
     return callAndPrint(context,
--- a/tests/standins/backendserverstandin.cpp
+++ b/tests/standins/backendserverstandin.cpp
@@ -4,6 +4,7 @@
 #include "adapters/httpserver.h"
 #include "model/lease.h"
 #include "support/serverstate.h"
+#include "utils/httpstatus.h"
 
 #include <chrono>
 #include <docopt/docopt.h>
@@ -35,10 +36,6 @@
 )";
 
 constexpr Duration leaseCheckInterval { 50 };
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusFailed = 500;
-constexpr int statusUnavailable = 503;
 
 struct StandInOptions {
     std::string address;
@@ -84,9 +81,9 @@
             else if (request.path.starts_with(servicePath))
                 this->onService(exchange, request, request.path.substr(servicePath.size()));
             else
-                this->respond(exchange, statusNotFound, { { "error", "no such resource" } });
+                this->respond(exchange, Utils::HttpStatus::notFound, { { "error", "no such resource" } });
         } catch (const Json::exception& error) {
-            this->respond(exchange, statusBadRequest, { { "error", error.what() } });
+            this->respond(exchange, Utils::HttpStatus::badRequest, { { "error", error.what() } });
         }
     }
 
@@ -112,18 +109,19 @@
     void onService(HttpExchangeId exchange, const HttpRequest& request, const std::string& service)
     {
         if (this->state.isLeaving()) {
-            this->server.respond(
-                exchange, { .status = statusUnavailable, .headers = { { Adapters::HeaderName::notRun, "leaving" } } });
+            this->server.respond(exchange,
+                { .status = Utils::HttpStatus::unavailable,
+                    .headers = { { Adapters::HeaderName::notRun, "leaving" } } });
             return;
         }
         if (this->busySlots >= this->options.slots) {
-            this->server.respond(
-                exchange, { .status = statusUnavailable, .headers = { { Adapters::HeaderName::notRun, "busy" } } });
+            this->server.respond(exchange,
+                { .status = Utils::HttpStatus::unavailable, .headers = { { Adapters::HeaderName::notRun, "busy" } } });
             return;
         }
         ++this->runs[request.body];
         if (this->failEverything) {
-            this->respond(exchange, statusFailed, { { "error", "fails everything" } });
+            this->respond(exchange, Utils::HttpStatus::failed, { { "error", "fails everything" } });
             return;
         }
         ++this->busySlots;
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -3,6 +3,7 @@
 #include "adapters/httpserver.h"
 #include "adapters/tablecodec.h"
 #include "support/tablestate.h"
+#include "utils/httpstatus.h"
 
 #include <docopt/docopt.h>
 #include <iostream>
@@ -27,11 +28,6 @@
 lost after the write took effect. POST /v1/hosts adds or changes a listed host.
 )";
 
-constexpr int statusBadRequest = 400;
-constexpr int statusConflict = 409;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
-
 /// One process' platform.
 class PlatformStandIn {
 public:
@@ -53,7 +49,7 @@
         try {
             this->route(exchange, request);
         } catch (const Json::exception& error) {
-            this->respond(exchange, statusBadRequest, { { "error", error.what() } });
+            this->respond(exchange, Utils::HttpStatus::badRequest, { { "error", error.what() } });
         }
     }
 
@@ -77,7 +73,7 @@
         } else if (request.path.starts_with("/v1/objects/")) {
             this->onObject(exchange, request);
         } else {
-            this->respond(exchange, statusNotFound, { { "error", "no such resource" } });
+            this->respond(exchange, Utils::HttpStatus::notFound, { { "error", "no such resource" } });
         }
     }
 
@@ -85,7 +81,7 @@
     {
         const Json json = Json::parse(body, nullptr, false);
         if (json.is_discarded()) {
-            this->respond(exchange, statusBadRequest, { { "error", "not JSON" } });
+            this->respond(exchange, Utils::HttpStatus::badRequest, { { "error", "not JSON" } });
             return;
         }
         const Model::TableAnswer answer = this->table.apply(Adapters::tableOperationFromJson(json));
@@ -95,7 +91,7 @@
             return;
         }
         const bool conflict = std::holds_alternative<Model::TableConflict>(answer);
-        this->respond(exchange, conflict ? statusConflict : 200, Adapters::tableAnswerToJson(answer));
+        this->respond(exchange, conflict ? Utils::HttpStatus::conflict : 200, Adapters::tableAnswerToJson(answer));
     }
 
     void listHost(const Json& host)
@@ -126,7 +122,7 @@
         }
         const auto found = this->objects.find(request.path);
         if (found == this->objects.end()) {
-            this->respond(exchange, statusNotFound, { { "error", "no such object" } });
+            this->respond(exchange, Utils::HttpStatus::notFound, { { "error", "no such object" } });
             return;
         }
         this->server.respond(exchange, { .contentType = "application/octet-stream", .body = found->second });
