--- a/tests/support/fleetsteps.cpp
+++ b/tests/support/fleetsteps.cpp
@@ -42,13 +42,13 @@
     fleet.request(step.first % fleet.hostCount(), "body " + name, name);
 }
 
-void submit(Fleet& fleet, StepMemory& memory, const FleetStep& step, Model::JobSpecification specification)
+void submit(Fleet& fleet, StepMemory& memory, const FleetStep& step, const Model::JobSpecification& specification)
 {
     const std::size_t host = step.first % fleet.hostCount();
     if (!fleet.isRunning(host))
         return;
     ++memory.counter;
-    const Model::CallerId caller = fleet.job(host, std::move(specification));
+    const Model::CallerId caller = fleet.job(host, specification);
     memory.jobCallers.push_back(caller);
 }
 
@@ -120,7 +120,7 @@
         Model::JobSpecification specification = gangOf(step, memory);
         specification.attached = true;
         specification.idempotencyKey.clear();
-        fleet.job(host, std::move(specification));
+        fleet.job(host, specification);
         break;
     }
     case StepKind::SubmitGuaranteedGang: {
@@ -128,7 +128,7 @@
         specification.shape = { 1 + step.second % 2, 8 };
         specification.guarantee = Model::GuaranteeId("render");
         specification.urgent = true;
-        submit(fleet, memory, step, std::move(specification));
+        submit(fleet, memory, step, specification);
         break;
     }
     case StepKind::CancelJob:
