--- a/src/libs/controllers/gangcontroller.cpp
+++ b/src/libs/controllers/gangcontroller.cpp
@@ -258,8 +258,7 @@
     if (std::holds_alternative<BackendError>(outcome))
         return;
     if (member.state == LeaseState::Failed) {
-        gang.end.failedServer = member.placement.server;
-        this->beginStop(gang, GangEndKind::TaskFailed, "the task failed on " + member.placement.server.value(), now);
+        this->stopAfterFailure(gang, member, now);
         return;
     }
     member.answered = true;
@@ -270,6 +269,12 @@
     this->events.running(gang.attempt.terms.job, now);
 }
 
+void GangController::stopAfterFailure(Gang& gang, const Member& member, SteadyTime now)
+{
+    gang.end.failedServer = member.placement.server;
+    this->beginStop(gang, GangEndKind::TaskFailed, "the task failed on " + member.placement.server.value(), now);
+}
+
 void GangController::renewAll(Gang& gang, Handler handler, SteadyTime now)
 {
     for (Member& member : gang.members)
@@ -317,8 +322,7 @@
     if (std::holds_alternative<BackendError>(outcome))
         return;
     if (member.state == LeaseState::Failed) {
-        gang.end.failedServer = member.placement.server;
-        this->beginStop(gang, GangEndKind::TaskFailed, "the task failed on " + member.placement.server.value(), now);
+        this->stopAfterFailure(gang, member, now);
         return;
     }
     if (member.state == LeaseState::Evicting || member.state == LeaseState::Evicted) {
--- a/src/libs/controllers/gangcontroller.h
+++ b/src/libs/controllers/gangcontroller.h
@@ -135,6 +135,7 @@
     void becomeReservedIfAll(Gang& gang, SteadyTime now);
     void sendStarts(Gang& gang, SteadyTime now);
     void onStart(Gang& gang, Member& member, const LeaseOutcome& outcome, SteadyTime now);
+    void stopAfterFailure(Gang& gang, const Member& member, SteadyTime now);
     void renewAll(Gang& gang, Handler handler, SteadyTime now);
     void renewUnanswered(Gang& gang, Handler handler, SteadyTime now);
     void tickRunning(Gang& gang, SteadyTime now);
