--- /dev/null
+++ b/src/app/fleetdaemon.cpp
@@ -0,0 +1,335 @@
+#include "app/fleetdaemon.h"
+
+#include "app/daemonsettings.h"
+#include "platform/documents.h"
+#include "platform/wirenames.h"
+#include "utils/eventlog.h"
+
+#include <chrono>
+#include <random>
+
+namespace WisteriaHill::App {
+
+namespace {
+
+using Scheduling::CallerAnswer;
+using Scheduling::CallerContext;
+using Scheduling::CallerOutcome;
+using Utils::Duration;
+using Utils::Event;
+using Utils::Json;
+
+constexpr Duration tickInterval { 10 };
+constexpr Duration leaderHeartbeatInterval { 200 }; ///< a third of the silence that starts a takeover
+constexpr Duration heartbeatInterval { 1000 };
+constexpr Duration heartbeatPerPeer { 50 }; ///< bounds the rate in a large fleet
+constexpr Duration summaryAge { 1800 }; ///< counts may be 2 s old
+constexpr Duration exitCheckInterval { 20 };
+constexpr Duration stopNotice { 1200 }; ///< the balancer asks once a second
+constexpr Duration stopReserve { 1000 }; ///< left before the process would be killed
+constexpr Duration largestStagger { 300 };
+constexpr unsigned int randomBits = 32;
+
+std::uint64_t systemRandom()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << randomBits) | device();
+}
+
+Utils::SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
+
+Scheduling::MemberRow ownMember(const FleetSettings& settings)
+{
+    return { .node = settings.node,
+        .zone = settings.zone,
+        .address = settings.address,
+        .heartbeatPort = settings.heartbeatPort,
+        .relayPort = settings.relay.port,
+        .incarnation = systemRandom() >> 1U };
+}
+
+Scheduling::SchedulerOptions schedulerOptions(const FleetSettings& settings, std::uint64_t incarnation)
+{
+    return { .leadership = { .node = settings.node,
+                 .incarnation = incarnation,
+                 .stagger = Duration(
+                     static_cast<std::int64_t>(incarnation % static_cast<std::uint64_t>(largestStagger.count()))) },
+        .servers = { .maximumLease = settings.maximumLease, .stopTime = settings.stopTime },
+        .serverTable = Platform::Wire::serverTable };
+}
+
+} // namespace
+
+FleetDaemon::FleetDaemon(const FleetSettings& givenSettings, std::string settingsPath)
+    : settings(givenSettings)
+    , settingsPath(std::move(settingsPath))
+    , peers(this->effects, ownMember(this->settings), steadyNow)
+    , storeRoute(this->effects, { .address = this->settings.store.address, .port = this->settings.store.port })
+    , configuration(this->effects, { Platform::Wire::operatorTable, "", Platform::Wire::configurationKey },
+          Platform::decodeConfiguration, steadyNow)
+    , intake(this->effects, steadyNow)
+    , scheduler(schedulerOptions(this->settings, this->peers.own().incarnation), Platform::decodeServerEntry, steadyNow,
+          this->storeClock)
+    , store(this->loop,
+          { .choose = [this]() { return this->storeRoute.choose(this->peers, steadyNow()); },
+              .report = [this](const Scheduling::StoreEndpoint& endpoint,
+                            bool answered) { this->storeRoute.report(endpoint, answered, steadyNow()); },
+              .direct = { .address = this->settings.store.address, .port = this->settings.store.port } },
+          this->storeClock)
+    , servers(this->loop)
+    , heartbeats(this->loop, { .address = this->settings.address, .port = this->settings.heartbeatPort },
+          [this](const std::string& bytes) { this->heartbeatReceived(bytes); })
+    , callers(this->loop, this->settings.callers.address, this->settings.callers.port,
+          { .submit =
+                  [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
+                      Scheduling::AnswerCaller answer) {
+                      this->intake.submit(
+                          context, id, std::move(job), this->storeClock.at(steadyNow()), std::move(answer));
+                      this->runEffects();
+                  },
+              .cancel =
+                  [this](const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer) {
+                      this->intake.cancel(context, id, std::move(answer));
+                      this->runEffects();
+                  },
+              .state =
+                  [this](const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer) {
+                      this->intake.state(context, id, std::move(answer));
+                      this->runEffects();
+                  },
+              .pending = [this](const CallerContext& context,
+                             const Scheduling::AnswerCaller& answer) { this->answerPending(context, answer); },
+              .findQueue = [this](const CallerContext& context) -> const Scheduling::Queue* {
+                  const auto& inForce = this->configuration.inForce();
+                  return inForce ? inForce->findQueue(context.host, context.path) : nullptr;
+              } })
+    , readiness(this->loop, { .address = this->settings.readiness.address, .port = this->settings.readiness.port },
+          [this](Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request) {
+              this->answerReadiness(exchange, request);
+          })
+    , relay(this->loop, { .address = this->settings.relay.address, .port = this->settings.relay.port },
+          [this](Adapters::HttpExchangeId exchange, Adapters::HttpRequest request) {
+              this->store.forward(std::move(request), [this, exchange](Adapters::HttpResponse response) {
+                  this->relay.respond(exchange, std::move(response));
+              });
+          })
+{
+    this->configuration.onApplied([this](const std::shared_ptr<const Scheduling::FleetConfiguration>& inForce) {
+        this->intake.setConfiguration(inForce);
+        this->scheduler.setConfiguration(inForce);
+        this->nextHeartbeat = SteadyTime(); // daemons that the store turns away learn of it at once
+    });
+    Utils::logStructured(Event::DaemonStarted,
+        { { "zone", this->settings.zone }, { "callers", this->settings.callers.address },
+            { "port", this->settings.callers.port }, { "incarnation", this->peers.own().incarnation } });
+}
+
+void FleetDaemon::run()
+{
+    this->loop.every(tickInterval, [this]() { this->tick(); });
+    this->loop.onTerminationSignal([this]() { this->beginStop(); });
+    this->loop.onReloadSignal([this]() { this->reloadSettings(); });
+    this->loop.run();
+    Utils::logStructured(Event::DaemonStopped, Json::object());
+}
+
+Duration FleetDaemon::wallOffset(SteadyTime now) const
+{
+    if (!this->storeClock.isKnown())
+        return Duration(0);
+    const auto wallNow = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Duration>(wallNow) - this->storeClock.at(now);
+}
+
+Scheduling::WallTime FleetDaemon::agreedWallTime(SteadyTime now) const
+{
+    const Duration agreed
+        = Scheduling::agreedWallOffset(this->wallOffset(now), this->peers.heardWithin(heartbeatInterval * 3, now));
+    return this->storeClock.at(now) + agreed;
+}
+
+void FleetDaemon::tick()
+{
+    const SteadyTime now = steadyNow();
+    this->peers.tick(now);
+    this->configuration.tick(now);
+    this->scheduler.tick(now, this->agreedWallTime(now));
+    if (now >= this->nextHeartbeat)
+        this->sendHeartbeats(now);
+    this->runEffects();
+}
+
+void FleetDaemon::runEffects()
+{
+    if (this->insideEffects)
+        return;
+    this->insideEffects = true;
+    Scheduling::Effects& scheduled = this->scheduler.pendingEffects();
+    while (!this->effects.empty() || !scheduled.empty()) {
+        this->execute(this->effects.empty() ? scheduled.pop() : this->effects.pop());
+    }
+    this->insideEffects = false;
+}
+
+void FleetDaemon::execute(Scheduling::Effect effect)
+{
+    // An answer may cause further effects, which are run at once.
+    const auto thenRun = [this](auto done) {
+        return [this, done = std::move(done)](auto result) {
+            done(std::move(result));
+            this->scheduler.react(steadyNow());
+            this->runEffects();
+        };
+    };
+    if (auto* commit = std::get_if<Scheduling::CommitCall>(&effect)) {
+        commit->done = thenRun(std::move(commit->done));
+        this->store.commit(std::move(*commit));
+    } else if (auto* read = std::get_if<Scheduling::ReadCall>(&effect)) {
+        read->done = thenRun(std::move(read->done));
+        this->store.read(std::move(*read));
+    } else if (auto* watch = std::get_if<Scheduling::WatchCall>(&effect)) {
+        watch->done = thenRun(std::move(watch->done));
+        this->store.watch(std::move(*watch));
+    } else if (auto* order = std::get_if<Scheduling::ServerCall>(&effect)) {
+        order->done = thenRun(std::move(order->done));
+        this->servers.send(std::move(*order));
+    } else if (const auto* line = std::get_if<Scheduling::LogLine>(&effect)) {
+        Utils::logStructured(line->event, line->fields);
+    }
+}
+
+Scheduling::PeerHeartbeat FleetDaemon::ownHeartbeat(SteadyTime now) const
+{
+    const Scheduling::MemberRow& self = this->peers.own();
+    const bool leading = this->scheduler.isActive();
+    return { .node = self.node,
+        .zone = self.zone,
+        .address = self.address,
+        .heartbeatPort = self.heartbeatPort,
+        .relayPort = self.relayPort,
+        .incarnation = self.incarnation,
+        .configurationVersion = this->configuration.inForce() ? this->configuration.inForce()->version : 0,
+        .term = this->scheduler.leadership().knownTerm(),
+        .leading = this->scheduler.leadership().isLeader(),
+        .leaving = this->stopping,
+        .storeReachable = this->storeRoute.isDirect() && this->storeRoute.isReachable(now),
+        .wallOffset = this->wallOffset(now).count(),
+        .pending = leading ? this->scheduler.summary().pending : std::map<std::string, std::int64_t> {} };
+}
+
+void FleetDaemon::sendHeartbeats(SteadyTime now)
+{
+    const std::vector<Scheduling::MemberRow> destinations = this->peers.destinations(now);
+    const Duration perPeer = heartbeatPerPeer * static_cast<std::int64_t>(destinations.size());
+    this->nextHeartbeat = now
+        + (this->scheduler.leadership().isLeader() ? leaderHeartbeatInterval : std::max(heartbeatInterval, perPeer));
+    const std::string bytes = Scheduling::encodePeerHeartbeat(this->ownHeartbeat(now));
+    for (const Scheduling::MemberRow& member : destinations)
+        this->heartbeats.send({ .address = member.address, .port = member.heartbeatPort }, bytes);
+}
+
+void FleetDaemon::heartbeatReceived(const std::string& bytes)
+{
+    const std::optional<Scheduling::PeerHeartbeat> heartbeat = Scheduling::decodePeerHeartbeat(bytes);
+    if (!heartbeat) {
+        Utils::logStructured(Event::PeerMessageRejected, { { "bytes", bytes.size() } });
+        return;
+    }
+    const SteadyTime now = steadyNow();
+    if (!this->peers.heard(*heartbeat, now))
+        return;
+    if (heartbeat->leading && !heartbeat->leaving)
+        this->scheduler.leadership().heardLeader(heartbeat->node, heartbeat->term, now);
+    else if (heartbeat->leaving && heartbeat->node == this->scheduler.leadership().leaderNode())
+        this->scheduler.leadership().heardStepDown(heartbeat->term, now);
+    this->configuration.heardVersion(heartbeat->configurationVersion, now);
+}
+
+void FleetDaemon::answerPending(const CallerContext& context, const Scheduling::AnswerCaller& answer)
+{
+    const Scheduling::Queue* queue = nullptr;
+    const Scheduling::ClientAccount* account = nullptr;
+    if (const std::optional<CallerAnswer> refusal = this->intake.admit(context, queue, account)) {
+        answer(*refusal);
+        return;
+    }
+    const SteadyTime now = steadyNow();
+    std::map<std::string, std::int64_t> pending;
+    bool known = this->scheduler.isActive();
+    if (known)
+        pending = this->scheduler.summary().pending;
+    for (const Scheduling::Peer* peer : this->peers.heardWithin(summaryAge, now)) {
+        if (known || !peer->last.leading || peer->last.node != this->scheduler.leadership().leaderNode())
+            continue;
+        known = true;
+        pending = peer->last.pending;
+    }
+    if (!known) {
+        answer(
+            { .outcome = CallerOutcome::NotReady, .retryAfter = heartbeatInterval, .reason = "no scheduler is known" });
+        return;
+    }
+    const auto found = pending.find(queue->host + ' ' + queue->pathPrefix);
+    answer({ .outcome = CallerOutcome::Pending, .pending = found == pending.end() ? 0 : found->second });
+}
+
+bool FleetDaemon::isReady(SteadyTime now) const
+{
+    return !this->stopping && this->configuration.inForce() && this->storeRoute.isReachable(now);
+}
+
+void FleetDaemon::answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request)
+{
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
+    const bool asked = request.path == Platform::Wire::readyPath;
+    this->readiness.respond(exchange,
+        { .status = !asked                   ? statusNotFound
+                : this->isReady(steadyNow()) ? statusOk
+                                             : statusUnavailable });
+}
+
+void FleetDaemon::reloadSettings()
+{
+    const auto text = readTextFile(this->settingsPath);
+    const auto* read = std::get_if<std::string>(&text);
+    const auto parsed = parseFleetSettings(read ? *read : std::string());
+    if (const auto* faults = std::get_if<Utils::JsonFaults>(&parsed)) {
+        Utils::logStructured(Event::SettingsInvalid, { { "faults", Utils::formatFaults(*faults) } });
+        return;
+    }
+    Utils::logStructured(Event::SettingsReloaded, { { "path", this->settingsPath } });
+}
+
+void FleetDaemon::beginStop()
+{
+    if (this->stopping)
+        return;
+    const SteadyTime now = steadyNow();
+    this->stopping = true;
+    this->stopBegan = now;
+    Utils::logStructured(Event::DaemonStopping, { { "openCalls", this->callers.openCalls() } });
+    this->callers.closeConnectionsAfterResponses();
+    this->scheduler.release([this]() {
+        this->released = true;
+        this->sendHeartbeats(steadyNow());
+    });
+    this->scheduler.react(now);
+    this->runEffects();
+    this->loop.after(exitCheckInterval, [this]() { this->exitWhenIdle(); });
+}
+
+void FleetDaemon::exitWhenIdle()
+{
+    const SteadyTime now = steadyNow();
+    const bool noticed = now - this->stopBegan > stopNotice;
+    if ((noticed && this->released && this->callers.openCalls() == 0)
+        || now - this->stopBegan > this->settings.stopBound - stopReserve) {
+        this->loop.stop();
+        return;
+    }
+    this->loop.after(exitCheckInterval, [this]() { this->exitWhenIdle(); });
+}
+
+} // namespace WisteriaHill::App
--- /dev/null
+++ b/src/app/fleetdaemon.h
@@ -0,0 +1,75 @@
+/// A daemon of the fleet: controllers, the platform's adapter and the loop put together.
+#pragma once
+
+#include "adapters/datagramlink.h"
+#include "adapters/eventloop.h"
+#include "adapters/httpserver.h"
+#include "app/fleetsettings.h"
+#include "platform/callerapi.h"
+#include "platform/serverclient.h"
+#include "platform/storeclient.h"
+#include "scheduling/configurationfollower.h"
+#include "scheduling/intake.h"
+#include "scheduling/peers.h"
+#include "scheduling/scheduler.h"
+#include "scheduling/storeclock.h"
+#include "scheduling/storeroute.h"
+
+#include <string>
+
+namespace WisteriaHill::App {
+
+/// Thread safety: none; one loop on one thread.
+class FleetDaemon {
+public:
+    /// Listens at once; throws std::runtime_error when an address can't be listened on. `settingsPath` is read again on
+    /// SIGHUP.
+    FleetDaemon(const FleetSettings& settings, std::string settingsPath);
+    FleetDaemon(const FleetDaemon&) = delete;
+    FleetDaemon& operator=(const FleetDaemon&) = delete;
+
+    /// Serves until a graceful stop is done.
+    void run();
+
+private:
+    using SteadyTime = Utils::SteadyTime;
+
+    void tick();
+    void runEffects();
+    void execute(Scheduling::Effect effect);
+    void sendHeartbeats(SteadyTime now);
+    Scheduling::PeerHeartbeat ownHeartbeat(SteadyTime now) const;
+    void heartbeatReceived(const std::string& bytes);
+    void answerPending(const Scheduling::CallerContext& context, const Scheduling::AnswerCaller& answer);
+    void answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    bool isReady(SteadyTime now) const;
+    void beginStop();
+    void exitWhenIdle();
+    void reloadSettings();
+    Scheduling::WallTime agreedWallTime(SteadyTime now) const;
+    Utils::Duration wallOffset(SteadyTime now) const;
+
+    FleetSettings settings;
+    std::string settingsPath;
+    Adapters::EventLoop loop;
+    Scheduling::Effects effects;
+    Scheduling::StoreClock storeClock;
+    Scheduling::PeerDirectory peers;
+    Scheduling::StoreRoute storeRoute;
+    Scheduling::ConfigurationFollower configuration;
+    Scheduling::Intake intake;
+    Scheduling::Scheduler scheduler;
+    Platform::StoreClient store;
+    Platform::ServerClient servers;
+    Adapters::DatagramLink heartbeats;
+    Platform::CallerApi callers;
+    Adapters::HttpServer readiness;
+    Adapters::HttpServer relay;
+    SteadyTime nextHeartbeat {};
+    SteadyTime stopBegan {};
+    bool stopping = false;
+    bool released = false;
+    bool insideEffects = false;
+};
+
+} // namespace WisteriaHill::App
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 #include "app/daemon.h"
 #include "app/daemonsettings.h"
+#include "app/fleetdaemon.h"
 #include "utils/eventcatalogue.h"
 #include "utils/eventlog.h"
 
@@ -51,6 +52,31 @@
     return exitOk;
 }
 
+int serveFleet(const App::FleetSettings& settings, const std::string& path)
+{
+    Utils::initialiseEventLog({ .processName = settings.node, .level = settings.logLevel, .structured = true });
+    try {
+        App::FleetDaemon daemon(settings, path);
+        daemon.run();
+    } catch (const std::runtime_error& error) {
+        Utils::logStructured(Utils::Event::ListenFailed, { { "reason", error.what() } });
+        return exitCannotRun;
+    }
+    return exitOk;
+}
+
+int checkAndServeFleet(const std::string& text, const std::string& path, bool checkOnly)
+{
+    const auto settings = App::parseFleetSettings(text);
+    if (const auto* faults = std::get_if<Utils::JsonFaults>(&settings))
+        return reportFaults(*faults);
+    if (checkOnly) {
+        std::cout << "the settings are well formed\n";
+        return exitOk;
+    }
+    return serveFleet(std::get<App::FleetSettings>(settings), path);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -64,6 +90,9 @@
     const auto text = App::readTextFile(arguments.at("--settings").asString());
     if (const auto* fault = std::get_if<Utils::JsonFault>(&text))
         return reportFaults({ *fault });
+    if (App::isFleetSettings(std::get<std::string>(text)))
+        return checkAndServeFleet(
+            std::get<std::string>(text), arguments.at("--settings").asString(), arguments.at("--check").asBool());
     const auto settings = App::parseDaemonSettings(std::get<std::string>(text));
     if (const auto* faults = std::get_if<Utils::JsonFaults>(&settings))
         return reportFaults(*faults);
--- a/src/libs/adapters/eventloop.cpp
+++ b/src/libs/adapters/eventloop.cpp
@@ -16,9 +16,14 @@
 volatile std::sig_atomic_t terminationRequested = 0;
 lws_context* contextToWake = nullptr;
 
-void onSignal(int)
+volatile std::sig_atomic_t reloadRequested = 0;
+
+void onSignal(int number)
 {
-    terminationRequested = 1;
+    if (number == SIGHUP)
+        reloadRequested = 1;
+    else
+        terminationRequested = 1;
     if (contextToWake)
         lws_cancel_service(contextToWake);
 }
@@ -110,6 +115,13 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+void EventLoop::onReloadSignal(std::function<void()> action)
+{
+    this->reloadAction = std::move(action);
+    contextToWake = this->lwsContext;
+    std::signal(SIGHUP, onSignal);
+}
+
 bool EventLoop::runOnce()
 {
     const bool served = lws_service(this->lwsContext, 0) >= 0;
@@ -124,6 +136,10 @@
 void EventLoop::run()
 {
     while (this->running && this->runOnce()) {
+        if (reloadRequested != 0 && this->reloadAction) {
+            reloadRequested = 0;
+            this->reloadAction();
+        }
         if (terminationRequested == 0 || !this->terminationAction)
             continue;
         terminationRequested = 0;
--- a/src/libs/adapters/eventloop.h
+++ b/src/libs/adapters/eventloop.h
@@ -33,6 +33,9 @@
     /// Calls `action` from the loop soon after SIGTERM or SIGINT.
     void onTerminationSignal(std::function<void()> action);
 
+    /// Calls `action` from the loop soon after SIGHUP.
+    void onReloadSignal(std::function<void()> action);
+
     /// Runs until stop().
     void run();
 
@@ -58,6 +61,7 @@
     std::vector<std::unique_ptr<Timer>> timers;
     std::deque<std::function<void()>> posted;
     std::function<void()> terminationAction;
+    std::function<void()> reloadAction;
 };
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/adapters/heartbeatlink.cpp
+++ b/src/libs/adapters/heartbeatlink.cpp
@@ -1,84 +1,22 @@
 #include "adapters/heartbeatlink.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <stdexcept>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace WisteriaHill::Adapters {
 
-namespace {
-
-bool toSocketAddress(const Model::PeerAddress& address, sockaddr_in& socketAddress)
-{
-    socketAddress = {};
-    socketAddress.sin_family = AF_INET;
-    socketAddress.sin_port = htons(address.port);
-    return inet_pton(AF_INET, address.address.c_str(), &socketAddress.sin_addr) == 1;
-}
-
-int boundSocket(const Model::PeerAddress& own)
-{
-    sockaddr_in address {};
-    if (!toSocketAddress(own, address))
-        throw std::runtime_error("not an IP number: " + own.address);
-    const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (descriptor < 0 || ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
-        ::close(descriptor);
-        throw std::runtime_error("cannot bind UDP " + own.address + ":" + std::to_string(own.port));
-    }
-    return descriptor;
-}
-
-} // namespace
-
 HeartbeatLink::HeartbeatLink(EventLoop& loop, const Model::PeerAddress& own, Received received, Rejected rejected)
     : received(std::move(received))
     , rejected(std::move(rejected))
+    , link(loop, { .address = own.address, .port = own.port }, [this](const std::string& bytes) {
+        if (const std::optional<Model::Heartbeat> heartbeat = Model::decodeHeartbeat(bytes))
+            this->received(*heartbeat);
+        else
+            this->rejected(bytes.size());
+    })
 {
-    this->protocols[0].name = "heartbeat";
-    this->protocols[0].callback = callback;
-    this->protocols[0].user = this;
-    lws_context_creation_info info {};
-    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
-    info.protocols = this->protocols;
-    info.vhost_name = "heartbeat";
-    this->vhost = lws_create_vhost(loop.context(), &info);
-
-    lws_sock_file_fd_type descriptor {};
-    descriptor.sockfd = boundSocket(own);
-    const auto type = static_cast<lws_adoption_type>(LWS_ADOPT_SOCKET | LWS_ADOPT_FLAG_UDP);
-    this->socket = lws_adopt_descriptor_vhost(this->vhost, type, descriptor, "heartbeat", nullptr);
-    if (!this->socket)
-        throw std::runtime_error("the heartbeat socket could not be adopted");
 }
 
 void HeartbeatLink::send(const Model::PeerAddress& to, const Model::Heartbeat& heartbeat)
 {
-    sockaddr_in address {};
-    if (!toSocketAddress(to, address))
-        return;
-    const std::string bytes = Model::encodeHeartbeat(heartbeat);
-    this->sent += bytes.size();
-    ::sendto(lws_get_socket_fd(this->socket), bytes.data(), bytes.size(), MSG_DONTWAIT,
-        reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-}
-
-int HeartbeatLink::callback(lws* wsi, lws_callback_reasons reason, void*, void* in, std::size_t length)
-{
-    const lws_protocols* protocol = lws_get_protocol(wsi);
-    if (reason != LWS_CALLBACK_RAW_RX || !protocol)
-        return 0;
-    auto* link = static_cast<HeartbeatLink*>(protocol->user);
-    link->receivedBytes += length;
-    const std::optional<Model::Heartbeat> heartbeat
-        = Model::decodeHeartbeat(std::string(static_cast<const char*>(in), length));
-    if (heartbeat)
-        link->received(*heartbeat);
-    else
-        link->rejected(length);
-    return 0;
+    this->link.send({ .address = to.address, .port = to.port }, Model::encodeHeartbeat(heartbeat));
 }
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/adapters/heartbeatlink.h
+++ b/src/libs/adapters/heartbeatlink.h
@@ -1,7 +1,7 @@
 /// Heartbeats as UDP datagrams.
 #pragma once
 
-#include "adapters/eventloop.h"
+#include "adapters/datagramlink.h"
 #include "model/peermessage.h"
 
 #include <functional>
@@ -22,19 +22,13 @@
     /// Sends one datagram; loss is not reported.
     void send(const Model::PeerAddress& to, const Model::Heartbeat& heartbeat);
 
-    std::uint64_t bytesSent() const { return this->sent; }
-    std::uint64_t bytesReceived() const { return this->receivedBytes; }
+    std::uint64_t bytesSent() const { return this->link.bytesSent(); }
+    std::uint64_t bytesReceived() const { return this->link.bytesReceived(); }
 
 private:
-    static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
-
     Received received;
     Rejected rejected;
-    lws_protocols protocols[2] {};
-    lws_vhost* vhost = nullptr;
-    lws* socket = nullptr;
-    std::uint64_t sent = 0;
-    std::uint64_t receivedBytes = 0;
+    DatagramLink link;
 };
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t requestOverheadBytes = 160;
 constexpr lws_usec_t usecPerMs = 1000;
 constexpr int longestHeaderValue = 2048;
+constexpr int keepAliveSeconds = 60; ///< of an idle connection
 
 constexpr std::array answerHeaders { HeaderName::outcome, HeaderName::reason, HeaderName::retryAfterMs,
     HeaderName::replayed, HeaderName::notRun, HeaderName::busySlots, HeaderName::leaving };
@@ -40,8 +41,9 @@
     bool finished = false;
 };
 
-HttpClient::HttpClient(EventLoop& loop)
+HttpClient::HttpClient(EventLoop& loop, HttpClientOptions options)
     : loop(loop)
+    , options(options)
 {
     this->protocols[0].name = "http-client";
     this->protocols[0].callback = callback;
@@ -51,6 +53,7 @@
     info.protocols = this->protocols;
     info.vhost_name = "http-client";
     info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.keepalive_timeout = keepAliveSeconds;
     this->vhost = lws_create_vhost(loop.context(), &info);
     if (!this->vhost)
         throw std::runtime_error("the HTTP client could not be created");
@@ -87,6 +90,8 @@
     info.method = transaction->call.method.c_str();
     info.alpn = "http/1.1";
     info.local_protocol_name = "http-client";
+    if (this->options.keepConnections)
+        info.ssl_connection = LCCSCF_PIPELINE;
     info.opaque_user_data = transaction;
     info.pwsi = &transaction->wsi;
     if (!lws_client_connect_via_info(&info) && !transaction->finished) {
@@ -215,7 +220,7 @@
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
         client.received += requestOverheadBytes;
         client.finish(*transaction, std::move(transaction->response));
-        return -1;
+        return client.options.keepConnections ? 0 : -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
     case LWS_CALLBACK_WSI_DESTROY:
--- a/src/libs/adapters/httpclient.h
+++ b/src/libs/adapters/httpclient.h
@@ -1,4 +1,5 @@
-/// An HTTP/1.1 client on the event loop: one connection per request, so that a late answer can't meet another request.
+/// An HTTP/1.1 client on the event loop. By default each call has a connection of its own; a client that keeps
+/// connections uses one after the other call has ended, and ends a connection whose call timed out.
 #pragma once
 
 #include "adapters/eventloop.h"
@@ -25,6 +26,12 @@
     std::size_t maximumAnswer = 8'388'608; ///< bytes
 };
 
+struct HttpClientOptions {
+    /// Keep connections for further calls to the same address. At most one call may be open per address and client, so
+    /// that no call waits behind another.
+    bool keepConnections = false;
+};
+
 enum class HttpClientError {
     NotSent, ///< no byte of the request left
     Truncated, ///< the connection ended before the whole answer
@@ -40,7 +47,7 @@
     using Done = std::function<void(HttpCallResult)>;
 
     /// The loop must outlive the client.
-    explicit HttpClient(EventLoop& loop);
+    explicit HttpClient(EventLoop& loop, HttpClientOptions options = {});
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
@@ -63,6 +70,7 @@
     void finish(Transaction& transaction, HttpCallResult result);
 
     EventLoop& loop;
+    HttpClientOptions options;
     lws_protocols protocols[2] {};
     lws_vhost* vhost = nullptr;
     std::unordered_set<Transaction*> open;
--- a/src/libs/adapters/httpmessage.h
+++ b/src/libs/adapters/httpmessage.h
@@ -47,6 +47,7 @@
 /// Names of the product's own headers and of the others that are read.
 namespace HeaderName {
 inline constexpr const char* authorization = "authorization";
+inline constexpr const char* host = "host";
 inline constexpr const char* idempotencyKey = "idempotency-key";
 inline constexpr const char* ifMatch = "if-match";
 inline constexpr const char* retryAfter = "retry-after";
--- a/src/libs/adapters/httpserver.cpp
+++ b/src/libs/adapters/httpserver.cpp
@@ -63,7 +63,7 @@
     }
 }
 
-HttpRequest readRequest(lws* wsi)
+HttpRequest readRequest(lws* wsi, const std::vector<std::string>& furtherHeaders)
 {
     HttpRequest request;
     char* uri = nullptr;
@@ -86,6 +86,9 @@
     request.headers[HeaderName::ifMatch] = knownHeader(wsi, WSI_TOKEN_HTTP_IF_MATCH);
     for (const char* name : customHeaders)
         request.headers[name] = customHeader(wsi, name);
+    request.headers[HeaderName::host] = knownHeader(wsi, WSI_TOKEN_HOST);
+    for (const std::string& name : furtherHeaders)
+        request.headers[name] = customHeader(wsi, name);
     return request;
 }
 
@@ -171,7 +174,7 @@
     auto exchange = std::make_unique<Exchange>();
     exchange->id = ++this->lastExchange;
     exchange->wsi = wsi;
-    exchange->request = readRequest(wsi);
+    exchange->request = readRequest(wsi, this->options.headers);
     session.exchange = exchange.get();
     Exchange& open = *exchange;
     this->exchanges.emplace(open.id, std::move(exchange));
--- a/src/libs/adapters/httpserver.h
+++ b/src/libs/adapters/httpserver.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace WisteriaHill::Adapters {
 
@@ -19,6 +20,7 @@
     std::string address; ///< an IP number
     std::uint16_t port = 0;
     std::size_t maximumBody = 1'048'576; ///< bytes
+    std::vector<std::string> headers; ///< further request headers to read, in lower case
 };
 
 /// Thread safety: none; all calls and callbacks on the loop's thread.
--- /dev/null
+++ b/src/libs/scheduling/board.h
@@ -0,0 +1,144 @@
+/// The blackboard of the scheduler: jobs, their tasks and runs, and backend servers. Controllers read and write it.
+#pragma once
+
+#include "scheduling/fleetconfiguration.h"
+#include "scheduling/serverorders.h"
+#include "scheduling/statestore.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::Scheduling {
+
+enum class RunPhase {
+    Recording, ///< its record is being stored; no order was sent
+    Ordered, ///< the start may have been ordered; no answer yet
+    Active, ///< the backend server has confirmed it
+    Stopping, ///< to be stopped; its end is awaited
+};
+
+/// One run of a task on a backend server.
+struct Run {
+    int attempt = 0;
+    std::string server;
+    std::int64_t incarnation = 0; ///< of the server when the run was placed
+    RunPhase phase = RunPhase::Recording;
+    SteadyTime phaseSince {};
+    std::string checkpoint; ///< that the start carries
+    int percent = 0;
+    SteadyTime progressedAt {}; ///< when percent last moved
+    std::int64_t load = 0;
+    int pace = 100;
+    bool orderOpen = false; ///< a start or stop order awaits its answer
+    SteadyTime nextOrderAt {};
+    bool startUnanswered = false; ///< a start had no answer and may be carried out late
+    std::optional<SteadyTime> stopConfirmedAt; ///< the server will not start the run any more
+    std::string stopReason;
+    std::string ticket; ///< of placement advice
+};
+
+enum class TaskPhase { Waiting, Running, Done };
+
+struct Task {
+    TaskPhase phase = TaskPhase::Waiting;
+    int attempts = 0; ///< runs so far
+    int failures = 0; ///< runs that ended by a failure of their own
+    std::string checkpoint; ///< latest known
+    std::optional<Run> run; ///< set while Running
+    SteadyTime waitingSince {};
+    SteadyTime atWorkSince {}; ///< of a long-running task
+};
+
+struct Step {
+    std::vector<Task> tasks;
+    int done = 0;
+    int running = 0;
+    SteadyTime readySince {}; ///< when its prerequisites were met
+    int lastFailedAttempt = 0; ///< of a gang
+    bool ready = false;
+};
+
+/// One due execution of a job's steps.
+struct Occurrence {
+    int index = 0;
+    std::vector<Step> steps;
+    bool finished = false;
+    bool dirty = false; ///< differs from the stored row
+    bool stored = false; ///< has a stored row
+};
+
+struct Job {
+    JobRecord record;
+    JobState state = JobState::Queued;
+    JobState storedState = JobState::Queued;
+    std::map<int, Occurrence> occurrences; ///< by index; made when due
+    int nextOccurrence = 0;
+    SteadyTime acceptedAt {};
+    SteadyTime finishedAt {};
+    bool begun = false; ///< a task has started
+    bool stateDirty = false;
+    bool unfit = false; ///< reported as fitting no backend server
+
+    bool ended() const
+    {
+        return this->state == JobState::Completed || this->state == JobState::Failed
+            || this->state == JobState::Cancelled;
+    }
+};
+
+/// A backend server as its entry in the store and its answers describe it.
+struct BackendServer {
+    ServerAddress address;
+    std::string service;
+    std::string zone;
+    std::string rack;
+    std::set<std::string> labels;
+    Resources capacity;
+    bool present = false; ///< its entry is in the store
+    bool draining = false;
+    SteadyTime drainUntil {}; ///< earliest end while draining
+
+    std::int64_t incarnation = 0; ///< start, Unix milliseconds; 0 before the first answer
+    ServerTime clock { 0 }; ///< at clockReadAt
+    SteadyTime clockReadAt {};
+    std::int64_t handled = 0; ///< ends up to this number were taken over into the blackboard
+    std::int64_t acknowledged = 0; ///< ends up to this number are stored
+    bool lookOpen = false;
+    std::uint64_t lookSerial = 0; ///< of the newest look; answers of older ones are ignored
+    SteadyTime nextLookAt {};
+    bool lookSoon = false; ///< the next look does not wait for an end
+    int unansweredLooks = 0;
+    bool fenced = false; ///< it has answered a look under the current token
+    SteadyTime leaseEnd {}; ///< nothing runs past this without a further order
+    std::map<TaskName, Resources> occupants; ///< current runs placed here, and runs being stopped
+    std::set<std::string> failedJobs; ///< distinct jobs whose runs failed here since the last success
+    SteadyTime avoidUntil {}; ///< not used for new runs before, unless nothing else fits
+
+    /// Capacity left beside all occupants.
+    Resources freeCapacity() const
+    {
+        Resources free = this->capacity;
+        for (const auto& [name, need] : this->occupants)
+            free -= need;
+        return free;
+    }
+};
+
+/// All that the scheduler knows. Thread safety: none.
+struct Board {
+    std::shared_ptr<const FleetConfiguration> configuration;
+    std::map<std::string, Job> jobs;
+    std::map<std::string, BackendServer> servers;
+
+    /// The task, or nothing when it is not known.
+    Task* findTask(const TaskName& name);
+
+    /// The step specification of a task of a known job. Precondition: the task exists.
+    const StepSpecification& stepOf(const TaskName& name) const;
+};
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/intake.cpp
@@ -0,0 +1,272 @@
+#include "scheduling/intake.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+constexpr std::size_t jobIdLength = 16;
+constexpr Duration storeTimeout { 700 }; ///< the store answers in a few milliseconds unless it is disturbed
+constexpr Duration answerReserve { 250 }; ///< of the client's deadline, for the way back
+constexpr int definiteAttempts = 3; ///< when the store says each time that nothing was done
+constexpr Duration retryAfterStoreFailure { 1000 };
+constexpr std::size_t rememberedStates = 20'000;
+
+RowKey jobRow(const std::string& id) { return { StoreTable::jobs, StoreTable::intakePartition, id }; }
+
+RowRange singleRow(const char* table, const char* partition, const std::string& key)
+{
+    return { .table = table, .partition = partition, .from = key, .to = key + '\x01', .limit = 1 };
+}
+
+} // namespace
+
+struct Intake::Submission {
+    JobRecord record;
+    SteadyTime deadline {};
+    int attempts = 0;
+    bool uncertain = false; ///< a sending had no answer
+    AnswerCaller answer;
+};
+
+struct Intake::Lookup {
+    std::string id;
+    SteadyTime deadline {};
+    RowVersion version = 0;
+    AnswerCaller answer;
+    bool cancelling = false;
+};
+
+std::optional<std::string> jobIdInPath(const std::string& path, const Queue& queue)
+{
+    const std::string id = path.substr(std::min(path.size(), queue.pathPrefix.size()));
+    const bool wellFormed = id.size() == jobIdLength
+        && std::ranges::all_of(id, [](unsigned char letter) { return std::isxdigit(letter) != 0; });
+    return wellFormed ? std::optional(id) : std::nullopt;
+}
+
+bool Intake::mayRetry(SteadyTime deadline) const { return this->clock() + answerReserve < deadline; }
+
+std::optional<CallerAnswer> Intake::admit(
+    const CallerContext& context, const Queue*& queue, const ClientAccount*& account)
+{
+    if (!this->configuration)
+        return CallerAnswer {
+            .outcome = CallerOutcome::NotReady, .retryAfter = retryAfterStoreFailure, .reason = "no configuration yet"
+        };
+    queue = this->configuration->findQueue(context.host, context.path);
+    if (!queue) {
+        ++this->counts.unknownQueue;
+        return CallerAnswer { .outcome = CallerOutcome::UnknownQueue, .reason = "no queue at this host and path" };
+    }
+    account = this->configuration->accountOfKey(context.key);
+    if (!account && !queue->anonymous) {
+        ++this->counts.unauthorized;
+        return CallerAnswer { .outcome = CallerOutcome::UnknownKey, .reason = "the key is not in force" };
+    }
+    return std::nullopt;
+}
+
+void Intake::refuse(const std::string& id, const CallerAnswer& answer, const AnswerCaller& reply)
+{
+    ++this->counts.refused;
+    this->effects.log(Event::RequestRefused,
+        { { "job", id }, { "reason", answer.reason }, { "retryAfterMs", answer.retryAfter.count() },
+            { "configuration", this->configuration ? this->configuration->version : 0 } });
+    reply(answer);
+}
+
+void Intake::submit(const CallerContext& context, const std::string& id, JobSpecification specification,
+    StoreTime storeNow, AnswerCaller answer)
+{
+    const Queue* queue = nullptr;
+    const ClientAccount* account = nullptr;
+    if (const std::optional<CallerAnswer> refusal = this->admit(context, queue, account)) {
+        this->refuse(id, *refusal, answer);
+        return;
+    }
+    auto submission = std::make_shared<Submission>();
+    submission->record = { .id = id,
+        .host = queue->host,
+        .pathPrefix = queue->pathPrefix,
+        .account = account ? account->name : std::string(),
+        .acceptedAt = storeNow,
+        .specification = std::move(specification) };
+    submission->deadline = this->clock() + context.deadline;
+    submission->answer = std::move(answer);
+    this->sendSubmission(submission);
+}
+
+void Intake::sendSubmission(const std::shared_ptr<Submission>& submission)
+{
+    ++submission->attempts;
+    const RowKey key = jobRow(submission->record.id);
+    this->effects.push(CommitCall {
+        .transaction = { .expected = { { key, 0 } }, .writes = { { key, encodeJob(submission->record) } } },
+        .timeout = storeTimeout,
+        .done = [this, submission](const CommitResult& result) { this->submissionAnswered(submission, result); } });
+}
+
+void Intake::submissionAnswered(const std::shared_ptr<Submission>& submission, const CommitResult& result)
+{
+    const std::string& id = submission->record.id;
+    const auto* conflict = std::get_if<Conflict>(&result);
+    if (std::holds_alternative<Committed>(result) || conflict) {
+        // The id exists: an earlier sending of this submission, or the client's own earlier one.
+        ++this->counts.accepted;
+        this->effects.log(Event::JobStored,
+            { { "job", id }, { "queue", submission->record.pathPrefix }, { "account", submission->record.account },
+                { "sendings", submission->attempts }, { "known", conflict != nullptr },
+                { "configuration", this->configuration->version } });
+        submission->answer({ .outcome = CallerOutcome::Accepted });
+        return;
+    }
+    const bool uncertain = std::get<StoreError>(result) == StoreError::Unknown;
+    submission->uncertain = submission->uncertain || uncertain;
+    const bool tryAgain = submission->uncertain || submission->attempts < definiteAttempts;
+    if (tryAgain && this->mayRetry(submission->deadline)) {
+        this->sendSubmission(submission);
+        return;
+    }
+    if (!submission->uncertain) {
+        this->refuse(id,
+            { .outcome = CallerOutcome::NotAccepted,
+                .retryAfter = retryAfterStoreFailure,
+                .reason = "the state store refused the row" },
+            submission->answer);
+        return;
+    }
+    ++this->counts.uncertain;
+    this->effects.log(Event::JobUncertain, { { "job", id }, { "sendings", submission->attempts } });
+    submission->answer({ .outcome = CallerOutcome::Uncertain,
+        .retryAfter = retryAfterStoreFailure,
+        .reason = "the state store did not answer" });
+}
+
+void Intake::cancel(const CallerContext& context, const std::string& id, AnswerCaller answer)
+{
+    const Queue* queue = nullptr;
+    const ClientAccount* account = nullptr;
+    if (const std::optional<CallerAnswer> refusal = this->admit(context, queue, account)) {
+        this->refuse(id, *refusal, answer);
+        return;
+    }
+    auto lookup = std::make_shared<Lookup>();
+    lookup->id = id;
+    lookup->deadline = this->clock() + context.deadline;
+    lookup->answer = std::move(answer);
+    lookup->cancelling = true;
+    this->readJob(lookup);
+}
+
+void Intake::sendCancel(const std::shared_ptr<Lookup>& lookup)
+{
+    this->effects.push(CommitCall { .transaction = { .expected = { { jobRow(lookup->id), lookup->version } },
+                                        .writes = { { jobRow(cancelKey(lookup->id)), "cancel" } } },
+        .timeout = storeTimeout,
+        .done = [this, lookup](const CommitResult& result) { this->cancelAnswered(lookup, result); } });
+}
+
+void Intake::cancelAnswered(const std::shared_ptr<Lookup>& lookup, const CommitResult& result)
+{
+    if (std::holds_alternative<Committed>(result)) {
+        ++this->counts.cancelled;
+        this->effects.log(Event::CancelStored, { { "job", lookup->id }, { "rowVersion", lookup->version } });
+        lookup->answer({ .outcome = CallerOutcome::Accepted });
+    } else if (std::holds_alternative<Conflict>(result)) {
+        lookup->answer({ .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
+    } else if (this->mayRetry(lookup->deadline)) {
+        this->sendCancel(lookup);
+    } else {
+        lookup->answer({ .outcome = CallerOutcome::Uncertain,
+            .retryAfter = retryAfterStoreFailure,
+            .reason = "the state store did not answer" });
+    }
+}
+
+void Intake::state(const CallerContext& context, const std::string& id, AnswerCaller answer)
+{
+    const Queue* queue = nullptr;
+    const ClientAccount* account = nullptr;
+    if (const std::optional<CallerAnswer> refusal = this->admit(context, queue, account)) {
+        answer(*refusal);
+        return;
+    }
+    ++this->counts.states;
+    const auto ended = this->endedJobs.find(id);
+    if (ended != this->endedJobs.end()) {
+        answer({ .outcome = CallerOutcome::State, .state = ended->second });
+        return;
+    }
+    auto lookup = std::make_shared<Lookup>();
+    lookup->id = id;
+    lookup->deadline = this->clock() + context.deadline;
+    lookup->answer = std::move(answer);
+    this->readState(lookup);
+}
+
+void Intake::readState(const std::shared_ptr<Lookup>& lookup)
+{
+    this->effects.push(ReadCall { .range = singleRow(StoreTable::states, StoreTable::schedulerPartition, lookup->id),
+        .timeout = storeTimeout,
+        .done = [this, lookup](const ReadResult& result) {
+            const auto* page = std::get_if<RowPage>(&result);
+            if (!page && this->mayRetry(lookup->deadline)) {
+                this->readState(lookup);
+                return;
+            }
+            if (!page) {
+                this->effects.log(Event::StatusUnknown, { { "job", lookup->id } });
+                lookup->answer({ .outcome = CallerOutcome::NotReady,
+                    .retryAfter = retryAfterStoreFailure,
+                    .reason = "the state store did not answer" });
+                return;
+            }
+            if (page->rows.empty()) {
+                this->readJob(lookup);
+                return;
+            }
+            const std::optional<JobState> state = decodeState(page->rows.front().value);
+            if (!state) {
+                this->effects.log(Event::RowUnreadable, { { "table", StoreTable::states }, { "key", lookup->id } });
+                lookup->answer({ .outcome = CallerOutcome::NotReady, .reason = "the state does not read" });
+                return;
+            }
+            if (*state != JobState::Queued && *state != JobState::Running) {
+                if (this->endedJobs.size() >= rememberedStates)
+                    this->endedJobs.clear();
+                this->endedJobs[lookup->id] = *state;
+            }
+            lookup->answer({ .outcome = CallerOutcome::State, .state = *state });
+        } });
+}
+
+void Intake::readJob(const std::shared_ptr<Lookup>& lookup)
+{
+    this->effects.push(ReadCall { .range = singleRow(StoreTable::jobs, StoreTable::intakePartition, lookup->id),
+        .timeout = storeTimeout,
+        .done = [this, lookup](const ReadResult& result) {
+            const auto* page = std::get_if<RowPage>(&result);
+            if (!page && this->mayRetry(lookup->deadline)) {
+                this->readJob(lookup);
+            } else if (!page) {
+                this->effects.log(Event::StatusUnknown, { { "job", lookup->id } });
+                lookup->answer({ .outcome = CallerOutcome::NotReady,
+                    .retryAfter = retryAfterStoreFailure,
+                    .reason = "the state store did not answer" });
+            } else if (page->rows.empty()) {
+                lookup->answer({ .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
+            } else if (lookup->cancelling) {
+                lookup->version = page->rows.front().version;
+                this->sendCancel(lookup);
+            } else {
+                lookup->answer({ .outcome = CallerOutcome::State, .state = JobState::Queued });
+            }
+        } });
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -0,0 +1,351 @@
+#include "scheduling/jobtracker.h"
+
+#include "scheduling/placement.h"
+#include "scheduling/rowcodec.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+/// A server on which a run failed gets no further runs for this long, where others have room.
+constexpr Duration failureAvoidance { 8000 };
+
+const StepSpecification& specificationOf(const Job& job, int step)
+{
+    return job.record.specification.steps.at(static_cast<std::size_t>(step));
+}
+
+Step& stepAt(Occurrence& occurrence, int step) { return occurrence.steps.at(static_cast<std::size_t>(step)); }
+
+bool stepIsDone(const Step& step) { return step.done == static_cast<int>(step.tasks.size()); }
+
+} // namespace
+
+std::string runLossName(RunLoss loss)
+{
+    switch (loss) {
+    case RunLoss::ServerGone:
+        return "server gone";
+    case RunLoss::ServerRestarted:
+        return "server restarted";
+    case RunLoss::NeverStarted:
+        return "never started";
+    case RunLoss::NotListed:
+        return "not listed";
+    }
+    return "unknown";
+}
+
+bool JobTracker::hasNoRuns(const Job& job)
+{
+    return std::ranges::all_of(job.occurrences, [](const auto& entry) {
+        return std::ranges::all_of(entry.second.steps, [](const Step& step) { return step.running == 0; });
+    });
+}
+
+void JobTracker::addJob(JobRecord record, JobState storedState, SteadyTime acceptedAt, SteadyTime now)
+{
+    const std::string id = record.id;
+    if (this->board.jobs.contains(id))
+        return;
+    Job& job = this->board.jobs[id];
+    job.record = std::move(record);
+    job.state = storedState;
+    job.storedState = storedState;
+    job.acceptedAt = acceptedAt;
+    job.begun = storedState != JobState::Queued;
+    if (job.ended())
+        job.finishedAt = now;
+    else if (job.record.specification.occurrences == 0)
+        this->createOccurrence(job, 0, now);
+}
+
+Occurrence& JobTracker::createOccurrence(Job& job, int index, SteadyTime now)
+{
+    Occurrence& occurrence = job.occurrences[index];
+    occurrence.index = index;
+    for (const StepSpecification& specification : job.record.specification.steps) {
+        Step& step = occurrence.steps.emplace_back();
+        step.tasks.resize(static_cast<std::size_t>(specification.taskCount));
+        for (Task& task : step.tasks)
+            task.waitingSince = now;
+    }
+    job.nextOccurrence = std::max(job.nextOccurrence, index + 1);
+    this->updateReadiness(job, occurrence, now);
+    return occurrence;
+}
+
+bool JobTracker::restoreOccurrence(const std::string& jobId, int index, const std::string& text, SteadyTime now)
+{
+    Job& job = this->board.jobs.at(jobId);
+    const int last = std::max(job.record.specification.occurrences - 1, 0);
+    if (index < 0 || index > last)
+        return false;
+    if (!job.occurrences.contains(index))
+        this->createOccurrence(job, index, now);
+    Occurrence& occurrence = job.occurrences.at(index);
+    if (!decodeProgress(text, occurrence))
+        return false;
+    occurrence.stored = true;
+    for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
+        Step& step = occurrence.steps[number];
+        for (std::size_t position = 0; position < step.tasks.size(); ++position) {
+            Task& task = step.tasks[position];
+            step.done += task.phase == TaskPhase::Done ? 1 : 0;
+            if (!task.run)
+                continue;
+            ++step.running;
+            job.begun = true;
+            task.run->phaseSince = now;
+            const TaskName name { jobId, index, static_cast<int>(number), static_cast<int>(position) };
+            this->board.servers[task.run->server].occupants[name] = countedNeed(specificationOf(job, name.step));
+            if (job.ended())
+                this->requestStop(name, "job has ended", now);
+        }
+    }
+    this->updateReadiness(job, occurrence, now);
+    this->updateJob(job, now);
+    return true;
+}
+
+void JobTracker::createDueOccurrences(WallTime wallNow, SteadyTime now)
+{
+    for (auto& [id, job] : this->board.jobs) {
+        const JobSpecification& specification = job.record.specification;
+        while (!job.ended() && job.nextOccurrence < specification.occurrences
+            && specification.firstDue + specification.interval * job.nextOccurrence <= wallNow) {
+            this->effects.log(Event::OccurrenceDue,
+                { { "job", id }, { "occurrence", job.nextOccurrence },
+                    { "dueMs", (specification.firstDue + specification.interval * job.nextOccurrence).count() },
+                    { "agreedWallMs", wallNow.count() } });
+            this->createOccurrence(job, job.nextOccurrence, now);
+        }
+    }
+}
+
+void JobTracker::markDirty(const TaskName& name)
+{
+    this->board.jobs.at(name.jobId).occurrences.at(name.occurrence).dirty = true;
+}
+
+void JobTracker::releaseOccupant(const TaskName& name, const std::string& server)
+{
+    const auto found = this->board.servers.find(server);
+    if (found != this->board.servers.end())
+        found->second.occupants.erase(name);
+}
+
+void JobTracker::cancelJob(const std::string& jobId, SteadyTime now)
+{
+    const auto found = this->board.jobs.find(jobId);
+    if (found == this->board.jobs.end() || found->second.ended())
+        return;
+    this->endJob(found->second, JobState::Cancelled, "cancelled by its client", now);
+}
+
+void JobTracker::endJob(Job& job, JobState state, const std::string& reason, SteadyTime now)
+{
+    if (job.ended())
+        return;
+    job.state = state;
+    job.stateDirty = true;
+    job.finishedAt = now;
+    this->effects.log(Event::JobEnded,
+        { { "job", job.record.id }, { "state", jobStateName(state) }, { "reason", reason },
+            { "ageMs", std::chrono::duration_cast<Duration>(now - job.acceptedAt).count() } });
+    for (auto& [index, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t task = 0; task < occurrence.steps[step].tasks.size(); ++task)
+                this->requestStop(
+                    { job.record.id, index, static_cast<int>(step), static_cast<int>(task) }, reason, now);
+        }
+    }
+}
+
+void JobTracker::requestStop(const TaskName& name, const std::string& reason, SteadyTime now)
+{
+    Task* task = this->board.findTask(name);
+    if (!task || !task->run || task->run->phase == RunPhase::Stopping)
+        return;
+    const bool neverOrdered = task->run->phase == RunPhase::Recording;
+    task->run->phase = RunPhase::Stopping;
+    task->run->phaseSince = now;
+    task->run->stopReason = reason;
+    task->run->nextOrderAt = now;
+    if (neverOrdered)
+        this->runLost(name, RunLoss::NeverStarted, now);
+}
+
+void JobTracker::runConfirmed(const TaskName& name, SteadyTime now)
+{
+    Task* task = this->board.findTask(name);
+    if (!task || !task->run || task->run->phase != RunPhase::Ordered)
+        return;
+    task->run->phase = RunPhase::Active;
+    task->run->phaseSince = now;
+    task->run->progressedAt = now;
+    Job& job = this->board.jobs.at(name.jobId);
+    job.begun = true;
+    this->updateJob(job, now);
+}
+
+void JobTracker::runEnded(BackendServer& server, const EndedRun& ended, SteadyTime now)
+{
+    Task* task = this->board.findTask(ended.task);
+    if (!task || !task->run || task->run->attempt != ended.attempt || task->run->server != server.address.id) {
+        // A run of an earlier attempt or of a gang that is done: only its room matters.
+        if (!task || !task->run || task->run->server != server.address.id)
+            server.occupants.erase(ended.task);
+        return;
+    }
+    Job& job = this->board.jobs.at(ended.task.jobId);
+    Occurrence& occurrence = job.occurrences.at(ended.task.occurrence);
+    Step& step = stepAt(occurrence, ended.task.step);
+    const StepSpecification& specification = specificationOf(job, ended.task.step);
+    occurrence.dirty = true;
+    if (!ended.checkpoint.empty())
+        (specification.gang ? step.tasks.front() : *task).checkpoint = ended.checkpoint;
+
+    this->effects.log(Event::RunEnded,
+        { { "task", formatTaskName(ended.task) }, { "attempt", ended.attempt }, { "server", server.address.id },
+            { "incarnation", server.incarnation }, { "end", runEndName(ended.end) }, { "number", ended.number },
+            { "stopReason", task->run->stopReason } });
+
+    if (ended.end == RunEnd::Done) {
+        server.failedJobs.clear();
+        if (specification.gang)
+            this->finishGang(job, occurrence, ended.task.step, now);
+        else if (!specification.longRunning)
+            this->finishTask(job, occurrence, ended.task.step, *task, now);
+        else
+            this->requeue(ended.task, step, *task, now);
+        server.occupants.erase(ended.task);
+        this->updateReadiness(job, occurrence, now);
+        this->updateJob(job, now);
+        return;
+    }
+    if (ended.end == RunEnd::Failed) {
+        // A server that fails what others would run attracts more; a job that fails everywhere blames none.
+        if (task->failures == 0)
+            server.avoidUntil = now + failureAvoidance;
+        this->countFailure(ended.task, job, step, *task, now);
+    }
+    this->requeue(ended.task, step, *task, now);
+    if (specification.gang)
+        this->stopGang(ended.task, "another member ended", now);
+    this->updateJob(job, now);
+}
+
+void JobTracker::finishTask(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime)
+{
+    Step& done = stepAt(occurrence, step);
+    task.phase = TaskPhase::Done;
+    task.run.reset();
+    task.checkpoint.clear();
+    ++done.done;
+    --done.running;
+    job.begun = true;
+}
+
+void JobTracker::finishGang(Job& job, Occurrence& occurrence, int step, SteadyTime)
+{
+    Step& gang = stepAt(occurrence, step);
+    // The other members' room stays taken until their servers list the ends.
+    for (Task& member : gang.tasks) {
+        member.phase = TaskPhase::Done;
+        member.run.reset();
+        member.checkpoint.clear();
+    }
+    gang.done = static_cast<int>(gang.tasks.size());
+    gang.running = 0;
+    job.begun = true;
+}
+
+void JobTracker::countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now)
+{
+    const StepSpecification& specification = specificationOf(job, name.step);
+    int failures = 0;
+    if (specification.gang) {
+        // Members that fail in one attempt are one failure of the gang.
+        Task& counter = step.tasks.front();
+        if (step.lastFailedAttempt != task.run->attempt)
+            ++counter.failures;
+        step.lastFailedAttempt = task.run->attempt;
+        failures = counter.failures;
+    } else {
+        failures = ++task.failures;
+    }
+    const Queue* queue = this->board.configuration ? this->board.configuration->queueOf(job.record) : nullptr;
+    const int limit = queue ? queue->maximumAttempts : 0;
+    if (limit > 0 && failures >= limit && !specification.longRunning)
+        this->endJob(job, JobState::Failed,
+            "task " + formatTaskName(name) + " failed " + std::to_string(failures) + " times", now);
+}
+
+void JobTracker::requeue(const TaskName& name, Step& step, Task& task, SteadyTime now)
+{
+    this->releaseOccupant(name, task.run->server);
+    task.phase = TaskPhase::Waiting;
+    task.run.reset();
+    task.waitingSince = now;
+    --step.running;
+}
+
+void JobTracker::stopGang(const TaskName& name, const std::string& reason, SteadyTime now)
+{
+    Job& job = this->board.jobs.at(name.jobId);
+    const std::size_t members = stepAt(job.occurrences.at(name.occurrence), name.step).tasks.size();
+    for (std::size_t index = 0; index < members; ++index)
+        this->requestStop({ name.jobId, name.occurrence, name.step, static_cast<int>(index) }, reason, now);
+}
+
+void JobTracker::runLost(const TaskName& name, RunLoss loss, SteadyTime now)
+{
+    Task* task = this->board.findTask(name);
+    if (!task || !task->run)
+        return;
+    Job& job = this->board.jobs.at(name.jobId);
+    Occurrence& occurrence = job.occurrences.at(name.occurrence);
+    this->effects.log(Event::RunLost,
+        { { "task", formatTaskName(name) }, { "attempt", task->run->attempt }, { "server", task->run->server },
+            { "reason", runLossName(loss) }, { "stopReason", task->run->stopReason } });
+    occurrence.dirty = true;
+    this->requeue(name, stepAt(occurrence, name.step), *task, now);
+    if (specificationOf(job, name.step).gang)
+        this->stopGang(name, "another member was lost", now);
+    this->updateJob(job, now);
+}
+
+void JobTracker::updateReadiness(const Job& job, Occurrence& occurrence, SteadyTime now)
+{
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        Step& step = occurrence.steps[index];
+        const std::vector<int>& prerequisites = job.record.specification.steps[index].prerequisites;
+        const bool ready
+            = std::ranges::all_of(prerequisites, [&](int earlier) { return stepIsDone(stepAt(occurrence, earlier)); });
+        if (ready && !step.ready)
+            step.readySince = now;
+        step.ready = ready;
+    }
+    occurrence.finished = std::ranges::all_of(occurrence.steps, stepIsDone);
+}
+
+void JobTracker::updateJob(Job& job, SteadyTime now)
+{
+    if (job.ended())
+        return;
+    if (job.begun && job.state == JobState::Queued) {
+        job.state = JobState::Running;
+        job.stateDirty = true;
+    }
+    const int occurrences = std::max(job.record.specification.occurrences, 1);
+    const bool allCreated = job.nextOccurrence >= occurrences;
+    if (allCreated && std::ranges::all_of(job.occurrences, [](const auto& entry) { return entry.second.finished; }))
+        this->endJob(job, JobState::Completed, "all tasks are done", now);
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/leadership.cpp
@@ -0,0 +1,143 @@
+#include "scheduling/leadership.h"
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+constexpr Duration rowReadInterval { 300 };
+constexpr Duration storeTimeout { 800 };
+
+} // namespace
+
+void Leadership::heardLeader(const std::string& node, FencingToken term, SteadyTime now)
+{
+    if (term < this->highestTerm || node == this->options.node)
+        return;
+    if (this->role == LeadershipRole::Leader && term > this->row.term)
+        this->stepDown(now, "daemon " + node + " leads term " + std::to_string(term));
+    if (this->role == LeadershipRole::Leader)
+        return;
+    if (term > this->highestTerm || this->leader != node)
+        this->effects.log(Event::LeaderKnown, { { "leader", node }, { "term", term } });
+    this->highestTerm = term;
+    this->leader = node;
+    this->heardAt = now;
+    this->vacant = false;
+    this->seenVersion.reset();
+}
+
+void Leadership::heardStepDown(FencingToken term, SteadyTime now)
+{
+    if (this->role == LeadershipRole::Leader || term < this->highestTerm)
+        return;
+    this->leader.clear();
+    this->vacant = true;
+    this->nextRead = now + this->options.stagger / 4;
+}
+
+void Leadership::stepDown(SteadyTime now, const std::string& reason)
+{
+    if (this->role != LeadershipRole::Leader)
+        return;
+    this->effects.log(Event::LeadershipLost, { { "term", this->row.term }, { "reason", reason } });
+    this->role = LeadershipRole::Follower;
+    this->leader.clear();
+    this->heardAt = now;
+    this->seenVersion.reset();
+}
+
+void Leadership::tick(SteadyTime now)
+{
+    if (!this->startedAt)
+        this->startedAt = now;
+    if (this->role == LeadershipRole::Leader || this->withdrawn || this->callOpen || now < this->nextRead)
+        return;
+    const bool silent = !this->heardAt || now - *this->heardAt > this->options.silence + this->options.stagger;
+    if (silent || this->vacant)
+        this->readRow(now);
+}
+
+void Leadership::readRow(SteadyTime now)
+{
+    this->callOpen = true;
+    this->nextRead = now + rowReadInterval;
+    const RowKey key = rowKey();
+    this->effects.push(ReadCall { .range
+        = { .table = key.table, .partition = key.partition, .from = key.key, .to = key.key + '\x01', .limit = 1 },
+        .timeout = storeTimeout,
+        .done = [this](const ReadResult& result) { this->rowRead(result); } });
+}
+
+void Leadership::rowRead(const ReadResult& result)
+{
+    this->callOpen = false;
+    const SteadyTime now = this->clock();
+    const auto* page = std::get_if<RowPage>(&result);
+    if (!page || this->role == LeadershipRole::Leader || this->withdrawn)
+        return;
+    if (page->rows.empty()) {
+        this->claim(0, {}, now);
+        return;
+    }
+    const Row& read = page->rows.front();
+    const std::optional<LeadershipRow> previous = decodeLeadership(read.value);
+    if (!previous) {
+        this->effects.log(Event::RowUnreadable, { { "table", read.key.table }, { "key", read.key.key } });
+        return;
+    }
+    if (this->seenVersion != read.version) {
+        this->seenVersion = read.version;
+        this->seenAt = now;
+    }
+    const bool ownPredecessor
+        = previous->holder == this->options.node && previous->incarnation != this->options.incarnation;
+    if (previous->holder.empty() || ownPredecessor
+        || now - this->seenAt > this->options.unchanged + this->options.stagger)
+        this->claim(read.version, *previous, now);
+}
+
+void Leadership::claim(RowVersion expected, const LeadershipRow& previous, SteadyTime)
+{
+    const LeadershipRow wanted { .holder = this->options.node,
+        .incarnation = this->options.incarnation,
+        .term = previous.term + 1,
+        .serial = previous.serial + 1 };
+    this->callOpen = true;
+    this->effects.push(CommitCall {
+        .transaction = { .expected = { { rowKey(), expected } }, .writes = { { rowKey(), encodeLeadership(wanted) } } },
+        .timeout = storeTimeout,
+        .done = [this, wanted](const CommitResult& result) { this->claimed(wanted, result); } });
+}
+
+void Leadership::claimed(const LeadershipRow& wanted, const CommitResult& result)
+{
+    this->callOpen = false;
+    const SteadyTime now = this->clock();
+    std::optional<RowVersion> written;
+    if (const auto* committed = std::get_if<Committed>(&result)) {
+        written = committed->version;
+    } else if (const auto* conflict = std::get_if<Conflict>(&result)) {
+        // An earlier claim whose answer was lost may have succeeded.
+        for (const Row& current : conflict->current) {
+            const std::optional<LeadershipRow> row = decodeLeadership(current.value);
+            if (row && row->holder == this->options.node && row->incarnation == this->options.incarnation)
+                written = current.version;
+        }
+    }
+    if (!written || this->role == LeadershipRole::Leader)
+        return;
+    if (this->withdrawn)
+        return;
+    this->row = wanted;
+    this->version = *written;
+    this->highestTerm = wanted.term;
+    this->role = LeadershipRole::Leader;
+    this->leader = this->options.node;
+    this->vacant = false;
+    this->effects.log(Event::LeadershipTaken, { { "term", wanted.term }, { "rowVersion", *written } });
+    this->elected(now);
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/peers.cpp
@@ -0,0 +1,165 @@
+#include "scheduling/peers.h"
+
+#include "model/boundedinputarchive.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <sstream>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+constexpr std::uint32_t protocolVersion = 2;
+constexpr std::size_t longestHeartbeat = 60'000; ///< bytes of a datagram
+constexpr Duration storeTimeout { 700 };
+constexpr Duration firstReadInterval { 1000 };
+constexpr Duration readInterval { 10'000 };
+/// A daemon that was silent this long is not sent heartbeats any more; its entry is read again if it returns.
+constexpr Duration forgetAfter { 30'000 };
+
+RowKey memberRow(const std::string& node) { return { StoreTable::members, "", node }; }
+
+} // namespace
+
+std::string encodePeerHeartbeat(const PeerHeartbeat& heartbeat)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(protocolVersion, heartbeat);
+    }
+    return std::move(stream).str();
+}
+
+std::optional<PeerHeartbeat> decodePeerHeartbeat(const std::string& bytes)
+{
+    if (bytes.size() > longestHeartbeat)
+        return std::nullopt;
+    try {
+        Model::Internal::BoundedInputArchive archive(bytes);
+        std::uint32_t version = 0;
+        archive(version);
+        if (version != protocolVersion)
+            return std::nullopt;
+        PeerHeartbeat heartbeat;
+        archive(heartbeat);
+        if (archive.remaining() != 0 || heartbeat.node.empty())
+            return std::nullopt;
+        return heartbeat;
+    } catch (const std::exception&) {
+        return std::nullopt; // the caller counts and logs it
+    }
+}
+
+void PeerDirectory::tick(SteadyTime now)
+{
+    if (this->callOpen || now < this->nextCall)
+        return;
+    if (!this->registered)
+        this->registerSelf(now);
+    else
+        this->readMembers(now);
+}
+
+void PeerDirectory::registerSelf(SteadyTime now)
+{
+    this->callOpen = true;
+    this->nextCall = now + storeTimeout / 4;
+    this->effects.push(
+        CommitCall { .transaction = { .writes = { { memberRow(this->self.node), encodeMember(this->self) } } },
+            .timeout = storeTimeout,
+            .done = [this](const CommitResult& result) {
+                this->callOpen = false;
+                this->registered = std::holds_alternative<Committed>(result);
+            } });
+}
+
+void PeerDirectory::readMembers(SteadyTime now)
+{
+    this->callOpen = true;
+    this->nextCall = now + (this->members.empty() ? firstReadInterval : readInterval);
+    this->effects.push(ReadCall {
+        .range = { .table = StoreTable::members }, .timeout = storeTimeout, .done = [this](const ReadResult& result) {
+            this->callOpen = false;
+            const auto* page = std::get_if<RowPage>(&result);
+            if (!page)
+                return;
+            const SteadyTime readAt = this->clock();
+            for (const Row& row : page->rows) {
+                const std::optional<MemberRow> member = decodeMember(row.value);
+                if (!member || member->node == this->self.node)
+                    continue;
+                const auto known = this->members.find(member->node);
+                if (known == this->members.end() || known->second != *member) {
+                    this->members[member->node] = *member;
+                    this->memberSince[member->node] = readAt;
+                }
+            }
+        } });
+}
+
+bool PeerDirectory::heard(const PeerHeartbeat& heartbeat, SteadyTime now)
+{
+    if (heartbeat.node == this->self.node)
+        return false;
+    const auto known = this->peers.find(heartbeat.node);
+    if (known == this->peers.end())
+        this->effects.log(Event::MemberJoined, { { "peer", heartbeat.node }, { "address", heartbeat.address } });
+    else if (known->second.last.incarnation != heartbeat.incarnation)
+        this->effects.log(
+            Event::MemberReplaced, { { "peer", heartbeat.node }, { "incarnation", heartbeat.incarnation } });
+    this->peers[heartbeat.node] = { .last = heartbeat, .heardAt = now };
+    this->members[heartbeat.node] = { .node = heartbeat.node,
+        .zone = heartbeat.zone,
+        .address = heartbeat.address,
+        .heartbeatPort = heartbeat.heartbeatPort,
+        .relayPort = heartbeat.relayPort,
+        .incarnation = heartbeat.incarnation };
+    this->memberSince[heartbeat.node] = now;
+    return true;
+}
+
+std::vector<const Peer*> PeerDirectory::heardWithin(Duration age, SteadyTime now) const
+{
+    std::vector<const Peer*> heard;
+    for (const auto& [node, peer] : this->peers) {
+        if (now - peer.heardAt <= age)
+            heard.push_back(&peer);
+    }
+    return heard;
+}
+
+std::vector<MemberRow> PeerDirectory::destinations(SteadyTime now) const
+{
+    std::vector<MemberRow> destinations;
+    for (const auto& [node, member] : this->members) {
+        if (now - this->memberSince.at(node) < forgetAfter)
+            destinations.push_back(member);
+    }
+    return destinations;
+}
+
+void PeerDirectory::unregister(std::function<void()> done)
+{
+    this->effects.push(CommitCall { .transaction = { .removals = { memberRow(this->self.node) } },
+        .timeout = storeTimeout,
+        .done = [done = std::move(done)](const CommitResult&) { done(); } }); // a leftover entry does no harm
+}
+
+Duration agreedWallOffset(Duration own, const std::vector<const Peer*>& peers)
+{
+    std::vector<Duration> offsets { own };
+    for (const Peer* peer : peers) {
+        if (peer->last.wallOffset != 0)
+            offsets.emplace_back(peer->last.wallOffset);
+    }
+    std::ranges::sort(offsets);
+    return offsets[offsets.size() / 2];
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/placement.cpp
@@ -0,0 +1,143 @@
+#include "scheduling/placement.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+using Choice = std::vector<std::optional<std::size_t>>;
+
+bool fits(const PlacementServer& server, const StepSpecification& step, const Resources& need)
+{
+    return server.free.holds(need) && (step.maximumPerServer == 0 || server.tasksOfStep < step.maximumPerServer);
+}
+
+/// Lower is better: avoided servers last, then the fewest accelerators left, then the least memory left.
+auto fitRank(const PlacementServer& server)
+{
+    return std::tuple(server.lastChoice, server.free.accelerators, server.free.memoryMb, server.free.milliCores);
+}
+
+/// Places up to `count` tasks among the candidates, best fit first.
+Choice placeAmong(std::vector<PlacementServer>& servers, const std::vector<std::size_t>& candidates,
+    const StepSpecification& step, int count)
+{
+    const Resources need = countedNeed(step);
+    Choice choice(static_cast<std::size_t>(count));
+    for (std::optional<std::size_t>& chosen : choice) {
+        for (const std::size_t index : candidates) {
+            if (fits(servers[index], step, need) && (!chosen || fitRank(servers[index]) < fitRank(servers[*chosen])))
+                chosen = index;
+        }
+        if (!chosen)
+            break;
+        servers[*chosen].free -= need;
+        ++servers[*chosen].tasksOfStep;
+    }
+    return choice;
+}
+
+bool isComplete(const Choice& choice)
+{
+    return std::ranges::all_of(choice, [](const auto& chosen) { return chosen.has_value(); });
+}
+
+void undo(std::vector<PlacementServer>& servers, const StepSpecification& step, const Choice& choice)
+{
+    for (const std::optional<std::size_t>& chosen : choice) {
+        if (!chosen)
+            continue;
+        servers[*chosen].free += countedNeed(step);
+        --servers[*chosen].tasksOfStep;
+    }
+}
+
+/// Tasks that still fit among the candidates.
+std::int64_t roomFor(const std::vector<PlacementServer>& servers, const std::vector<std::size_t>& candidates,
+    const StepSpecification& step)
+{
+    const Resources need = countedNeed(step);
+    std::int64_t room = 0;
+    for (const std::size_t index : candidates) {
+        const Resources& free = servers[index].free;
+        std::int64_t tasks = step.taskCount;
+        if (need.milliCores > 0)
+            tasks = std::min(tasks, free.milliCores / need.milliCores);
+        if (need.memoryMb > 0)
+            tasks = std::min(tasks, free.memoryMb / need.memoryMb);
+        if (need.accelerators > 0)
+            tasks = std::min(tasks, free.accelerators / need.accelerators);
+        if (step.maximumPerServer > 0)
+            tasks = std::min<std::int64_t>(tasks, step.maximumPerServer - servers[index].tasksOfStep);
+        room += std::max<std::int64_t>(tasks, 0);
+    }
+    return room;
+}
+
+} // namespace
+
+Resources countedNeed(const StepSpecification& step)
+{
+    Resources need = step.perTask;
+    if (step.fillsIdleCapacity)
+        need.milliCores = 0;
+    return need;
+}
+
+bool isEligible(const PlacementServer& server, const StepSpecification& step)
+{
+    return step.requiredLabel.empty() || (server.labels && server.labels->contains(step.requiredLabel));
+}
+
+std::vector<std::optional<std::size_t>> placeTasks(
+    std::vector<PlacementServer>& servers, const PlacementRequest& request)
+{
+    const StepSpecification& step = *request.step;
+    std::map<std::string, std::vector<std::size_t>> byRack;
+    std::vector<std::size_t> all;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        if (!isEligible(servers[index], step) || (!request.onlyRack.empty() && servers[index].rack != request.onlyRack))
+            continue;
+        byRack[servers[index].rack].push_back(index);
+        all.push_back(index);
+    }
+
+    if (!step.dataRack.empty() && !request.anyRack) {
+        Choice choice = placeAmong(servers, byRack[step.dataRack], step, request.taskCount);
+        if (request.allOrNone && !isComplete(choice)) {
+            undo(servers, step, choice);
+            return Choice(static_cast<std::size_t>(request.taskCount));
+        }
+        return choice;
+    }
+
+    if (step.sameRack && request.allOrNone) {
+        // The rack with the least room that holds the whole gang.
+        std::map<std::int64_t, std::string> racks;
+        for (const auto& [rack, candidates] : byRack) {
+            const std::int64_t room = roomFor(servers, candidates, step);
+            if (room >= request.taskCount)
+                racks.emplace(room, rack);
+        }
+        for (const auto& [room, rack] : racks) {
+            Choice choice = placeAmong(servers, byRack[rack], step, request.taskCount);
+            if (isComplete(choice))
+                return choice;
+            undo(servers, step, choice);
+        }
+        if (!request.anyRack)
+            return Choice(static_cast<std::size_t>(request.taskCount));
+    }
+
+    Choice choice = placeAmong(servers, all, step, request.taskCount);
+    if (request.allOrNone && !isComplete(choice)) {
+        undo(servers, step, choice);
+        return Choice(static_cast<std::size_t>(request.taskCount));
+    }
+    return choice;
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/placement.h
@@ -0,0 +1,43 @@
+/// Chooses backend servers for the tasks of one step. Pure: no clock, no input or output.
+#pragma once
+
+#include "scheduling/fleetjob.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::Scheduling {
+
+/// A backend server as placement sees it.
+struct PlacementServer {
+    std::string id;
+    std::string rack;
+    const std::set<std::string>* labels = nullptr;
+    Resources free; ///< beside everything placed or being stopped there
+    int tasksOfStep = 0; ///< tasks of the step that are placed there
+    bool lastChoice = false; ///< used only when nothing else fits
+};
+
+struct PlacementRequest {
+    const StepSpecification* step = nullptr;
+    int taskCount = 1;
+    bool allOrNone = false; ///< place every task or none
+    bool anyRack = false; ///< ignore rack preferences
+    std::string onlyRack; ///< when set, nothing outside this rack
+};
+
+/// Index into the servers for each task; an unset entry could not be placed. Servers' free capacity and tasksOfStep are
+/// reduced by what was placed. Tasks go to the fullest server that still fits, so that whole servers stay free for
+/// tasks that need all accelerators of one; gangs of one rack go to the rack with the tightest fit.
+std::vector<std::optional<std::size_t>> placeTasks(
+    std::vector<PlacementServer>& servers, const PlacementRequest& request);
+
+/// True when the server may run a task of the step at all, were it empty.
+bool isEligible(const PlacementServer& server, const StepSpecification& step);
+
+/// What one task takes from a server. The processor need of a step that fills idle capacity is not counted.
+Resources countedNeed(const StepSpecification& step);
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/planner.h
@@ -0,0 +1,78 @@
+/// Decides which waiting tasks start where, and which runs make room for more urgent ones.
+#pragma once
+
+#include "scheduling/board.h"
+#include "scheduling/effects.h"
+#include "scheduling/placement.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::Scheduling {
+
+/// Urgency of a job's tasks; lower goes first, and may take the room of higher.
+enum class Urgency { Guaranteed, Urgent, Ordinary };
+
+/// A start that was decided.
+struct PlannedStart {
+    TaskName task;
+    std::string server;
+};
+
+/// A run that has to make room.
+struct PlannedStop {
+    TaskName task;
+    std::string forJob;
+};
+
+struct Plan {
+    std::vector<PlannedStart> starts;
+    std::vector<PlannedStop> stops;
+};
+
+struct PlannerOptions {
+    Duration rackPatience { 6000 }; ///< how long a step waits for the rack that suits it
+};
+
+/// Reads the blackboard; keeps only which servers are being cleared for whom. Thread safety: none.
+class Planner {
+public:
+    explicit Planner(PlannerOptions options)
+        : options(options)
+    {
+    }
+
+    /// Forgets which servers are being cleared.
+    void reset() { this->clearing.clear(); }
+
+    /// `usable` tells whether a server takes new runs.
+    Plan plan(const Board& board, const std::function<bool(const BackendServer&)>& usable, SteadyTime now);
+
+private:
+    struct Unit;
+    struct Clearing;
+
+    static std::vector<Unit> waitingUnits(const Board& board);
+    std::vector<PlacementServer> serversFor(const Board& board, const std::function<bool(const BackendServer&)>& usable,
+        const Unit& unit, const Plan& plan, SteadyTime now) const;
+    void placeUnit(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
+        Plan& plan, SteadyTime now);
+    void makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
+        Plan& plan, SteadyTime now);
+
+    struct Clearing {
+        std::string jobId;
+        SteadyTime until {};
+    };
+
+    PlannerOptions options;
+    std::map<std::string, Clearing> clearing; ///< by server
+    std::map<std::string, Resources> planned; ///< taken in this pass, by server
+};
+
+/// The accounts' jobs of priority 0 that lie within their guarantee.
+std::set<std::string> guaranteedJobs(const Board& board);
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -0,0 +1,252 @@
+#include "scheduling/rowcodec.h"
+
+#include "utils/checkedjson.h"
+
+#include <algorithm>
+#include <array>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+using Utils::Json;
+
+constexpr std::string_view cancelSuffix = "/cancel";
+constexpr std::array states { JobState::Queued, JobState::Running, JobState::Completed, JobState::Failed,
+    JobState::Cancelled };
+
+/// Calls `read` with the parsed object; nothing when the text is no JSON object or `read` meets another type.
+template <typename Value> std::optional<Value> decodeObject(const std::string& text, Value (*read)(const Json&))
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return std::nullopt;
+    try {
+        return read(json);
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+Json stepToJson(const StepSpecification& step)
+{
+    Json json { { "count", step.taskCount }, { "milliCores", step.perTask.milliCores },
+        { "memoryMb", step.perTask.memoryMb }, { "accelerators", step.perTask.accelerators },
+        { "estimateMs", step.estimate.count() } };
+    if (!step.prerequisites.empty())
+        json["prerequisites"] = step.prerequisites;
+    if (step.savesProgress)
+        json["savesProgress"] = true;
+    if (step.gang)
+        json["gang"] = true;
+    if (step.sameRack)
+        json["sameRack"] = true;
+    if (!step.requiredLabel.empty())
+        json["requiredLabel"] = step.requiredLabel;
+    if (!step.dataRack.empty())
+        json["dataRack"] = step.dataRack;
+    if (step.maximumPerServer > 0)
+        json["maximumPerServer"] = step.maximumPerServer;
+    if (step.duplicatesAllowed)
+        json["duplicatesAllowed"] = true;
+    if (step.longRunning)
+        json["longRunning"] = true;
+    if (step.maximumMissing > 0)
+        json["maximumMissing"] = step.maximumMissing;
+    if (!step.image.empty())
+        json["image"] = step.image;
+    if (step.latencyTarget.count() > 0)
+        json["latencyTargetMs"] = step.latencyTarget.count();
+    if (step.fillsIdleCapacity)
+        json["fillsIdleCapacity"] = true;
+    return json;
+}
+
+StepSpecification stepFromJson(const Json& json)
+{
+    StepSpecification step;
+    step.taskCount = json.at("count").get<int>();
+    step.perTask = { .milliCores = json.at("milliCores").get<std::int64_t>(),
+        .memoryMb = json.at("memoryMb").get<std::int64_t>(),
+        .accelerators = json.at("accelerators").get<std::int64_t>() };
+    step.estimate = Duration(json.at("estimateMs").get<std::int64_t>());
+    step.prerequisites = json.value("prerequisites", std::vector<int> {});
+    step.savesProgress = json.value("savesProgress", false);
+    step.gang = json.value("gang", false);
+    step.sameRack = json.value("sameRack", false);
+    step.requiredLabel = json.value("requiredLabel", std::string());
+    step.dataRack = json.value("dataRack", std::string());
+    step.maximumPerServer = json.value("maximumPerServer", 0);
+    step.duplicatesAllowed = json.value("duplicatesAllowed", false);
+    step.longRunning = json.value("longRunning", false);
+    step.maximumMissing = json.value("maximumMissing", 0);
+    step.image = json.value("image", std::string());
+    step.latencyTarget = Duration(json.value("latencyTargetMs", std::int64_t { 0 }));
+    step.fillsIdleCapacity = json.value("fillsIdleCapacity", false);
+    return step;
+}
+
+/// A task that has run or runs: [index, phase, attempts, failures, checkpoint, (server, incarnation, start
+/// checkpoint)].
+Json taskToJson(std::size_t index, const Task& task)
+{
+    Json json { index, static_cast<int>(task.phase), task.attempts, task.failures, task.checkpoint };
+    if (task.run) {
+        json.push_back(task.run->server);
+        json.push_back(task.run->incarnation);
+        json.push_back(task.run->checkpoint);
+    }
+    return json;
+}
+
+constexpr std::size_t fieldsOfRunningTask = 8;
+
+void taskFromJson(const Json& json, Step& step)
+{
+    Task& task = step.tasks.at(json.at(0).get<std::size_t>());
+    const int phase = json.at(1).get<int>();
+    task.phase = phase == static_cast<int>(TaskPhase::Running) ? TaskPhase::Running
+        : phase == static_cast<int>(TaskPhase::Done)           ? TaskPhase::Done
+                                                               : TaskPhase::Waiting;
+    task.attempts = json.at(2).get<int>();
+    task.failures = json.at(3).get<int>();
+    task.checkpoint = json.at(4).get<std::string>();
+    if (task.phase != TaskPhase::Running)
+        return;
+    if (json.size() < fieldsOfRunningTask) {
+        task.phase = TaskPhase::Waiting;
+        return;
+    }
+    Run run;
+    run.attempt = task.attempts;
+    run.server = json.at(5).get<std::string>();
+    run.incarnation = json.at(6).get<std::int64_t>();
+    run.checkpoint = json.at(7).get<std::string>();
+    run.phase = RunPhase::Ordered;
+    task.run = std::move(run);
+}
+
+} // namespace
+
+std::string encodeLeadership(const LeadershipRow& row)
+{
+    return Json {
+        { "holder", row.holder }, { "incarnation", row.incarnation }, { "term", row.term }, { "serial", row.serial }
+    }.dump();
+}
+
+std::optional<LeadershipRow> decodeLeadership(const std::string& text)
+{
+    return decodeObject<LeadershipRow>(text, [](const Json& json) {
+        return LeadershipRow { .holder = json.at("holder").get<std::string>(),
+            .incarnation = json.at("incarnation").get<std::uint64_t>(),
+            .term = json.at("term").get<FencingToken>(),
+            .serial = json.at("serial").get<std::uint64_t>() };
+    });
+}
+
+std::string encodeMember(const MemberRow& row)
+{
+    return Json {
+        { "node", row.node }, { "zone", row.zone }, { "address", row.address }, { "heartbeatPort", row.heartbeatPort },
+        { "relayPort", row.relayPort }, { "incarnation", row.incarnation }
+    }.dump();
+}
+
+std::optional<MemberRow> decodeMember(const std::string& text)
+{
+    return decodeObject<MemberRow>(text, [](const Json& json) {
+        return MemberRow { .node = json.at("node").get<std::string>(),
+            .zone = json.at("zone").get<std::string>(),
+            .address = json.at("address").get<std::string>(),
+            .heartbeatPort = json.at("heartbeatPort").get<std::uint16_t>(),
+            .relayPort = json.at("relayPort").get<std::uint16_t>(),
+            .incarnation = json.at("incarnation").get<std::uint64_t>() };
+    });
+}
+
+std::string encodeJob(const JobRecord& record)
+{
+    Json steps = Json::array();
+    for (const StepSpecification& step : record.specification.steps)
+        steps.push_back(stepToJson(step));
+    Json json { { "id", record.id }, { "host", record.host }, { "path", record.pathPrefix },
+        { "account", record.account }, { "acceptedMs", record.acceptedAt.count() },
+        { "payload", record.specification.payload }, { "steps", std::move(steps) } };
+    if (record.specification.occurrences > 0) {
+        json["occurrences"] = record.specification.occurrences;
+        json["firstDueMs"] = record.specification.firstDue.count();
+        json["intervalMs"] = record.specification.interval.count();
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<JobRecord> decodeJob(const std::string& text)
+{
+    return decodeObject<JobRecord>(text, [](const Json& json) {
+        JobRecord record { .id = json.at("id").get<std::string>(),
+            .host = json.at("host").get<std::string>(),
+            .pathPrefix = json.at("path").get<std::string>(),
+            .account = json.at("account").get<std::string>(),
+            .acceptedAt = StoreTime(json.at("acceptedMs").get<std::int64_t>()) };
+        record.specification.payload = json.at("payload").get<std::string>();
+        for (const Json& step : json.at("steps"))
+            record.specification.steps.push_back(stepFromJson(step));
+        record.specification.occurrences = json.value("occurrences", 0);
+        record.specification.firstDue = WallTime(json.value("firstDueMs", std::int64_t { 0 }));
+        record.specification.interval = Duration(json.value("intervalMs", std::int64_t { 0 }));
+        return record;
+    });
+}
+
+std::string encodeState(JobState state) { return jobStateName(state); }
+
+std::optional<JobState> decodeState(const std::string& text)
+{
+    const auto found = std::ranges::find_if(states, [&](JobState state) { return jobStateName(state) == text; });
+    return found == states.end() ? std::nullopt : std::optional(*found);
+}
+
+std::string encodeProgress(const Occurrence& occurrence)
+{
+    Json steps = Json::array();
+    for (const Step& step : occurrence.steps) {
+        Json tasks = Json::array();
+        for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+            const Task& task = step.tasks[index];
+            if (task.phase != TaskPhase::Waiting || task.attempts > 0)
+                tasks.push_back(taskToJson(index, task));
+        }
+        steps.push_back(std::move(tasks));
+    }
+    return steps.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+bool decodeProgress(const std::string& text, Occurrence& occurrence)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_array() || json.size() != occurrence.steps.size())
+        return false;
+    try {
+        for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+            for (const Json& task : json.at(index))
+                taskFromJson(task, occurrence.steps[index]);
+        }
+    } catch (const std::exception&) {
+        return false; // a member is missing, has another type or names a task that the job does not have
+    }
+    return true;
+}
+
+std::string progressKey(const std::string& jobId, int occurrence) { return jobId + '.' + std::to_string(occurrence); }
+
+std::string cancelKey(const std::string& jobId) { return jobId + std::string(cancelSuffix); }
+
+std::optional<std::string> jobOfCancelKey(const std::string& key)
+{
+    if (!key.ends_with(cancelSuffix))
+        return std::nullopt;
+    return key.substr(0, key.size() - cancelSuffix.size());
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/scheduler.cpp
@@ -0,0 +1,428 @@
+#include "scheduling/scheduler.h"
+
+#include "scheduling/rowcodec.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+constexpr Duration storeTimeout { 1500 };
+constexpr Duration loadRetryPause { 150 };
+constexpr Duration jobFeedWait { 5000 };
+constexpr Duration feedRetryPause { 150 };
+/// Entries of servers change with every heartbeat; reading them together costs fewer calls.
+constexpr Duration serverFeedInterval { 400 };
+constexpr Duration housekeepingInterval { 200 };
+constexpr Duration scheduleInterval { 15 };
+/// A run whose progress stands still this long is taken for stuck.
+constexpr Duration stallTime { 4500 };
+constexpr Duration stallAvoidance { 8000 };
+
+} // namespace
+
+Scheduler::Scheduler(SchedulerOptions givenOptions, ServerEntryDecoder decodeServer,
+    std::function<SteadyTime()> givenClock, const StoreClock& storeClock)
+    : options(std::move(givenOptions))
+    , decodeServer(std::move(decodeServer))
+    , clock(std::move(givenClock))
+    , storeClock(storeClock)
+    , leader(this->effects, this->options.leadership)
+    , tracker(this->board, this->effects)
+    , monitor(this->board, this->effects, this->tracker, this->options.servers)
+    , writer(this->board, this->effects, this->leader)
+    , planner(this->options.planner)
+{
+    this->leader.setClock(this->clock);
+    this->monitor.setClock(this->clock);
+    this->writer.setClock(this->clock);
+    this->leader.onElected([this](SteadyTime now) { this->elected(now); });
+    this->monitor.onFenced([this](SteadyTime now) { this->leader.stepDown(now, "a server saw a higher token"); });
+    this->writer.onStored(
+        [this](const StoredDecisions& decisions, SteadyTime now) { this->decisionsStored(decisions, now); });
+}
+
+void Scheduler::setConfiguration(std::shared_ptr<const FleetConfiguration> configuration)
+{
+    this->board.configuration = std::move(configuration);
+    this->nextSchedule = SteadyTime();
+}
+
+void Scheduler::release(std::function<void()> done)
+{
+    this->leader.withdraw();
+    if (this->leader.isLeader())
+        this->writer.release(std::move(done));
+    else
+        done();
+}
+
+void Scheduler::elected(SteadyTime now)
+{
+    this->loaded = false;
+    this->board.jobs.clear();
+    this->board.servers.clear();
+    this->loadedRows.clear();
+    this->feeds.clear();
+    this->planner.reset();
+    this->writer.begin(now);
+    this->load(now);
+}
+
+void Scheduler::load(SteadyTime)
+{
+    ++this->loadGeneration;
+    this->readTable(this->options.serverTable, "", "", {}, 0);
+    this->readTable(StoreTable::jobs, StoreTable::intakePartition, "", {}, 0);
+    this->readTable(StoreTable::states, StoreTable::schedulerPartition, "", {}, 0);
+    this->readTable(StoreTable::progress, StoreTable::schedulerPartition, "", {}, 0);
+}
+
+void Scheduler::readTable(const std::string& table, const std::string& partition, const std::string& from,
+    std::vector<Row> collected, RowVersion position)
+{
+    this->effects.push(ReadCall { .range = { .table = table, .partition = partition, .from = from },
+        .timeout = storeTimeout,
+        .done = [this, table, partition, from, collected = std::move(collected), position,
+                    generation = this->loadGeneration](const ReadResult& result) mutable {
+            if (generation != this->loadGeneration || !this->leader.isLeader())
+                return;
+            const auto* page = std::get_if<RowPage>(&result);
+            if (!page) {
+                this->readTable(table, partition, from, std::move(collected), position);
+                return;
+            }
+            // Changes after the first page are read again from the feed.
+            if (position == 0)
+                position = page->version;
+            collected.insert(collected.end(), page->rows.begin(), page->rows.end());
+            if (page->more && !page->rows.empty())
+                this->readTable(table, partition, page->rows.back().key.key + '\x01', std::move(collected), position);
+            else
+                this->tableLoaded(table, std::move(collected), position, this->clock());
+        } });
+}
+
+void Scheduler::tableLoaded(const std::string& table, std::vector<Row> rows, RowVersion position, SteadyTime now)
+{
+    this->feeds[table].position = position;
+    if (this->loaded) {
+        if (table == this->options.serverTable)
+            this->reloadServers(rows, now);
+        else
+            for (const Row& row : rows)
+                this->takeJobRow(row, now);
+        this->feeds[table].open = false;
+        return;
+    }
+    this->loadedRows[table] = std::move(rows);
+    constexpr std::size_t tables = 4;
+    if (this->loadedRows.size() == tables)
+        this->finishLoad(now);
+}
+
+void Scheduler::finishLoad(SteadyTime now)
+{
+    for (const Row& row : this->loadedRows[this->options.serverTable])
+        this->takeServerRow(row, now);
+    std::map<std::string, JobState> states;
+    for (const Row& row : this->loadedRows[StoreTable::states]) {
+        if (const std::optional<JobState> state = decodeState(row.value))
+            states[row.key.key] = *state;
+    }
+    std::vector<Row> cancelled;
+    for (const Row& row : this->loadedRows[StoreTable::jobs]) {
+        if (jobOfCancelKey(row.key.key)) {
+            cancelled.push_back(row);
+            continue;
+        }
+        const std::optional<JobRecord> record = decodeJob(row.value);
+        if (!record) {
+            this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+            continue;
+        }
+        const auto state = states.find(record->id);
+        this->tracker.addJob(*record, state == states.end() ? JobState::Queued : state->second,
+            this->steadyTimeOf(record->acceptedAt, now), now);
+    }
+    for (const Row& row : this->loadedRows[StoreTable::progress]) {
+        const std::size_t dot = row.key.key.rfind('.');
+        const std::string jobId = row.key.key.substr(0, dot);
+        const bool known = dot != std::string::npos && this->board.jobs.contains(jobId);
+        const int index = known ? std::atoi(row.key.key.c_str() + dot + 1) : 0;
+        if (!known || !this->tracker.restoreOccurrence(jobId, index, row.value, now))
+            this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+    }
+    for (const Row& row : cancelled)
+        this->takeJobRow(row, now);
+    this->loadedRows.clear();
+    this->loaded = true;
+    for (auto& [id, server] : this->board.servers)
+        server.address.id = id;
+    this->monitor.begin(this->leader.term(), now);
+    this->effects.log(Event::SchedulerLoaded,
+        { { "term", this->leader.term() }, { "jobs", this->board.jobs.size() },
+            { "servers", this->board.servers.size() },
+            { "configuration", this->board.configuration ? this->board.configuration->version : 0 } });
+}
+
+SteadyTime Scheduler::steadyTimeOf(StoreTime accepted, SteadyTime now) const
+{
+    const StoreTime storeNow = this->storeClock.at(now);
+    return accepted.count() > 0 && accepted < storeNow ? now - (storeNow - accepted) : now;
+}
+
+void Scheduler::takeJobRow(const Row& row, SteadyTime now)
+{
+    if (row.removed)
+        return;
+    if (const std::optional<std::string> cancelled = jobOfCancelKey(row.key.key)) {
+        this->tracker.cancelJob(*cancelled, now);
+        return;
+    }
+    if (this->board.jobs.contains(row.key.key))
+        return;
+    const std::optional<JobRecord> record = decodeJob(row.value);
+    if (!record) {
+        this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+        return;
+    }
+    this->effects.log(Event::JobTaken,
+        { { "job", record->id }, { "account", record->account }, { "rowVersion", row.version },
+            { "steps", record->specification.steps.size() } });
+    this->tracker.addJob(*record, JobState::Queued, this->steadyTimeOf(record->acceptedAt, now), now);
+    this->nextSchedule = now;
+}
+
+void Scheduler::takeServerRow(const Row& row, SteadyTime now)
+{
+    const std::string& id = row.key.key;
+    if (row.removed) {
+        const auto found = this->board.servers.find(id);
+        if (found != this->board.servers.end() && found->second.present) {
+            found->second.present = false;
+            this->effects.log(Event::ServerEntryGone, { { "server", id }, { "rowVersion", row.version } });
+        }
+        return;
+    }
+    const std::optional<ServerEntry> entry = this->decodeServer(row);
+    if (!entry)
+        return;
+    const bool fresh = !this->board.servers.contains(id) || this->board.servers.at(id).address.port == 0;
+    BackendServer& server = this->board.servers[id];
+    if (fresh) {
+        server.nextLookAt = now;
+        server.lookSoon = true;
+        this->effects.log(Event::ServerFound,
+            { { "server", id }, { "address", entry->address }, { "rack", entry->rack },
+                { "rowVersion", row.version } });
+    }
+    if (entry->draining && !server.draining)
+        this->effects.log(Event::ServerDraining,
+            { { "server", id }, { "rowVersion", row.version }, { "remainingMs", entry->drainRemaining.count() } });
+    const bool wasUsable = server.present && !server.draining;
+    server.address = { .id = id, .address = entry->address, .port = entry->port };
+    server.service = entry->service;
+    server.zone = entry->zone;
+    server.rack = entry->rack;
+    server.labels = entry->labels;
+    server.capacity = entry->capacity;
+    server.present = true;
+    server.draining = entry->draining;
+    server.drainUntil = now + entry->drainRemaining;
+    if (!wasUsable && !server.draining)
+        this->nextSchedule = now;
+}
+
+void Scheduler::reloadServers(const std::vector<Row>& rows, SteadyTime now)
+{
+    std::set<std::string> listed;
+    for (const Row& row : rows) {
+        listed.insert(row.key.key);
+        this->takeServerRow(row, now);
+    }
+    for (auto& [id, server] : this->board.servers) {
+        if (!listed.contains(id))
+            server.present = false;
+    }
+}
+
+void Scheduler::watch(const std::string& table, TableFeed& feed, Duration wait, SteadyTime now)
+{
+    if (feed.open || now < feed.nextCall)
+        return;
+    feed.open = true;
+    this->effects.push(WatchCall { .table = table,
+        .after = feed.position,
+        .wait = wait,
+        .done = [this, table, generation = this->loadGeneration](const WatchResult& result) {
+            if (generation == this->loadGeneration && this->leader.isLeader())
+                this->feedAnswered(table, result);
+        } });
+}
+
+void Scheduler::feedAnswered(const std::string& table, const WatchResult& result)
+{
+    const SteadyTime now = this->clock();
+    TableFeed& feed = this->feeds.at(table);
+    feed.open = false;
+    if (std::holds_alternative<HistoryGone>(result)) {
+        this->effects.log(Event::HistoryLost, { { "table", table }, { "position", feed.position } });
+        feed.open = true; // until the table is read
+        const bool intake = table == StoreTable::jobs;
+        this->readTable(table, intake ? StoreTable::intakePartition : "", "", {}, 0);
+        return;
+    }
+    const auto* page = std::get_if<RowPage>(&result);
+    if (!page) {
+        feed.nextCall = now + feedRetryPause;
+        return;
+    }
+    feed.position = page->version;
+    for (const Row& row : page->rows) {
+        if (table == this->options.serverTable)
+            this->takeServerRow(row, now);
+        else
+            this->takeJobRow(row, now);
+    }
+    feed.nextCall = table == this->options.serverTable ? now + serverFeedInterval : now;
+}
+
+void Scheduler::tick(SteadyTime now, WallTime wallNow)
+{
+    this->leader.tick(now);
+    if (!this->isActive() || !this->board.configuration)
+        return;
+    this->watch(StoreTable::jobs, this->feeds.at(StoreTable::jobs), jobFeedWait, now);
+    this->watch(this->options.serverTable, this->feeds.at(this->options.serverTable), Duration(0), now);
+    if (now >= this->nextHousekeeping) {
+        this->nextHousekeeping = now + housekeepingInterval;
+        this->tracker.createDueOccurrences(wallNow, now);
+        this->findStalledRuns(now);
+        this->forgetOldJobs(now);
+        this->nextSchedule = std::min(this->nextSchedule, now);
+    }
+    this->monitor.tick(now);
+    this->react(now);
+}
+
+void Scheduler::react(SteadyTime now)
+{
+    if (!this->isActive() || !this->board.configuration)
+        return;
+    if (this->monitor.takeChanged())
+        this->nextSchedule = std::min(this->nextSchedule, now);
+    if (now >= this->nextSchedule)
+        this->schedule(now);
+    this->watch(StoreTable::jobs, this->feeds.at(StoreTable::jobs), jobFeedWait, now);
+    this->writer.flush(now);
+}
+
+void Scheduler::schedule(SteadyTime now)
+{
+    this->nextSchedule = SteadyTime::max();
+    const Plan plan = this->planner.plan(
+        this->board, [this](const BackendServer& server) { return this->monitor.isUsable(server); }, now);
+    for (const PlannedStop& stop : plan.stops) {
+        this->effects.log(Event::RunPreempted, { { "task", formatTaskName(stop.task) }, { "forJob", stop.forJob } });
+        this->tracker.requestStop(stop.task, "preempted for " + stop.forJob, now);
+        this->monitor.orderStop(stop.task, now);
+    }
+    for (const PlannedStart& start : plan.starts)
+        this->startRun(start, now);
+}
+
+void Scheduler::startRun(const PlannedStart& start, SteadyTime now)
+{
+    Job& job = this->board.jobs.at(start.task.jobId);
+    Step& step = job.occurrences.at(start.task.occurrence).steps.at(static_cast<std::size_t>(start.task.step));
+    Task& task = step.tasks.at(static_cast<std::size_t>(start.task.index));
+    const StepSpecification& specification = this->board.stepOf(start.task);
+    BackendServer& server = this->board.servers.at(start.server);
+    int attempt = task.attempts + 1;
+    if (specification.gang) {
+        // Members share one number; all of them are placed in the same pass.
+        for (const Task& member : step.tasks)
+            attempt = std::max(attempt, member.attempts + (member.run ? 0 : 1));
+    }
+    task.attempts = attempt;
+    task.phase = TaskPhase::Running;
+    task.run = Run { .attempt = attempt,
+        .server = start.server,
+        .incarnation = server.incarnation,
+        .phase = RunPhase::Recording,
+        .phaseSince = now,
+        .checkpoint = specification.gang ? step.tasks.front().checkpoint : task.checkpoint };
+    ++step.running;
+    server.occupants[start.task] = countedNeed(specification);
+    this->tracker.markDirty(start.task);
+    this->writer.recordStart(start.task, attempt);
+    this->effects.log(Event::RunPlaced,
+        { { "task", formatTaskName(start.task) }, { "attempt", attempt }, { "server", start.server },
+            { "incarnation", server.incarnation }, { "rack", server.rack },
+            { "waitedMs", std::chrono::duration_cast<Duration>(now - task.waitingSince).count() },
+            { "configuration", this->board.configuration->version } });
+}
+
+void Scheduler::decisionsStored(const StoredDecisions& decisions, SteadyTime now)
+{
+    for (const RecordedStart& start : decisions.starts) {
+        Task* task = this->board.findTask(start.task);
+        if (!task || !task->run || task->run->attempt != start.attempt || task->run->phase != RunPhase::Recording)
+            continue;
+        task->run->phase = RunPhase::Ordered;
+        task->run->phaseSince = now;
+        this->monitor.orderStart(start.task, now);
+    }
+    for (const StoredDecisions::Ends& ends : decisions.ends)
+        this->monitor.endsStored(ends.server, ends.number, ends.incarnation, now);
+}
+
+void Scheduler::findStalledRuns(SteadyTime now)
+{
+    for (auto& [id, server] : this->board.servers) {
+        if (server.unansweredLooks > 0)
+            continue;
+        const std::map<TaskName, Resources> occupants = server.occupants;
+        for (const auto& [name, need] : occupants) {
+            const Task* task = this->board.findTask(name);
+            if (!task || !task->run || task->run->phase != RunPhase::Active || this->board.stepOf(name).longRunning)
+                continue;
+            if (now - task->run->progressedAt < stallTime)
+                continue;
+            server.avoidUntil = now + stallAvoidance;
+            this->effects.log(Event::RunStalled,
+                { { "task", formatTaskName(name) }, { "server", id }, { "percent", task->run->percent } });
+            this->tracker.requestStop(name, "no progress", now);
+        }
+    }
+}
+
+void Scheduler::forgetOldJobs(SteadyTime now)
+{
+    std::vector<std::string> old;
+    for (const auto& [id, job] : this->board.jobs) {
+        if (job.ended() && now - job.finishedAt > this->options.stateRetention && JobTracker::hasNoRuns(job)
+            && !job.stateDirty)
+            old.push_back(id);
+    }
+    for (const std::string& id : old) {
+        this->writer.removeJob(this->board.jobs.at(id));
+        this->tracker.forgetJob(id);
+    }
+}
+
+FleetSummary Scheduler::summary() const
+{
+    FleetSummary summary;
+    for (const auto& [id, job] : this->board.jobs) {
+        if (!job.ended() && !job.begun)
+            ++summary.pending[job.record.host + ' ' + job.record.pathPrefix];
+    }
+    return summary;
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/scheduler.h
@@ -0,0 +1,121 @@
+/// The scheduler of the fleet: active in the daemon that holds the leadership, idle in the others.
+#pragma once
+
+#include "scheduling/jobtracker.h"
+#include "scheduling/leadership.h"
+#include "scheduling/planner.h"
+#include "scheduling/servermonitor.h"
+#include "scheduling/statewriter.h"
+#include "scheduling/storeclock.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace WisteriaHill::Scheduling {
+
+/// A backend server's entry in the store.
+struct ServerEntry {
+    std::string id;
+    std::string service;
+    std::string address; ///< IP number
+    std::uint16_t port = 0;
+    std::string zone;
+    std::string rack;
+    std::set<std::string> labels;
+    Resources capacity;
+    bool draining = false;
+    Duration drainRemaining { 0 }; ///< time that is left at least while draining
+};
+
+/// What the leader tells the other daemons.
+struct FleetSummary {
+    std::map<std::string, std::int64_t> pending; ///< jobs without a started task, by "host path"
+    std::int64_t waitingAccelerators = 0; ///< of tasks that could start now, were there room
+};
+
+struct SchedulerOptions {
+    LeadershipOptions leadership;
+    ServerMonitorOptions servers;
+    PlannerOptions planner;
+    Duration stateRetention { 130'000 }; ///< how long an ended job stays known
+    std::string serverTable; ///< table of the backend servers' entries
+};
+
+/// Reads an entry of the server table; nothing when the row names no server to use.
+using ServerEntryDecoder = std::function<std::optional<ServerEntry>(const Row&)>;
+
+/// Thread safety: none; the owner calls everything on one thread and executes the effects in order.
+class Scheduler {
+public:
+    /// `storeClock` must outlive the scheduler.
+    Scheduler(SchedulerOptions options, ServerEntryDecoder decodeServer, std::function<SteadyTime()> clock,
+        const StoreClock& storeClock);
+    Scheduler(const Scheduler&) = delete;
+    Scheduler& operator=(const Scheduler&) = delete;
+
+    void setConfiguration(std::shared_ptr<const FleetConfiguration> configuration);
+
+    /// Does what is due. `wallNow` is the time of day that the daemons agree on.
+    void tick(SteadyTime now, WallTime wallNow);
+
+    /// Acts on answers that came in since the last tick.
+    void react(SteadyTime now);
+
+    /// Hands the leadership over; `done` is called when that is settled, at once in a follower.
+    void release(std::function<void()> done);
+
+    Leadership& leadership() { return this->leader; }
+    const Leadership& leadership() const { return this->leader; }
+    const Board& state() const { return this->board; }
+    FleetSummary summary() const;
+    Effects& pendingEffects() { return this->effects; }
+
+    /// True when the leader has read all rows and schedules.
+    bool isActive() const { return this->leader.isLeader() && this->loaded; }
+
+private:
+    struct TableFeed {
+        RowVersion position = 0;
+        bool open = false;
+        SteadyTime nextCall {};
+    };
+
+    void elected(SteadyTime now);
+    void load(SteadyTime now);
+    void readTable(const std::string& table, const std::string& partition, const std::string& from,
+        std::vector<Row> collected, RowVersion position);
+    void tableLoaded(const std::string& table, std::vector<Row> rows, RowVersion position, SteadyTime now);
+    void finishLoad(SteadyTime now);
+    void watch(const std::string& table, TableFeed& feed, Duration wait, SteadyTime now);
+    void feedAnswered(const std::string& table, const WatchResult& result);
+    void takeJobRow(const Row& row, SteadyTime now);
+    void takeServerRow(const Row& row, SteadyTime now);
+    void reloadServers(const std::vector<Row>& rows, SteadyTime now);
+    void schedule(SteadyTime now);
+    void startRun(const PlannedStart& start, SteadyTime now);
+    void decisionsStored(const StoredDecisions& decisions, SteadyTime now);
+    void forgetOldJobs(SteadyTime now);
+    SteadyTime steadyTimeOf(StoreTime accepted, SteadyTime now) const;
+    void findStalledRuns(SteadyTime now);
+
+    SchedulerOptions options;
+    ServerEntryDecoder decodeServer;
+    std::function<SteadyTime()> clock;
+    const StoreClock& storeClock;
+    Effects effects;
+    Board board;
+    Leadership leader;
+    JobTracker tracker;
+    ServerMonitor monitor;
+    StateWriter writer;
+    Planner planner;
+    bool loaded = false;
+    std::uint64_t loadGeneration = 0;
+    std::map<std::string, std::vector<Row>> loadedRows;
+    std::map<std::string, TableFeed> feeds;
+    SteadyTime nextHousekeeping {};
+    SteadyTime nextSchedule {};
+};
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -0,0 +1,424 @@
+#include "scheduling/servermonitor.h"
+
+#include "scheduling/placement.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+/// A look returns at the next end, or after this; well under the lease, so that two can fail.
+constexpr Duration lookWait { 1500 };
+/// An answer that is this late beyond its wait will not come: round trips are a few milliseconds.
+constexpr Duration lookSlack { 700 };
+constexpr Duration orderTimeout { 500 };
+constexpr Duration orderRetryPause { 50 };
+constexpr Duration failedLookPause { 150 };
+/// A server without runs is looked at this often, to notice runs that orders started late.
+constexpr Duration idleLookInterval { 5000 };
+/// The clocks of backend servers may be slow by 2%, and an order is under way for some time.
+constexpr int leaseClockPercent = 102;
+constexpr Duration leaseSlack { 300 };
+/// A server that has just refused a start has less room than its entry says.
+constexpr Duration refusalAvoidance { 1000 };
+
+bool needsLook(const BackendServer& server)
+{
+    return !server.fenced || !server.occupants.empty() || server.handled > server.acknowledged;
+}
+
+/// True for a run that a look sent at `sentAt` would have listed, were it still there.
+bool isOver(const Run& run, SteadyTime sentAt, Duration stopTime)
+{
+    if (run.stopConfirmedAt)
+        return *run.stopConfirmedAt + stopTime < sentAt;
+    return run.phase == RunPhase::Active && run.phaseSince < sentAt;
+}
+
+} // namespace
+
+void ServerMonitor::begin(FencingToken newToken, SteadyTime now)
+{
+    this->token = newToken;
+    for (auto& [id, server] : this->board.servers) {
+        server.fenced = false;
+        server.nextLookAt = now;
+        server.lookSoon = true;
+        // A predecessor may have renewed the lease until just now.
+        server.leaseEnd = now + this->options.maximumLease * leaseClockPercent / 100 + leaseSlack;
+    }
+}
+
+bool ServerMonitor::isUsable(const BackendServer& server) const
+{
+    return server.present && !server.draining && server.fenced && server.unansweredLooks == 0;
+}
+
+Run* ServerMonitor::currentRun(const TaskName& name, int attempt)
+{
+    Task* task = this->board.findTask(name);
+    return task && task->run && task->run->attempt == attempt ? &*task->run : nullptr;
+}
+
+ServerTime ServerMonitor::leaseEndFor(const BackendServer& server, SteadyTime now) const
+{
+    return server.clock + std::chrono::duration_cast<ServerTime>(now - server.clockReadAt) + this->options.maximumLease;
+}
+
+void ServerMonitor::extendLease(BackendServer& server, SteadyTime now) const
+{
+    server.leaseEnd
+        = std::max(server.leaseEnd, now + this->options.maximumLease * leaseClockPercent / 100 + leaseSlack);
+}
+
+void ServerMonitor::tick(SteadyTime now)
+{
+    for (auto& [id, server] : this->board.servers) {
+        if (!server.lookOpen && now >= server.nextLookAt && server.address.port != 0)
+            this->look(server, now);
+    }
+    for (auto& [id, job] : this->board.jobs) {
+        for (auto& [index, occurrence] : job.occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.steps[step].running == 0)
+                    continue;
+                std::vector<Task>& tasks = occurrence.steps[step].tasks;
+                for (std::size_t position = 0; position < tasks.size(); ++position) {
+                    const std::optional<Run>& run = tasks[position].run;
+                    if (!run || run->orderOpen || now < run->nextOrderAt)
+                        continue;
+                    const TaskName name { id, index, static_cast<int>(step), static_cast<int>(position) };
+                    if (run->phase == RunPhase::Stopping)
+                        this->orderStop(name, now);
+                    else if (run->phase == RunPhase::Ordered)
+                        this->orderStart(name, now);
+                }
+            }
+        }
+    }
+    this->removeGoneServers(now);
+}
+
+void ServerMonitor::removeGoneServers(SteadyTime now)
+{
+    for (auto entry = this->board.servers.begin(); entry != this->board.servers.end();) {
+        BackendServer& server = entry->second;
+        const bool silent = server.unansweredLooks > 0 || server.address.port == 0;
+        if (silent && now > server.leaseEnd && !server.occupants.empty())
+            this->loseRuns(server, RunLoss::ServerGone, now);
+        if (!server.present && server.occupants.empty() && !server.lookOpen && now > server.leaseEnd)
+            entry = this->board.servers.erase(entry);
+        else
+            ++entry;
+    }
+}
+
+void ServerMonitor::endsStored(const std::string& id, std::int64_t number, std::int64_t incarnation, SteadyTime now)
+{
+    const auto found = this->board.servers.find(id);
+    if (found == this->board.servers.end() || found->second.incarnation != incarnation
+        || number <= found->second.acknowledged)
+        return;
+    found->second.acknowledged = number;
+    found->second.nextLookAt = now;
+}
+
+void ServerMonitor::loseRuns(BackendServer& server, RunLoss loss, SteadyTime now)
+{
+    const std::map<TaskName, Resources> occupants = std::exchange(server.occupants, {});
+    for (const auto& [name, need] : occupants) {
+        const Task* task = this->board.findTask(name);
+        if (task && task->run && task->run->server == server.address.id)
+            this->tracker.runLost(name, loss, now);
+    }
+    this->changed = true;
+}
+
+void ServerMonitor::look(BackendServer& server, SteadyTime now)
+{
+    LookOrder order { .token = this->token, .acknowledged = server.acknowledged };
+    const bool pending = server.handled > server.acknowledged;
+    order.wait = server.lookSoon || pending || !server.fenced || server.occupants.empty() ? Duration(0) : lookWait;
+    if (!server.occupants.empty() && server.incarnation != 0) {
+        order.leaseEnd = this->leaseEndFor(server, now);
+        this->extendLease(server, now);
+    }
+    server.lookOpen = true;
+    server.lookSoon = false;
+    const std::uint64_t serial = ++server.lookSerial;
+    this->effects.push(ServerCall { .server = server.address,
+        .order = order,
+        .timeout = order.wait + lookSlack,
+        .done = [this, id = server.address.id, serial, now](
+                    const OrderResult& result) { this->lookAnswered(id, serial, now, result); } });
+}
+
+void ServerMonitor::lookAnswered(
+    const std::string& id, std::uint64_t serial, SteadyTime sentAt, const OrderResult& result)
+{
+    const SteadyTime now = this->clock();
+    const auto found = this->board.servers.find(id);
+    if (found == this->board.servers.end() || found->second.lookSerial != serial)
+        return;
+    BackendServer& server = found->second;
+    server.lookOpen = false;
+    if (const auto* answer = std::get_if<LookAnswer>(&result)) {
+        this->takeAnswer(server, *answer, sentAt, now);
+        return;
+    }
+    if (const auto* refusal = std::get_if<OrderRefusal>(&result)) {
+        this->effects.log(Event::LookRefused, { { "server", id }, { "reason", orderRefusalName(*refusal) } });
+        if (*refusal == OrderRefusal::Fenced) {
+            this->fenced(now);
+            return;
+        }
+    }
+    if (server.unansweredLooks++ == 0)
+        this->effects.log(Event::ServerUnreachable,
+            { { "server", id }, { "address", server.address.address }, { "runs", server.occupants.size() },
+                { "leaseLeftMs", std::chrono::duration_cast<Duration>(server.leaseEnd - now).count() } });
+    server.nextLookAt = now + failedLookPause;
+    server.lookSoon = true;
+    this->changed = true;
+}
+
+void ServerMonitor::takeAnswer(BackendServer& server, const LookAnswer& answer, SteadyTime sentAt, SteadyTime now)
+{
+    if (server.unansweredLooks > 0)
+        this->effects.log(Event::ServerReachable,
+            { { "server", server.address.id }, { "failedLooks", server.unansweredLooks },
+                { "incarnation", answer.startedAt } });
+    if (server.unansweredLooks > 0 || !server.fenced)
+        this->changed = true;
+    server.unansweredLooks = 0;
+    server.fenced = true;
+    server.clock = answer.clock;
+    server.clockReadAt = now;
+    if (server.incarnation != answer.startedAt)
+        this->incarnationChanged(server, answer, now);
+    for (const EndedRun& ended : answer.ended) {
+        if (ended.number <= server.handled)
+            continue;
+        this->tracker.runEnded(server, ended, now);
+        server.handled = ended.number;
+        this->changed = true;
+    }
+    this->compareRuns(server, answer, sentAt, now);
+    server.nextLookAt = needsLook(server) ? now : now + idleLookInterval;
+    if (server.handled > server.acknowledged)
+        server.nextLookAt = SteadyTime::max(); // until the ends are stored
+}
+
+void ServerMonitor::incarnationChanged(BackendServer& server, const LookAnswer& answer, SteadyTime now)
+{
+    const bool first = server.incarnation == 0;
+    server.incarnation = answer.startedAt;
+    server.handled = 0;
+    server.acknowledged = 0;
+    std::set<TaskName> running;
+    for (const ActiveRun& active : answer.active)
+        running.insert(active.task);
+    if (!first)
+        this->effects.log(Event::ServerRestarted,
+            { { "server", server.address.id }, { "incarnation", answer.startedAt },
+                { "runs", server.occupants.size() } });
+    const std::map<TaskName, Resources> occupants = server.occupants;
+    for (const auto& [name, need] : occupants) {
+        const Task* task = this->board.findTask(name);
+        const bool current = task && task->run && task->run->server == server.address.id;
+        if (!current)
+            server.occupants.erase(name);
+        else if (task->run->incarnation != answer.startedAt && !running.contains(name)
+            && task->run->phase != RunPhase::Recording)
+            this->tracker.runLost(name, RunLoss::ServerRestarted, now);
+    }
+    this->changed = true;
+}
+
+void ServerMonitor::compareRuns(BackendServer& server, const LookAnswer& answer, SteadyTime sentAt, SteadyTime now)
+{
+    std::map<TaskName, int> listed;
+    for (const ActiveRun& active : answer.active) {
+        listed[active.task] = active.attempt;
+        this->noteActive(server, active, now);
+    }
+    const std::map<TaskName, Resources> occupants = server.occupants;
+    for (const auto& [name, need] : occupants) {
+        if (listed.contains(name))
+            continue;
+        const Task* task = this->board.findTask(name);
+        if (!task || !task->run || task->run->server != server.address.id) {
+            server.occupants.erase(name);
+            this->changed = true;
+        } else if (isOver(*task->run, sentAt, this->options.stopTime)) {
+            this->tracker.runLost(name, RunLoss::NotListed, now);
+            this->changed = true;
+        }
+    }
+}
+
+void ServerMonitor::noteActive(BackendServer& server, const ActiveRun& active, SteadyTime now)
+{
+    Task* task = this->board.findTask(active.task);
+    const bool current
+        = task && task->run && task->run->attempt == active.attempt && task->run->server == server.address.id;
+    if (!current) {
+        // Nothing but an order that was carried out late, or a member of a gang that is done.
+        const auto job = this->board.jobs.find(active.task.jobId);
+        if (job != this->board.jobs.end() && task)
+            server.occupants.emplace(active.task, countedNeed(this->board.stepOf(active.task)));
+        this->effects.log(Event::StrayRun,
+            { { "task", formatTaskName(active.task) }, { "attempt", active.attempt },
+                { "server", server.address.id } });
+        this->effects.push(ServerCall { .server = server.address,
+            .order = StopOrder { .task = active.task, .attempt = active.attempt, .token = this->token },
+            .timeout = orderTimeout,
+            .done = [](const OrderResult&) {} }); // the next look tells
+        return;
+    }
+    Run& run = *task->run;
+    this->tracker.runConfirmed(active.task, now);
+    if (!active.checkpoint.empty()) {
+        const StepSpecification& step = this->board.stepOf(active.task);
+        Task& keeper = step.gang
+            ? *this->board.findTask({ active.task.jobId, active.task.occurrence, active.task.step, 0 })
+            : *task;
+        keeper.checkpoint = active.checkpoint;
+    }
+    if (run.percent != active.percent)
+        run.progressedAt = now;
+    run.percent = active.percent;
+    run.load = active.load;
+}
+
+void ServerMonitor::orderStart(const TaskName& name, SteadyTime now)
+{
+    Task* task = this->board.findTask(name);
+    if (!task || !task->run || task->run->phase != RunPhase::Ordered || task->run->orderOpen)
+        return;
+    Run& run = *task->run;
+    const auto found = this->board.servers.find(run.server);
+    if (found == this->board.servers.end() || found->second.address.port == 0) {
+        this->tracker.runLost(name, RunLoss::ServerGone, now);
+        return;
+    }
+    BackendServer& server = found->second;
+    if (!server.fenced || server.incarnation == 0) {
+        run.nextOrderAt = now + orderRetryPause; // a first look tells what runs there
+        return;
+    }
+    run.orderOpen = true;
+    run.nextOrderAt = now + orderRetryPause;
+    this->extendLease(server, now);
+    if (server.nextLookAt > now + lookWait && server.handled == server.acknowledged)
+        server.nextLookAt = now + orderRetryPause;
+    this->effects.push(ServerCall { .server = server.address,
+        .order = StartOrder { .task = name,
+            .attempt = run.attempt,
+            .payload = this->board.jobs.at(name.jobId).record.specification.payload,
+            .leaseEnd = this->leaseEndFor(server, now),
+            .token = this->token,
+            .checkpoint = run.checkpoint,
+            .ticket = run.ticket },
+        .timeout = orderTimeout,
+        .done = [this, name, attempt = run.attempt, id = server.address.id](
+                    const OrderResult& result) { this->startAnswered(name, attempt, id, result); } });
+}
+
+void ServerMonitor::startAnswered(
+    const TaskName& name, int attempt, const std::string& server, const OrderResult& result)
+{
+    const SteadyTime now = this->clock();
+    Run* run = this->currentRun(name, attempt);
+    if (!run || run->server != server)
+        return;
+    run->orderOpen = false;
+    run->nextOrderAt = now + orderRetryPause;
+    if (std::holds_alternative<OrderDone>(result)) {
+        if (run->phase == RunPhase::Ordered)
+            this->tracker.runConfirmed(name, now);
+        return;
+    }
+    if (const auto* refusal = std::get_if<OrderRefusal>(&result))
+        this->startRefused(name, server, *refusal, now);
+    else {
+        run->startUnanswered = true;
+        this->effects.log(Event::OrderUnanswered,
+            { { "order", "start" }, { "task", formatTaskName(name) }, { "attempt", attempt }, { "server", server } });
+    }
+}
+
+void ServerMonitor::startRefused(const TaskName& name, const std::string& server, OrderRefusal refusal, SteadyTime now)
+{
+    this->effects.log(Event::StartRefused,
+        { { "task", formatTaskName(name) }, { "server", server }, { "reason", orderRefusalName(refusal) } });
+    if (refusal == OrderRefusal::Fenced) {
+        this->fenced(now);
+        return;
+    }
+    BackendServer& refusing = this->board.servers.at(server);
+    refusing.lookSoon = true;
+    if (refusal == OrderRefusal::NoRoom || refusal == OrderRefusal::Unhealthy)
+        refusing.avoidUntil = now + refusalAvoidance;
+    Run& run = *this->board.findTask(name)->run;
+    if (refusal == OrderRefusal::Outdated) {
+        // Its end is in the next look's list, or it was stopped before it began.
+        this->tracker.requestStop(name, "attempt is outdated", now);
+        run.stopConfirmedAt = now;
+        return;
+    }
+    if (run.startUnanswered) {
+        // An earlier order may still be carried out: the run must not begin elsewhere before this one is stopped.
+        this->tracker.requestStop(name, "start was refused after an unanswered one", now);
+        return;
+    }
+    this->tracker.runLost(name, RunLoss::NeverStarted, now);
+    this->changed = true;
+}
+
+void ServerMonitor::orderStop(const TaskName& name, SteadyTime now)
+{
+    Task* task = this->board.findTask(name);
+    if (!task || !task->run || task->run->phase != RunPhase::Stopping)
+        return;
+    Run& run = *task->run;
+    const auto found = this->board.servers.find(run.server);
+    if (found == this->board.servers.end() || found->second.address.port == 0) {
+        this->tracker.runLost(name, RunLoss::ServerGone, now);
+        return;
+    }
+    if (run.orderOpen || !found->second.fenced)
+        return;
+    run.orderOpen = true;
+    this->effects.push(ServerCall { .server = found->second.address,
+        .order = StopOrder { .task = name, .attempt = run.attempt, .token = this->token },
+        .timeout = orderTimeout,
+        .done = [this, name, attempt = run.attempt](
+                    const OrderResult& result) { this->stopAnswered(name, attempt, result); } });
+}
+
+void ServerMonitor::stopAnswered(const TaskName& name, int attempt, const OrderResult& result)
+{
+    const SteadyTime now = this->clock();
+    Run* run = this->currentRun(name, attempt);
+    if (!run)
+        return;
+    run->orderOpen = false;
+    run->nextOrderAt = now + orderRetryPause;
+    if (const auto* refusal = std::get_if<OrderRefusal>(&result); refusal && *refusal == OrderRefusal::Fenced) {
+        this->fenced(now);
+        return;
+    }
+    if (!std::holds_alternative<OrderDone>(result))
+        return;
+    // The end is listed within the stop time; a run that never was there leaves none.
+    run->nextOrderAt = now + this->options.stopTime + orderTimeout;
+    if (!run->stopConfirmedAt)
+        run->stopConfirmedAt = now;
+    this->board.servers.at(run->server).lookSoon = true;
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/statewriter.cpp
@@ -0,0 +1,190 @@
+#include "scheduling/statewriter.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+constexpr std::size_t entriesPerTransaction = 90; ///< the store takes 100, expected rows included
+constexpr std::size_t bytesPerTransaction = 500'000; ///< the store takes 1 MB of base64
+constexpr std::size_t removalsPerTransaction = 20; ///< leaves room for decisions
+constexpr Duration renewalInterval { 400 }; ///< well under the time that followers wait for a change
+constexpr Duration storeTimeout { 800 };
+constexpr Duration retryPause { 50 };
+
+RowKey schedulerRow(const char* table, std::string key)
+{
+    return { table, StoreTable::schedulerPartition, std::move(key) };
+}
+
+} // namespace
+
+void StateWriter::begin(SteadyTime now)
+{
+    ++this->generation;
+    this->open = false;
+    this->unsettled.reset();
+    this->starts.clear();
+    this->removals.clear();
+    this->storedAt = now;
+}
+
+void StateWriter::release(std::function<void()> done) { this->released = std::move(done); }
+
+void StateWriter::removeJob(const Job& job)
+{
+    for (const auto& [index, occurrence] : job.occurrences) {
+        if (occurrence.stored)
+            this->removals.push_back(schedulerRow(StoreTable::progress, progressKey(job.record.id, index)));
+    }
+    this->removals.push_back(schedulerRow(StoreTable::states, job.record.id));
+}
+
+void StateWriter::collectOccurrence(Batch& batch, const std::string& jobId, Occurrence& occurrence)
+{
+    batch.transaction.writes.push_back(
+        { schedulerRow(StoreTable::progress, progressKey(jobId, occurrence.index)), encodeProgress(occurrence) });
+    occurrence.dirty = false;
+    occurrence.stored = true;
+}
+
+void StateWriter::collect(Batch& batch)
+{
+    std::size_t bytes = 0;
+    const auto full
+        = [&]() { return batch.transaction.writes.size() >= entriesPerTransaction || bytes >= bytesPerTransaction; };
+    bool complete = true;
+    for (auto& [id, job] : this->board.jobs) {
+        for (auto& [index, occurrence] : job.occurrences) {
+            if (!occurrence.dirty)
+                continue;
+            if (full()) {
+                complete = false;
+                continue;
+            }
+            this->collectOccurrence(batch, id, occurrence);
+            bytes += batch.transaction.writes.back().value.size();
+        }
+        if (!job.stateDirty)
+            continue;
+        if (full()) {
+            complete = false;
+            continue;
+        }
+        job.stateDirty = false;
+        batch.states.emplace_back(id, job.state);
+        batch.transaction.writes.push_back({ schedulerRow(StoreTable::states, id), encodeState(job.state) });
+    }
+    std::erase_if(this->starts, [&](const RecordedStart& start) {
+        const Task* task = this->board.findTask(start.task);
+        if (!task || !task->run || task->run->phase != RunPhase::Recording || task->run->attempt != start.attempt)
+            return true;
+        if (this->board.jobs.at(start.task.jobId).occurrences.at(start.task.occurrence).dirty)
+            return false;
+        batch.decisions.starts.push_back(start);
+        return true;
+    });
+    if (complete) {
+        for (const auto& [id, server] : this->board.servers) {
+            if (server.handled > server.acknowledged)
+                batch.decisions.ends.push_back(
+                    { .server = id, .incarnation = server.incarnation, .number = server.handled });
+        }
+    }
+    const std::size_t removable = std::min({ this->removals.size(), removalsPerTransaction,
+        entriesPerTransaction - std::min(entriesPerTransaction, batch.transaction.writes.size()) });
+    batch.transaction.removals.assign(
+        this->removals.begin(), this->removals.begin() + static_cast<std::ptrdiff_t>(removable));
+    this->removals.erase(this->removals.begin(), this->removals.begin() + static_cast<std::ptrdiff_t>(removable));
+}
+
+void StateWriter::flush(SteadyTime now)
+{
+    if (this->open || !this->leadership.isLeader() || now < this->retryAt)
+        return;
+    if (this->unsettled) {
+        Batch batch = std::move(*this->unsettled);
+        this->unsettled.reset();
+        this->send(std::move(batch), now);
+        return;
+    }
+    Batch batch { .generation = this->generation };
+    this->collect(batch);
+    if (batch.transaction.writes.empty() && batch.transaction.removals.empty()) {
+        // Ends without an effect need no transaction.
+        if (!batch.decisions.ends.empty())
+            this->stored(batch.decisions, now);
+        if (now - this->storedAt < renewalInterval && !this->released)
+            return;
+        batch.decisions.ends.clear();
+    }
+    batch.row = this->leadership.currentRow();
+    ++batch.row.serial;
+    if (this->released)
+        batch.row.holder.clear();
+    batch.transaction.expected.push_back({ Leadership::rowKey(), this->leadership.currentVersion() });
+    batch.transaction.writes.push_back({ Leadership::rowKey(), encodeLeadership(batch.row) });
+    this->send(std::move(batch), now);
+}
+
+void StateWriter::send(Batch batch, SteadyTime)
+{
+    this->open = true;
+    const Transaction transaction = batch.transaction;
+    this->effects.push(CommitCall { .transaction = transaction,
+        .timeout = storeTimeout,
+        .done = [this, batch = std::move(batch)](const CommitResult& result) mutable {
+            if (batch.generation == this->generation)
+                this->answered(batch, result);
+        } });
+}
+
+void StateWriter::answered(Batch& batch, const CommitResult& result)
+{
+    const SteadyTime now = this->clock();
+    this->open = false;
+    if (!this->leadership.isLeader())
+        return;
+    if (const auto* committed = std::get_if<Committed>(&result)) {
+        this->succeeded(batch, committed->version, now);
+        return;
+    }
+    if (const auto* conflict = std::get_if<Conflict>(&result)) {
+        for (const Row& current : conflict->current) {
+            const std::optional<LeadershipRow> row = decodeLeadership(current.value);
+            if (row && *row == batch.row) {
+                // An earlier sending of this transaction was carried out and its answer lost.
+                this->succeeded(batch, current.version, now);
+                return;
+            }
+        }
+        this->leadership.stepDown(now, "the leadership row was changed by another daemon");
+        return;
+    }
+    this->retryAt = now + retryPause;
+    this->unsettled = std::move(batch);
+}
+
+void StateWriter::succeeded(const Batch& batch, RowVersion version, SteadyTime now)
+{
+    this->storedAt = now;
+    this->leadership.rowWritten(batch.row, version);
+    for (const auto& [id, state] : batch.states) {
+        const auto job = this->board.jobs.find(id);
+        if (job != this->board.jobs.end())
+            job->second.storedState = state;
+    }
+    if (batch.row.holder.empty()) {
+        this->leadership.stepDown(now, "released");
+        if (this->released)
+            std::exchange(this->released, nullptr)();
+        return;
+    }
+    this->stored(batch.decisions, now);
+    this->flush(now);
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/storeroute.cpp
@@ -0,0 +1,72 @@
+#include "scheduling/storeroute.h"
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+constexpr Duration directTryInterval { 500 }; ///< one call in this time finds out whether the store is back
+constexpr Duration peerAge { 2500 }; ///< a little over two heartbeats
+constexpr Duration reachableAge { 3000 };
+
+} // namespace
+
+StoreEndpoint StoreRoute::choose(const PeerDirectory& peers, SteadyTime now)
+{
+    if (this->isDirect())
+        return this->direct;
+    if (now >= this->nextDirectTry) {
+        this->nextDirectTry = now + directTryInterval;
+        return this->direct;
+    }
+    const Peer* chosen = nullptr;
+    for (const Peer* peer : peers.heardWithin(peerAge, now)) {
+        if (!peer->last.storeReachable || peer->last.leaving)
+            continue;
+        if (peer->last.node == this->relay) {
+            chosen = peer;
+            break;
+        }
+        if (!chosen || chosen->last.node == this->failedRelay)
+            chosen = peer;
+    }
+    if (!chosen)
+        return this->direct;
+    if (this->relay != chosen->last.node) {
+        this->relay = chosen->last.node;
+        this->effects.log(Event::RelayUsed, { { "relay", this->relay } });
+    }
+    return { .relay = chosen->last.node, .address = chosen->last.address, .port = chosen->last.relayPort };
+}
+
+void StoreRoute::report(const StoreEndpoint& endpoint, bool answered, SteadyTime now)
+{
+    if (answered)
+        this->lastSuccess = now;
+    if (!endpoint.relay.empty()) {
+        if (!answered && endpoint.relay == this->relay) {
+            this->effects.log(Event::RelayFailed, { { "relay", this->relay } });
+            this->failedRelay = std::exchange(this->relay, {});
+        }
+        return;
+    }
+    if (answered) {
+        if (!this->isDirect())
+            this->effects.log(Event::StoreReachable, { { "failures", this->directFailures } });
+        this->directFailures = 0;
+        this->relay.clear();
+        return;
+    }
+    if (++this->directFailures == failuresToLeave) {
+        this->nextDirectTry = now + directTryInterval;
+        this->effects.log(Event::StoreUnreachable, { { "failures", this->directFailures } });
+    }
+}
+
+bool StoreRoute::isReachable(SteadyTime now) const
+{
+    return this->lastSuccess && now - *this->lastSuccess < reachableAge;
+}
+
+} // namespace WisteriaHill::Scheduling
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -102,6 +102,77 @@
         "This host could not renew its session; durable jobs start nothing.", "See the platform's state." },
     EventDescription {
         Event::JobFailed, Warning, "JobFailed", "A job ended without a result.", "See the reason with explain." },
+    EventDescription { Event::SettingsReloaded, Information, "SettingsReloaded",
+        "The settings file was read again after SIGHUP.", "None." },
+    EventDescription { Event::StoreUnreachable, Warning, "StoreUnreachable",
+        "Calls to the state store fail; they go through another daemon where one answers.",
+        "See the store and the network if it lasts." },
+    EventDescription {
+        Event::StoreReachable, Information, "StoreReachable", "The state store answers this daemon again.", "None." },
+    EventDescription { Event::RelayUsed, Information, "RelayUsed", "Store calls go through another daemon.",
+        "See 801 for the cause." },
+    EventDescription { Event::RelayFailed, Warning, "RelayFailed", "A daemon that relayed store calls did not answer.",
+        "Another one is tried; check the network if it lasts." },
+    EventDescription { Event::HistoryLost, Information, "HistoryLost",
+        "The store no longer has the changes after a position; the table is read again.", "None." },
+    EventDescription { Event::RowUnreadable, Warning, "RowUnreadable",
+        "A row has missing fields or another type and is ignored.", "Find its writer by the table and key." },
+    EventDescription { Event::LeaderKnown, Information, "LeaderKnown", "Another daemon schedules.", "None." },
+    EventDescription {
+        Event::LeadershipTaken, Information, "LeadershipTaken", "This daemon schedules from now on.", "None." },
+    EventDescription {
+        Event::LeadershipLost, Warning, "LeadershipLost", "This daemon stopped scheduling.", "See the reason." },
+    EventDescription {
+        Event::SchedulerLoaded, Information, "SchedulerLoaded", "All rows are read; scheduling begins.", "None." },
+    EventDescription { Event::ConfigurationInForce, Information, "ConfigurationInForce",
+        "A newer configuration is in force in this daemon.", "None." },
+    EventDescription { Event::ConfigurationUnreadable, Error, "ConfigurationUnreadable",
+        "A configuration does not read; the one before stays in force.", "Compare the document with the reason." },
+    EventDescription { Event::RequestRefused, Information, "RequestRefused", "A call of a client was refused.",
+        "See the reason; the answer says when to come back." },
+    EventDescription { Event::JobStored, Information, "JobStored", "A job was accepted: its row is stored.", "None." },
+    EventDescription { Event::JobUncertain, Warning, "JobUncertain",
+        "The store did not say whether a job was stored; the client was told so.",
+        "The client submits again under the same id." },
+    EventDescription { Event::CancelStored, Information, "CancelStored",
+        "The mark that a job is to be cancelled is stored.", "None." },
+    EventDescription {
+        Event::StatusUnknown, Warning, "StatusUnknown", "The state of a job could not be read in time.", "See 801." },
+    EventDescription {
+        Event::JobTaken, Information, "JobTaken", "The scheduler took a stored job into its queue.", "None." },
+    EventDescription {
+        Event::OccurrenceDue, Information, "OccurrenceDue", "An occurrence of a scheduled job is due.", "None." },
+    EventDescription { Event::RunPlaced, Information, "RunPlaced",
+        "A task was given a backend server; the start follows when that is stored.", "None." },
+    EventDescription { Event::RunEnded, Information, "RunEnded", "A backend server listed the end of a run.", "None." },
+    EventDescription {
+        Event::RunLost, Warning, "RunLost", "A run is over without an end; its task waits again.", "See the reason." },
+    EventDescription { Event::RunPreempted, Information, "RunPreempted",
+        "A run is stopped to make room for a more urgent job.", "None." },
+    EventDescription { Event::RunStalled, Warning, "RunStalled",
+        "A run made no progress; it is stopped and started elsewhere.", "Check the backend server." },
+    EventDescription {
+        Event::StartRefused, Information, "StartRefused", "A backend server refused a start.", "See the reason." },
+    EventDescription { Event::StrayRun, Warning, "StrayRun",
+        "A backend server runs what is not wanted there; it is told to stop.",
+        "None; orders can be carried out late." },
+    EventDescription { Event::OrderUnanswered, Warning, "OrderUnanswered",
+        "A backend server did not answer an order, which may be carried out late.", "Check the server if it lasts." },
+    EventDescription { Event::JobEnded, Information, "JobEnded", "A job has ended.", "See the reason." },
+    EventDescription {
+        Event::ServerFound, Information, "ServerFound", "A backend server has a new entry in the store.", "None." },
+    EventDescription { Event::ServerDraining, Information, "ServerDraining",
+        "A backend server is draining and gets no new runs.", "None." },
+    EventDescription { Event::ServerEntryGone, Information, "ServerEntryGone",
+        "The entry of a backend server is gone from the store.", "None." },
+    EventDescription { Event::ServerUnreachable, Warning, "ServerUnreachable",
+        "A backend server does not answer; no runs are placed there.", "Check the server if it lasts." },
+    EventDescription {
+        Event::ServerReachable, Information, "ServerReachable", "A backend server answers again.", "None." },
+    EventDescription {
+        Event::LookRefused, Warning, "LookRefused", "A backend server refused to list its runs.", "See the reason." },
+    EventDescription { Event::LogLinesDropped, Warning, "LogLinesDropped",
+        "Lines of an event were left out to bound the volume.", "See the counters of the metrics address." },
 };
 
 std::string_view levelName(EventLevel level)
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -1,11 +1,17 @@
 #include "utils/eventlog.h"
 
+#include <chrono>
+#include <fcntl.h>
+#include <iostream>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <map>
 #include <memory>
+#include <unistd.h>
+#include <utility>
 
 namespace WisteriaHill::Utils {
 
@@ -33,13 +39,55 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+/// Lines of one event in one interval; a busy scheduler places about as many runs.
+constexpr int linesPerInterval = 200;
+constexpr std::chrono::seconds rateInterval { 1 };
+
+struct EventRate {
+    std::chrono::steady_clock::time_point since {};
+    int written = 0;
+    std::uint64_t dropped = 0;
+};
+
+struct StructuredLog {
+    std::string processName;
+    std::map<Event, EventRate> rates;
+    std::uint64_t dropped = 0;
+};
+
+StructuredLog& structuredLog()
+{
+    static StructuredLog log;
+    return log;
+}
+
+void writeStructured(Event event, nlohmann::json fields)
+{
+    const EventDescription& description = describeEvent(event);
+    const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
+    fields["event"] = static_cast<int>(event);
+    fields["name"] = description.name;
+    fields["node"] = structuredLog().processName;
+    fields["wallMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(wallClock).count();
+    const std::string line = fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    log4cplus::Logger::getRoot().log(levelOf(description.level), line);
+    if (!std::cout) {
+        std::cout.clear();
+        ++structuredLog().dropped;
+    }
+}
+
 } // namespace
 
 void initialiseEventLog(const EventLogOptions& options)
 {
     static const log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    const std::string pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} " + options.processName + " %-5p %m%n";
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(!options.structured, true));
+    const std::string pattern
+        = options.structured ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} " + options.processName + " %-5p %m%n";
+    structuredLog().processName = options.processName;
+    if (options.structured)
+        ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.addAppender(appender);
@@ -54,4 +102,27 @@
     log4cplus::Logger::getRoot().log(levelOf(description.level), line);
 }
 
+void logStructured(Event event, const nlohmann::json& fields)
+{
+    const auto now = std::chrono::steady_clock::now();
+    EventRate& rate = structuredLog().rates[event];
+    if (now - rate.since > rateInterval) {
+        const std::uint64_t dropped = std::exchange(rate.dropped, 0);
+        rate.since = now;
+        rate.written = 0;
+        if (dropped > 0)
+            writeStructured(
+                Event::LogLinesDropped, { { "droppedEvent", static_cast<int>(event) }, { "count", dropped } });
+    }
+    if (rate.written >= linesPerInterval) {
+        ++rate.dropped;
+        ++structuredLog().dropped;
+        return;
+    }
+    ++rate.written;
+    writeStructured(event, fields);
+}
+
+std::uint64_t droppedLogLines() { return structuredLog().dropped; }
+
 } // namespace WisteriaHill::Utils
