--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -66,6 +66,7 @@
 struct Occurrence {
     int index = 0;
     std::vector<Step> steps;
+    SteadyTime createdAt {};
     bool finished = false;
     bool dirty = false; ///< differs from the stored row
     bool stored = false; ///< has a stored row
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -68,6 +68,7 @@
 {
     Occurrence& occurrence = job.occurrences[index];
     occurrence.index = index;
+    occurrence.createdAt = now;
     for (const StepSpecification& specification : job.record.specification.steps) {
         Step& step = occurrence.steps.emplace_back();
         step.tasks.resize(static_cast<std::size_t>(specification.taskCount));
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -55,14 +55,14 @@
     }
 }
 
-/// Tasks that still fit among the candidates.
+/// Tasks that still fit among the candidates, or that would fit were they empty.
 std::int64_t roomFor(const std::vector<PlacementServer>& servers, const std::vector<std::size_t>& candidates,
-    const StepSpecification& step)
+    const StepSpecification& step, bool whenEmpty = false)
 {
     const Resources need = countedNeed(step);
     std::int64_t room = 0;
     for (const std::size_t index : candidates) {
-        const Resources& free = servers[index].free;
+        const Resources& free = whenEmpty ? servers[index].capacity : servers[index].free;
         std::int64_t tasks = step.taskCount;
         if (need.milliCores > 0)
             tasks = std::min(tasks, free.milliCores / need.milliCores);
@@ -71,7 +71,7 @@
         if (need.accelerators > 0)
             tasks = std::min(tasks, free.accelerators / need.accelerators);
         if (step.maximumPerServer > 0)
-            tasks = std::min<std::int64_t>(tasks, step.maximumPerServer - servers[index].tasksOfStep);
+            tasks = std::min<std::int64_t>(tasks, step.maximumPerServer - (whenEmpty ? 0 : servers[index].tasksOfStep));
         room += std::max<std::int64_t>(tasks, 0);
     }
     return room;
@@ -97,10 +97,14 @@
 {
     const StepSpecification& step = *request.step;
     std::map<std::string, std::vector<std::size_t>> byRack;
+    std::map<std::string, std::vector<std::size_t>> everyServer;
     std::vector<std::size_t> all;
     for (std::size_t index = 0; index < servers.size(); ++index) {
         if (!isEligible(servers[index], step) || (!request.onlyRack.empty() && servers[index].rack != request.onlyRack))
             continue;
+        everyServer[servers[index].rack].push_back(index);
+        if (servers[index].heldReady && !request.mayUseHeldReady && servers[index].rack != step.dataRack)
+            continue;
         byRack[servers[index].rack].push_back(index);
         all.push_back(index);
     }
@@ -128,7 +132,10 @@
                 return choice;
             undo(servers, step, choice);
         }
-        if (!request.anyRack)
+        // A gang that no rack could ever hold gains nothing by waiting.
+        const bool someRackSuffices = std::ranges::any_of(everyServer,
+            [&](const auto& rack) { return roomFor(servers, rack.second, step, true) >= request.taskCount; });
+        if (!request.anyRack && someRackSuffices)
             return Choice(static_cast<std::size_t>(request.taskCount));
     }
 
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -15,9 +15,11 @@
     std::string id;
     std::string rack;
     const std::set<std::string>* labels = nullptr;
+    Resources capacity; ///< when empty
     Resources free; ///< beside everything placed or being stopped there
     int tasksOfStep = 0; ///< tasks of the step that are placed there
     bool lastChoice = false; ///< used only when nothing else fits
+    bool heldReady = false; ///< kept for urgent work and for work that can be stopped without loss
 };
 
 struct PlacementRequest {
@@ -25,6 +27,7 @@
     int taskCount = 1;
     bool allOrNone = false; ///< place every task or none
     bool anyRack = false; ///< ignore rack preferences
+    bool mayUseHeldReady = true;
     std::string onlyRack; ///< when set, nothing outside this rack
 };
 
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace WisteriaHill::Scheduling {
@@ -10,6 +11,13 @@
 /// A server that is being cleared stays reserved this long; stops take well under a second.
 constexpr Duration clearingTime { 2000 };
 
+/// Racks are held ready for this multiple of the recent peak of urgent work.
+constexpr double readyMargin = 1.1;
+/// At most this share of a service is held ready, so that ordinary work goes on.
+constexpr double largestReadyShare = 0.6;
+/// The peak of urgent work is forgotten by half in this time; bursts last a few seconds.
+constexpr Duration peakHalfLife { 8000 };
+
 std::int64_t acceleratorsOfFirstSteps(const Job& job)
 {
     std::int64_t accelerators = 0;
@@ -23,7 +31,7 @@
 {
     constexpr double coresPerAccelerator = 8;
     constexpr double milliCoresPerCore = 1000;
-    constexpr double savedShare = 0.25; // work since the last checkpoint
+    constexpr double savedShare = 0.02; // progress is saved when the run is stopped; only the restart costs
     const double cores = static_cast<double>(step.perTask.milliCores) / milliCoresPerCore
         + coresPerAccelerator * static_cast<double>(step.perTask.accelerators);
     const double age = std::chrono::duration<double, std::milli>(now - run.phaseSince).count();
@@ -32,6 +40,53 @@
 
 } // namespace
 
+/// What a job's client can still get.
+enum class Outlook {
+    OnTime, ///< may end within its objective
+    Late, ///< will miss its objective, but is still of use
+    TooLate, ///< is of no use to its client any more
+};
+
+namespace {
+
+/// Late work gives way to on-time work of the next priority: it is worth a fraction of what on-time work is.
+int standing(int priority, Outlook outlook)
+{
+    constexpr int lateSetback = 3;
+    constexpr int tooLateSetback = 100;
+    const int setback = outlook == Outlook::OnTime ? 0 : outlook == Outlook::Late ? lateSetback : tooLateSetback;
+    return 2 * priority + setback;
+}
+
+/// Expected run time of the steps on the longest path from `first` on, by their declared estimates.
+Duration longestPath(const JobSpecification& job, std::size_t first)
+{
+    std::vector<Duration> ends(job.steps.size(), Duration(0));
+    Duration longest { 0 };
+    for (std::size_t index = first; index < job.steps.size(); ++index) {
+        Duration begin { 0 };
+        for (const int earlier : job.steps[index].prerequisites)
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        ends[index] = begin + job.steps[index].estimate;
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+Outlook outlookOf(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now)
+{
+    constexpr int lateMultiple = 3; // beyond this multiple of the objective a result is of no use
+    const Duration whole = longestPath(job.record.specification, 0);
+    const Duration rest = longestPath(job.record.specification, step);
+    const auto objective = std::chrono::duration_cast<Duration>(whole * queue.stretchFactor) + queue.targetDuration;
+    const auto expected = std::chrono::duration_cast<Duration>(now - since) + rest;
+    if (expected <= objective)
+        return Outlook::OnTime;
+    return expected <= objective * lateMultiple ? Outlook::Late : Outlook::TooLate;
+}
+
+} // namespace
+
 struct Planner::Unit {
     const Job* job = nullptr;
     const Occurrence* occurrence = nullptr;
@@ -41,10 +96,12 @@
     Urgency urgency = Urgency::Ordinary;
     std::vector<int> waiting;
     SteadyTime readySince {};
+    Outlook outlook = Outlook::OnTime;
 
     auto rank() const
     {
-        return std::tuple(this->urgency, this->queue->priority, this->readySince, this->job->record.id, this->step);
+        return std::tuple(this->urgency != Urgency::Guaranteed, standing(this->queue->priority, this->outlook),
+            this->job->acceptedAt, this->job->record.id, this->step);
     }
 };
 
@@ -71,7 +128,7 @@
     return guaranteed;
 }
 
-std::vector<Planner::Unit> Planner::waitingUnits(const Board& board)
+std::vector<Planner::Unit> Planner::waitingUnits(const Board& board, SteadyTime now)
 {
     const std::set<std::string> guaranteed = guaranteedJobs(board);
     std::vector<Unit> units;
@@ -97,6 +154,9 @@
                         : guaranteed.contains(id)  ? Urgency::Guaranteed
                                                    : Urgency::Urgent,
                     .readySince = step.readySince };
+                const SteadyTime since
+                    = job.record.specification.occurrences > 0 ? occurrence.createdAt : job.acceptedAt;
+                unit.outlook = outlookOf(job, *queue, number, since, now);
                 for (int task = 0; task < total; ++task) {
                     if (step.tasks[static_cast<std::size_t>(task)].phase == TaskPhase::Waiting)
                         unit.waiting.push_back(task);
@@ -123,8 +183,10 @@
         PlacementServer& candidate = servers.emplace_back(PlacementServer { .id = id,
             .rack = server.rack,
             .labels = &server.labels,
+            .capacity = server.capacity,
             .free = server.freeCapacity(),
-            .lastChoice = now < server.avoidUntil });
+            .lastChoice = now < server.avoidUntil,
+            .heldReady = this->heldReady.contains(id) });
         const auto taken = this->planned.find(id);
         if (taken != this->planned.end())
             candidate.free -= taken->second;
@@ -147,11 +209,14 @@
     Plan& plan, SteadyTime now)
 {
     std::vector<PlacementServer> servers = this->serversFor(board, usable, unit, plan, now);
-    const bool impatient = now - unit.readySince > this->options.rackPatience;
+    const ServiceLoad& load = this->load[unit.queue->service];
+    const bool impatient
+        = now - unit.readySince > (load.mostlyIdle() ? this->options.idleRackPatience : this->options.rackPatience);
     const PlacementRequest request { .step = unit.specification,
         .taskCount = static_cast<int>(unit.waiting.size()),
         .allOrNone = unit.specification->gang,
-        .anyRack = impatient };
+        .anyRack = impatient,
+        .mayUseHeldReady = unit.urgency != Urgency::Ordinary || unit.specification->savesProgress };
     const std::vector<std::optional<std::size_t>> choice = placeTasks(servers, request);
     bool complete = true;
     for (std::size_t index = 0; index < choice.size(); ++index) {
@@ -166,7 +231,8 @@
     }
     if (complete)
         std::erase_if(this->clearing, [&](const auto& entry) { return entry.second.jobId == unit.job->record.id; });
-    else if (unit.urgency != Urgency::Ordinary)
+    else if (unit.urgency != Urgency::Ordinary && unit.outlook != Outlook::TooLate
+        && now - unit.readySince >= this->options.urgentPatience)
         this->makeRoom(board, usable, unit, plan, now);
 }
 
@@ -261,6 +327,63 @@
     }
 }
 
+void Planner::measureLoad(const Board& board, const std::function<bool(const BackendServer&)>& usable,
+    const std::vector<Unit>& units, SteadyTime now)
+{
+    this->load.clear();
+    for (const auto& [id, server] : board.servers) {
+        if (!usable(server))
+            continue;
+        ServiceLoad& service = this->load[server.service];
+        service.capacity += server.capacity.accelerators;
+        for (const auto& [name, need] : server.occupants) {
+            service.used += need.accelerators;
+            const auto job = board.jobs.find(name.jobId);
+            const Queue* queue = job == board.jobs.end() ? nullptr : board.configuration->queueOf(job->second.record);
+            if (queue && queue->priority == 0)
+                service.urgent += need.accelerators;
+        }
+    }
+    for (const Unit& unit : units) {
+        if (unit.urgency != Urgency::Ordinary && unit.outlook == Outlook::OnTime)
+            this->load[unit.queue->service].urgent
+                += unit.specification->perTask.accelerators * static_cast<std::int64_t>(unit.waiting.size());
+    }
+    const double halfLives = std::chrono::duration<double>(now - this->peakMeasuredAt) / peakHalfLife;
+    const double remaining = std::exp2(-std::min(halfLives, 60.0));
+    this->peakMeasuredAt = now;
+    for (const auto& [service, measured] : this->load) {
+        double& peak = this->urgentPeak[service];
+        peak = std::max(peak * remaining, static_cast<double>(measured.urgent));
+    }
+}
+
+void Planner::holdServersReady(const Board& board, const std::function<bool(const BackendServer&)>& usable)
+{
+    this->heldReady.clear();
+    for (const auto& [service, measured] : this->load) {
+        if (measured.mostlyIdle())
+            continue; // there is room for everyone
+        // Whole racks, since urgent gangs want to stand in one.
+        std::map<std::string, std::vector<const BackendServer*>> racks;
+        for (const auto& [id, server] : board.servers) {
+            if (server.service == service && usable(server))
+                racks[server.rack].push_back(&server);
+        }
+        const double wanted = std::min(
+            this->urgentPeak[service] * readyMargin, largestReadyShare * static_cast<double>(measured.capacity));
+        double held = 0;
+        for (const auto& [rack, servers] : racks) {
+            if (held >= wanted)
+                break;
+            for (const BackendServer* server : servers) {
+                this->heldReady.insert(server->address.id);
+                held += static_cast<double>(server->capacity.accelerators);
+            }
+        }
+    }
+}
+
 Plan Planner::plan(const Board& board, const std::function<bool(const BackendServer&)>& usable, SteadyTime now)
 {
     Plan plan;
@@ -269,7 +392,10 @@
         return now > entry.second.until || !board.jobs.contains(entry.second.jobId)
             || board.jobs.at(entry.second.jobId).ended();
     });
-    for (const Unit& unit : waitingUnits(board))
+    const std::vector<Unit> units = waitingUnits(board, now);
+    this->measureLoad(board, usable, units, now);
+    this->holdServersReady(board, usable);
+    for (const Unit& unit : units)
         this->placeUnit(board, usable, unit, plan, now);
     return plan;
 }
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -34,6 +34,8 @@
 
 struct PlannerOptions {
     Duration rackPatience { 6000 }; ///< how long a step waits for the rack that suits it
+    Duration idleRackPatience { 1500 }; ///< the same while most of the service is idle
+    Duration urgentPatience { 300 }; ///< how long urgent work waits for room before others are stopped for it
 };
 
 /// Reads the blackboard; keeps only which servers are being cleared for whom. Thread safety: none.
@@ -45,7 +47,11 @@
     }
 
     /// Forgets which servers are being cleared.
-    void reset() { this->clearing.clear(); }
+    void reset()
+    {
+        this->clearing.clear();
+        this->urgentPeak.clear();
+    }
 
     /// `usable` tells whether a server takes new runs.
     Plan plan(const Board& board, const std::function<bool(const BackendServer&)>& usable, SteadyTime now);
@@ -54,7 +60,7 @@
     struct Unit;
     struct Clearing;
 
-    static std::vector<Unit> waitingUnits(const Board& board);
+    static std::vector<Unit> waitingUnits(const Board& board, SteadyTime now);
     std::vector<PlacementServer> serversFor(const Board& board, const std::function<bool(const BackendServer&)>& usable,
         const Unit& unit, const Plan& plan, SteadyTime now) const;
     void placeUnit(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
@@ -67,8 +73,24 @@
         SteadyTime until {};
     };
 
+    /// Accelerators of a service.
+    struct ServiceLoad {
+        std::int64_t capacity = 0;
+        std::int64_t used = 0;
+        std::int64_t urgent = 0; ///< running for urgent work or asked for by it
+        bool mostlyIdle() const { return this->used * 2 < this->capacity; }
+    };
+
+    void measureLoad(const Board& board, const std::function<bool(const BackendServer&)>& usable,
+        const std::vector<Unit>& units, SteadyTime now);
+    void holdServersReady(const Board& board, const std::function<bool(const BackendServer&)>& usable);
+
     PlannerOptions options;
     std::map<std::string, Clearing> clearing; ///< by server
+    std::map<std::string, ServiceLoad> load; ///< by service, in this pass
+    std::map<std::string, double> urgentPeak; ///< recent need of urgent work in accelerators, by service
+    SteadyTime peakMeasuredAt {};
+    std::set<std::string> heldReady; ///< servers kept for urgent work in this pass
     std::map<std::string, Resources> planned; ///< taken in this pass, by server
 };
 
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -142,7 +142,8 @@
     LookOrder order { .token = this->token, .acknowledged = server.acknowledged };
     const bool pending = server.handled > server.acknowledged;
     order.wait = server.lookSoon || pending || !server.fenced || server.occupants.empty() ? Duration(0) : lookWait;
-    if (!server.occupants.empty() && server.incarnation != 0) {
+    // A server that does not answer gets no new lease, so that its runs are surely over some time later.
+    if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredLooks == 0) {
         order.leaseEnd = this->leaseEndFor(server, now);
         this->extendLease(server, now);
     }
@@ -301,13 +302,13 @@
         return;
     Run& run = *task->run;
     const auto found = this->board.servers.find(run.server);
-    if (found == this->board.servers.end() || found->second.address.port == 0) {
+    if (found == this->board.servers.end()) {
         this->tracker.runLost(name, RunLoss::ServerGone, now);
         return;
     }
     BackendServer& server = found->second;
-    if (!server.fenced || server.incarnation == 0) {
-        run.nextOrderAt = now + orderRetryPause; // a first look tells what runs there
+    if (!server.fenced || server.incarnation == 0 || server.unansweredLooks > 0) {
+        run.nextOrderAt = now + orderRetryPause; // a look tells first what runs there
         return;
     }
     run.orderOpen = true;
@@ -386,7 +387,7 @@
         return;
     Run& run = *task->run;
     const auto found = this->board.servers.find(run.server);
-    if (found == this->board.servers.end() || found->second.address.port == 0) {
+    if (found == this->board.servers.end()) {
         this->tracker.runLost(name, RunLoss::ServerGone, now);
         return;
     }
