Waiting gangs drain servers for themselves

Change: a gang that cannot be placed claims the servers with least to drain; later work goes elsewhere.

--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -15,6 +15,10 @@
 constexpr double readyMargin = 1.1;
 /// At most this share of a service is held ready, so that ordinary work goes on.
 constexpr double largestReadyShare = 0.6;
+/// At most this share of the servers drains for gangs that wait; smaller work goes on elsewhere.
+constexpr double largestClaimedShare = 0.4;
+/// A run that is stopped costs this much besides what it has done: it has to start again.
+constexpr double restartCostMs = 2000;
 /// The peak of urgent work is forgotten by half in this time; bursts last a few seconds.
 constexpr Duration peakHalfLife { 8000 };
 
@@ -35,7 +39,12 @@
     const double cores = static_cast<double>(step.perTask.milliCores) / milliCoresPerCore
         + coresPerAccelerator * static_cast<double>(step.perTask.accelerators);
     const double age = std::chrono::duration<double, std::milli>(now - run.phaseSince).count();
-    return cores * age * (step.savesProgress ? savedShare : 1);
+    return cores * (restartCostMs + age) * (step.savesProgress ? savedShare : 1);
+}
+
+std::int64_t memoryPerAccelerator(const Resources& capacity)
+{
+    return capacity.memoryMb / std::max<std::int64_t>(capacity.accelerators, 1);
 }
 
 } // namespace
@@ -174,7 +183,7 @@
 {
     std::vector<PlacementServer> servers;
     for (const auto& [id, server] : board.servers) {
-        if (server.service != unit.queue->service || !usable(server))
+        if (server.service != unit.queue->service || !usable(server) || this->claimed.contains(id))
             continue;
         const auto cleared = this->clearing.find(id);
         if (cleared != this->clearing.end() && cleared->second.jobId != unit.job->record.id
@@ -234,6 +243,45 @@
     else if (unit.urgency != Urgency::Ordinary && unit.outlook != Outlook::TooLate
         && now - unit.readySince >= this->options.urgentPatience)
         this->makeRoom(board, usable, unit, plan, now);
+    if (!complete && unit.specification->gang && unit.outlook != Outlook::TooLate)
+        this->claimServers(board, usable, unit, plan, now);
+}
+
+void Planner::claimServers(const Board& board, const std::function<bool(const BackendServer&)>& usable,
+    const Unit& unit, const Plan& plan, SteadyTime now)
+{
+    const Resources need = countedNeed(*unit.specification);
+    // By rack for gangs of one rack: how much has to end before a server has room for its share.
+    std::map<std::string, std::vector<std::pair<std::int64_t, std::string>>> racks;
+    for (const PlacementServer& server : this->serversFor(board, usable, unit, plan, now)) {
+        if (!isEligible(server, *unit.specification) || !server.capacity.holds(need)
+            || (server.heldReady && unit.urgency == Urgency::Ordinary && !unit.specification->savesProgress))
+            continue;
+        const std::int64_t occupied = server.free.holds(need) ? 0
+                                                              : server.capacity.memoryMb - server.free.memoryMb
+                + memoryPerAccelerator(server.capacity) * (server.capacity.accelerators - server.free.accelerators);
+        racks[unit.specification->sameRack ? server.rack : std::string()].emplace_back(occupied, server.id);
+    }
+    const std::size_t wanted = unit.waiting.size();
+    const std::vector<std::pair<std::int64_t, std::string>>* best = nullptr;
+    std::int64_t bestOccupied = 0;
+    for (auto& [rack, servers] : racks) {
+        if (servers.size() < wanted)
+            continue;
+        std::ranges::sort(servers);
+        std::int64_t occupied = 0;
+        for (std::size_t index = 0; index < wanted; ++index)
+            occupied += servers[index].first;
+        if (best && occupied >= bestOccupied)
+            continue;
+        best = &servers;
+        bestOccupied = occupied;
+    }
+    const std::size_t limit = static_cast<std::size_t>(largestClaimedShare * static_cast<double>(board.servers.size()));
+    if (!best || this->claimed.size() + wanted > limit)
+        return;
+    for (std::size_t index = 0; index < wanted; ++index)
+        this->claimed.insert((*best)[index].second);
 }
 
 void Planner::makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
@@ -388,6 +436,7 @@
 {
     Plan plan;
     this->planned.clear();
+    this->claimed.clear();
     std::erase_if(this->clearing, [&](const auto& entry) {
         return now > entry.second.until || !board.jobs.contains(entry.second.jobId)
             || board.jobs.at(entry.second.jobId).ended();
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -65,6 +65,8 @@
         const Unit& unit, const Plan& plan, SteadyTime now) const;
     void placeUnit(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
         Plan& plan, SteadyTime now);
+    void claimServers(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
+        const Plan& plan, SteadyTime now);
     void makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
         Plan& plan, SteadyTime now);
 
@@ -90,6 +92,7 @@
     std::map<std::string, ServiceLoad> load; ///< by service, in this pass
     std::map<std::string, double> urgentPeak; ///< recent need of urgent work in accelerators, by service
     SteadyTime peakMeasuredAt {};
+    std::set<std::string> claimed; ///< servers that drain for a waiting gang in this pass
     std::set<std::string> heldReady; ///< servers kept for urgent work in this pass
     std::map<std::string, Resources> planned; ///< taken in this pass, by server
 };
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -22,6 +22,39 @@
 constexpr Duration stallTime { 4500 };
 constexpr Duration stallAvoidance { 8000 };
 
+/// The steps of a job in short, for logs.
+Utils::Json describeSteps(const JobSpecification& job)
+{
+    Utils::Json steps = Utils::Json::array();
+    for (const StepSpecification& step : job.steps) {
+        std::string traits;
+        if (step.gang)
+            traits += " gang";
+        if (step.sameRack)
+            traits += " sameRack";
+        if (!step.dataRack.empty())
+            traits += " dataRack=" + step.dataRack;
+        if (!step.requiredLabel.empty())
+            traits += " label=" + step.requiredLabel;
+        if (step.maximumPerServer > 0)
+            traits += " perServer=" + std::to_string(step.maximumPerServer);
+        if (step.savesProgress)
+            traits += " saves";
+        if (step.duplicatesAllowed)
+            traits += " duplicates";
+        if (step.longRunning)
+            traits += " longRunning missing=" + std::to_string(step.maximumMissing);
+        if (step.fillsIdleCapacity)
+            traits += " fills";
+        if (step.latencyTarget.count() > 0)
+            traits += " target=" + std::to_string(step.latencyTarget.count());
+        steps.push_back(std::to_string(step.taskCount) + " x " + std::to_string(step.perTask.milliCores) + " mc "
+            + std::to_string(step.perTask.memoryMb) + " MB " + std::to_string(step.perTask.accelerators) + " acc "
+            + std::to_string(step.estimate.count()) + " ms" + traits);
+    }
+    return steps;
+}
+
 } // namespace
 
 Scheduler::Scheduler(SchedulerOptions givenOptions, ServerEntryDecoder decodeServer,
@@ -191,8 +224,9 @@
         return;
     }
     this->effects.log(Event::JobTaken,
-        { { "job", record->id }, { "account", record->account }, { "rowVersion", row.version },
-            { "steps", record->specification.steps.size() } });
+        { { "job", record->id }, { "account", record->account }, { "queue", record->pathPrefix },
+            { "rowVersion", row.version }, { "steps", describeSteps(record->specification) },
+            { "occurrences", record->specification.occurrences } });
     this->tracker.addJob(*record, JobState::Queued, this->steadyTimeOf(record->acceptedAt, now), now);
     this->nextSchedule = now;
 }
