--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -80,6 +80,7 @@
     int nextOccurrence = 0;
     SteadyTime acceptedAt {};
     SteadyTime finishedAt {};
+    std::set<std::string> failedOn; ///< servers on which its runs failed
     bool begun = false; ///< a task has started
     bool stateDirty = false;
     bool unfit = false; ///< reported as fitting no backend server
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// A server on which a run failed gets no further runs for this long, where others have room.
+/// A server that fails what others would run gets no further runs for this long.
 constexpr Duration failureAvoidance { 8000 };
 
 const StepSpecification& specificationOf(const Job& job, int step)
@@ -218,6 +218,7 @@
 
     if (ended.end == RunEnd::Done) {
         server.failedJobs.clear();
+        server.avoidUntil = {};
         if (specification.gang)
             this->finishGang(job, occurrence, ended.task.step, now);
         else if (!specification.longRunning)
@@ -230,9 +231,7 @@
         return;
     }
     if (ended.end == RunEnd::Failed) {
-        // A server that fails what others would run attracts more; a job that fails everywhere blames none.
-        if (task->failures == 0)
-            server.avoidUntil = now + failureAvoidance;
+        this->judgeServer(server, job, now);
         this->countFailure(ended.task, job, step, *task, now);
     }
     this->requeue(ended.task, step, *task, now);
@@ -241,6 +240,23 @@
     this->updateJob(job, now);
 }
 
+void JobTracker::judgeServer(BackendServer& server, Job& job, SteadyTime now)
+{
+    job.failedOn.insert(server.address.id);
+    server.failedJobs.insert(job.record.id);
+    // A job that fails wherever it runs says nothing about servers; a server that fails several jobs is to blame.
+    if (job.failedOn.size() == 1 || server.failedJobs.size() > 1) {
+        server.avoidUntil = now + failureAvoidance;
+        return;
+    }
+    for (const std::string& id : job.failedOn) {
+        const auto blamed = this->board.servers.find(id);
+        if (blamed != this->board.servers.end() && blamed->second.failedJobs.size() == 1
+            && blamed->second.failedJobs.contains(job.record.id))
+            blamed->second.avoidUntil = {};
+    }
+}
+
 void JobTracker::finishTask(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime)
 {
     Step& done = stepAt(occurrence, step);
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -65,6 +65,7 @@
     void finishTask(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime now);
     void finishGang(Job& job, Occurrence& occurrence, int step, SteadyTime now);
     void countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now);
+    void judgeServer(BackendServer& server, Job& job, SteadyTime now);
     void requeue(const TaskName& name, Step& step, Task& task, SteadyTime now);
     void stopGang(const TaskName& name, const std::string& reason, SteadyTime now);
     void updateReadiness(const Job& job, Occurrence& occurrence, SteadyTime now);
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -14,13 +14,15 @@
 /// Racks are held ready for this multiple of the recent peak of urgent work.
 constexpr double readyMargin = 1.1;
 /// At most this share of a service is held ready, so that ordinary work goes on.
-constexpr double largestReadyShare = 0.6;
+constexpr double largestReadyShare = 0.55;
 /// At most this share of the servers drains for gangs that wait; smaller work goes on elsewhere.
 constexpr double largestClaimedShare = 0.4;
+/// When more servers than this share are avoided, they are used last instead of not at all.
+constexpr double largestAvoidedShare = 0.3;
 /// A run that is stopped costs this much besides what it has done: it has to start again.
 constexpr double restartCostMs = 2000;
 /// The peak of urgent work is forgotten by half in this time; bursts last a few seconds.
-constexpr Duration peakHalfLife { 8000 };
+constexpr Duration peakHalfLife { 5000 };
 
 std::int64_t acceleratorsOfFirstSteps(const Job& job)
 {
@@ -183,7 +185,8 @@
 {
     std::vector<PlacementServer> servers;
     for (const auto& [id, server] : board.servers) {
-        if (server.service != unit.queue->service || !usable(server) || this->claimed.contains(id))
+        if (server.service != unit.queue->service || !usable(server) || this->claimed.contains(id)
+            || (now < server.avoidUntil && this->excludeAvoided))
             continue;
         const auto cleared = this->clearing.find(id);
         if (cleared != this->clearing.end() && cleared->second.jobId != unit.job->record.id
@@ -278,7 +281,8 @@
         bestOccupied = occupied;
     }
     const std::size_t limit = static_cast<std::size_t>(largestClaimedShare * static_cast<double>(board.servers.size()));
-    if (!best || this->claimed.size() + wanted > limit)
+    // The first gang in the queue always gets its servers, however many it needs.
+    if (!best || (!this->claimed.empty() && this->claimed.size() + wanted > limit))
         return;
     for (std::size_t index = 0; index < wanted; ++index)
         this->claimed.insert((*best)[index].second);
@@ -442,6 +446,10 @@
             || board.jobs.at(entry.second.jobId).ended();
     });
     const std::vector<Unit> units = waitingUnits(board, now);
+    const auto avoided
+        = std::ranges::count_if(board.servers, [&](const auto& entry) { return now < entry.second.avoidUntil; });
+    this->excludeAvoided
+        = static_cast<double>(avoided) <= largestAvoidedShare * static_cast<double>(board.servers.size());
     this->measureLoad(board, usable, units, now);
     this->holdServersReady(board, usable);
     for (const Unit& unit : units)
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -91,6 +91,7 @@
     std::map<std::string, Clearing> clearing; ///< by server
     std::map<std::string, ServiceLoad> load; ///< by service, in this pass
     std::map<std::string, double> urgentPeak; ///< recent need of urgent work in accelerators, by service
+    bool excludeAvoided = true;
     SteadyTime peakMeasuredAt {};
     std::set<std::string> claimed; ///< servers that drain for a waiting gang in this pass
     std::set<std::string> heldReady; ///< servers kept for urgent work in this pass
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -219,9 +219,11 @@
     server.incarnation = answer.startedAt;
     server.handled = 0;
     server.acknowledged = 0;
-    std::set<TaskName> running;
+    std::set<TaskName> known;
     for (const ActiveRun& active : answer.active)
-        running.insert(active.task);
+        known.insert(active.task);
+    for (const EndedRun& ended : answer.ended)
+        known.insert(ended.task); // was started after the restart; its end is taken over next
     if (!first)
         this->effects.log(Event::ServerRestarted,
             { { "server", server.address.id }, { "incarnation", answer.startedAt },
@@ -232,7 +234,7 @@
         const bool current = task && task->run && task->run->server == server.address.id;
         if (!current)
             server.occupants.erase(name);
-        else if (task->run->incarnation != answer.startedAt && !running.contains(name)
+        else if (task->run->incarnation != answer.startedAt && !known.contains(name)
             && task->run->phase != RunPhase::Recording)
             this->tracker.runLost(name, RunLoss::ServerRestarted, now);
     }
@@ -314,8 +316,8 @@
     run.orderOpen = true;
     run.nextOrderAt = now + orderRetryPause;
     this->extendLease(server, now);
-    if (server.nextLookAt > now + lookWait && server.handled == server.acknowledged)
-        server.nextLookAt = now + orderRetryPause;
+    if (server.handled == server.acknowledged)
+        server.nextLookAt = std::min(server.nextLookAt, now + orderRetryPause);
     this->effects.push(ServerCall { .server = server.address,
         .order = StartOrder { .task = name,
             .attempt = run.attempt,
--- /dev/null
+++ b/tests/auto/scheduling/tst_configurationfollower.cpp
@@ -0,0 +1,106 @@
+#include "scheduling/configurationfollower.h"
+#include "support/fakestore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill::Scheduling;
+using namespace WisteriaHill::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+const RowKey document { "op", "", "config" };
+
+struct FollowerBench {
+    Effects effects;
+    SteadyTime now { 1000s };
+    FakeStore store;
+    std::vector<std::int64_t> applied;
+    std::vector<WatchCall> watches;
+    ConfigurationFollower follower { this->effects, document,
+        [](const std::string& text) -> std::variant<FleetConfiguration, ConfigurationFault> {
+            if (text.empty() || text.find_first_not_of("0123456789") != std::string::npos)
+                return ConfigurationFault { "no number" };
+            return FleetConfiguration { .version = std::stoll(text) };
+        },
+        [this]() { return this->now; } };
+
+    FollowerBench()
+    {
+        this->follower.onApplied(
+            [this](const auto& configuration) { this->applied.push_back(configuration->version); });
+    }
+
+    void settle()
+    {
+        this->follower.tick(this->now);
+        while (!this->effects.empty()) {
+            Effect effect = this->effects.pop();
+            if (const auto* read = std::get_if<ReadCall>(&effect))
+                read->done(this->store.read(read->range));
+            else if (auto* watch = std::get_if<WatchCall>(&effect))
+                this->watches.push_back(std::move(*watch));
+        }
+        this->now += 200ms;
+    }
+
+    void answerWatches()
+    {
+        for (const WatchCall& watch : std::exchange(this->watches, {}))
+            watch.done(this->store.changes(watch.table, watch.after));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a configuration is followed and never goes back")
+{
+    FollowerBench bench;
+    bench.settle();
+    CHECK(bench.applied.empty());
+    bench.store.put(document, "4");
+    bench.settle();
+    bench.store.put(document, "7");
+    bench.settle();
+    bench.answerWatches();
+    bench.store.put(document, "5");
+    bench.settle();
+    bench.answerWatches();
+    CHECK(bench.applied == std::vector<std::int64_t> { 4, 7 });
+}
+
+TEST_CASE("a version that another daemon has is read at once, whatever the watch does")
+{
+    FollowerBench bench;
+    bench.store.put(document, "4");
+    bench.settle();
+    bench.store.put(document, "9");
+    bench.follower.heardVersion(9, bench.now);
+    bench.settle(); // the watch has not answered
+    CHECK(bench.follower.inForce()->version == 9);
+}
+
+TEST_CASE("an unreadable document leaves the one before in force")
+{
+    FollowerBench bench;
+    bench.store.put(document, "4");
+    bench.settle();
+    bench.store.put(document, "garbage");
+    bench.settle();
+    bench.answerWatches();
+    bench.settle();
+    CHECK(bench.follower.inForce()->version == 4);
+}
+
+TEST_CASE("lost history leads to a read")
+{
+    FollowerBench bench;
+    bench.store.put(document, "4");
+    bench.settle();
+    bench.settle();
+    bench.store.put(document, "6");
+    bench.store.forgottenUpTo = bench.store.version();
+    bench.answerWatches();
+    bench.settle();
+    CHECK(bench.follower.inForce()->version == 6);
+}
--- /dev/null
+++ b/tests/auto/scheduling/tst_intake.cpp
@@ -0,0 +1,178 @@
+#include "scheduling/intake.h"
+#include "support/fakestore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill::Scheduling;
+using namespace WisteriaHill::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* jobId = "0123456789abcdef";
+
+struct IntakeBench {
+    Effects effects;
+    SteadyTime now { 1000s };
+    FakeStore store;
+    Intake intake { this->effects, [this]() { return this->now; } };
+    std::optional<CallerAnswer> answer;
+    CallerContext context { .host = "mill.example", .path = std::string("/cut/") + jobId, .key = "key" };
+
+    IntakeBench()
+    {
+        FleetConfiguration configuration { .version = 3 };
+        configuration.queues.push_back({ .name = "cut", .host = "mill.example", .pathPrefix = "/cut/" });
+        configuration.accounts.push_back({ .name = "mill", .keys = { "key" } });
+        this->intake.setConfiguration(std::make_shared<const FleetConfiguration>(configuration));
+    }
+
+    AnswerCaller capture()
+    {
+        return [this](const CallerAnswer& given) { this->answer = given; };
+    }
+
+    void submit()
+    {
+        this->intake.submit(
+            this->context, jobId, { .payload = "round", .steps = { {} } }, StoreTime(5), this->capture());
+        this->settle();
+    }
+
+    /// Carries out effects; a call without an answer takes its whole time.
+    void settle()
+    {
+        while (!this->effects.empty()) {
+            Effect effect = this->effects.pop();
+            if (const auto* commit = std::get_if<CommitCall>(&effect)) {
+                const CommitResult result = this->store.commit(commit->transaction);
+                const auto* error = std::get_if<StoreError>(&result);
+                this->now += error && *error == StoreError::Unknown ? commit->timeout : Duration(2);
+                commit->done(result);
+            } else if (const auto* read = std::get_if<ReadCall>(&effect)) {
+                const ReadResult result = this->store.read(read->range);
+                this->now += std::holds_alternative<StoreError>(result) ? read->timeout : Duration(2);
+                read->done(result);
+            }
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("a job is accepted once its row is stored")
+{
+    IntakeBench bench;
+    bench.submit();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::Accepted);
+    CHECK(bench.store.find({ StoreTable::jobs, StoreTable::intakePartition, jobId }));
+}
+
+TEST_CASE("a job is accepted when the store stored it and the answer was lost")
+{
+    IntakeBench bench;
+    bench.store.loseAnswers = 1;
+    bench.submit();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::Accepted);
+}
+
+TEST_CASE("a refusal is true and at once: nothing was stored, and it says when to come back")
+{
+    IntakeBench bench;
+    const SteadyTime begin = bench.now;
+    bench.store.down = true;
+    bench.submit();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::NotAccepted);
+    CHECK(bench.answer->retryAfter > 0ms);
+    CHECK(bench.now - begin < 100ms);
+    bench.store.down = false;
+    CHECK_FALSE(bench.store.find({ StoreTable::jobs, StoreTable::intakePartition, jobId }));
+}
+
+TEST_CASE("a job is never refused while a write without an answer may still be carried out")
+{
+    IntakeBench bench;
+    bench.store.silent = true;
+    const SteadyTime begin = bench.now;
+    bench.submit();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::Uncertain);
+    CHECK(bench.now - begin <= 3500ms);
+}
+
+TEST_CASE("the same job submitted twice is one job")
+{
+    IntakeBench bench;
+    bench.submit();
+    bench.answer.reset();
+    bench.submit();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::Accepted);
+}
+
+TEST_CASE("unknown queues, keys and jobs have answers of their own")
+{
+    IntakeBench bench;
+    bench.context.key = "stolen";
+    bench.submit();
+    CHECK(bench.answer->outcome == CallerOutcome::UnknownKey);
+    bench.context.key = "key";
+    bench.context.host = "other.example";
+    bench.submit();
+    CHECK(bench.answer->outcome == CallerOutcome::UnknownQueue);
+    bench.context.host = "mill.example";
+    bench.intake.state(bench.context, jobId, bench.capture());
+    bench.settle();
+    CHECK(bench.answer->outcome == CallerOutcome::UnknownJob);
+    bench.intake.cancel(bench.context, jobId, bench.capture());
+    bench.settle();
+    CHECK(bench.answer->outcome == CallerOutcome::UnknownJob);
+}
+
+TEST_CASE("an accepted job is shown as queued until the scheduler stores a state")
+{
+    IntakeBench bench;
+    bench.submit();
+    bench.intake.state(bench.context, jobId, bench.capture());
+    bench.settle();
+    CHECK(bench.answer->outcome == CallerOutcome::State);
+    CHECK(bench.answer->state == JobState::Queued);
+    bench.store.put({ StoreTable::states, StoreTable::schedulerPartition, jobId }, encodeState(JobState::Completed));
+    bench.intake.state(bench.context, jobId, bench.capture());
+    bench.settle();
+    CHECK(bench.answer->state == JobState::Completed);
+}
+
+TEST_CASE("a state that cannot be read is not called unknown job")
+{
+    IntakeBench bench;
+    bench.submit();
+    bench.store.down = true;
+    bench.intake.state(bench.context, jobId, bench.capture());
+    bench.settle();
+    CHECK(bench.answer->outcome == CallerOutcome::NotReady);
+}
+
+TEST_CASE("a cancelled job has a stored mark")
+{
+    IntakeBench bench;
+    bench.submit();
+    bench.store.loseAnswers = 1;
+    bench.intake.cancel(bench.context, jobId, bench.capture());
+    bench.settle();
+    CHECK(bench.answer->outcome == CallerOutcome::Accepted);
+    CHECK(bench.store.find({ StoreTable::jobs, StoreTable::intakePartition, cancelKey(jobId) }));
+}
+
+TEST_CASE("an id is 16 hexadecimal digits behind the queue's prefix")
+{
+    const Queue queue { .pathPrefix = "/cut/" };
+    CHECK(jobIdInPath("/cut/0123456789abcdef", queue) == "0123456789abcdef");
+    CHECK_FALSE(jobIdInPath("/cut/0123456789abcde", queue));
+    CHECK_FALSE(jobIdInPath("/cut/0123456789abcdeg", queue));
+    CHECK_FALSE(jobIdInPath("/cut/0123456789abcdef0", queue));
+    CHECK_FALSE(jobIdInPath("/cut/", queue));
+}
--- /dev/null
+++ b/tests/auto/scheduling/tst_peers.cpp
@@ -0,0 +1,94 @@
+#include "scheduling/peers.h"
+#include "scheduling/storeroute.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace WisteriaHill::Scheduling;
+using namespace std::chrono_literals;
+
+namespace {
+
+PeerHeartbeat makeHeartbeat(const std::string& node, bool storeReachable)
+{
+    return { .node = node,
+        .address = "10.0.0.2",
+        .heartbeatPort = 7000,
+        .relayPort = 8000,
+        .incarnation = 1,
+        .storeReachable = storeReachable,
+        .pending = { { "h /p/", 3 } } };
+}
+
+struct RouteBench {
+    Effects effects;
+    SteadyTime now { 1000s };
+    PeerDirectory peers { this->effects, { .node = "self" }, [this]() { return this->now; } };
+    StoreRoute route { this->effects, { .address = "10.0.0.1", .port = 80 } };
+};
+
+} // namespace
+
+TEST_CASE("heartbeats are read as they were written, and other bytes are refused")
+{
+    const PeerHeartbeat heartbeat = makeHeartbeat("a", true);
+    const auto read = decodePeerHeartbeat(encodePeerHeartbeat(heartbeat));
+    REQUIRE(read);
+    CHECK(read->node == "a");
+    CHECK(read->pending == heartbeat.pending);
+    const std::string bytes = encodePeerHeartbeat(heartbeat);
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(decodePeerHeartbeat(bytes.substr(0, length)));
+    CHECK(rc::check([](const std::string& other) { decodePeerHeartbeat(other); }));
+}
+
+TEST_CASE("store calls go through another daemon when the store turns this one away, and come back")
+{
+    RouteBench bench;
+    bench.peers.heard(makeHeartbeat("helper", true), bench.now);
+    const StoreEndpoint direct = bench.route.choose(bench.peers, bench.now);
+    CHECK(direct.relay.empty());
+    bench.route.report(direct, false, bench.now);
+    CHECK(bench.route.choose(bench.peers, bench.now).relay.empty()); // one lost answer says nothing
+    bench.route.report(direct, false, bench.now);
+    CHECK(bench.route.choose(bench.peers, bench.now).relay == "helper");
+    bench.now += 600ms;
+    bench.peers.heard(makeHeartbeat("helper", true), bench.now);
+    CHECK(bench.route.choose(bench.peers, bench.now).relay.empty()); // now and then the direct way is tried
+    CHECK(bench.route.choose(bench.peers, bench.now).relay == "helper");
+    bench.route.report(direct, true, bench.now);
+    CHECK(bench.route.choose(bench.peers, bench.now).relay.empty());
+}
+
+TEST_CASE("daemons that the store turns away too are no way to it")
+{
+    RouteBench bench;
+    bench.peers.heard(makeHeartbeat("helpless", false), bench.now);
+    const StoreEndpoint direct = bench.route.choose(bench.peers, bench.now);
+    bench.route.report(direct, false, bench.now);
+    bench.route.report(direct, false, bench.now);
+    CHECK(bench.route.choose(bench.peers, bench.now).relay.empty());
+}
+
+TEST_CASE("a relay that fails is left for another one")
+{
+    RouteBench bench;
+    bench.peers.heard(makeHeartbeat("first", true), bench.now);
+    bench.peers.heard(makeHeartbeat("second", true), bench.now);
+    const StoreEndpoint direct = bench.route.choose(bench.peers, bench.now);
+    bench.route.report(direct, false, bench.now);
+    bench.route.report(direct, false, bench.now);
+    const StoreEndpoint relay = bench.route.choose(bench.peers, bench.now);
+    bench.route.report(relay, false, bench.now);
+    const StoreEndpoint other = bench.route.choose(bench.peers, bench.now);
+    CHECK_FALSE(other.relay.empty());
+    CHECK(other.relay != relay.relay);
+}
+
+TEST_CASE("a daemon whose time of day jumped is outvoted")
+{
+    const Peer right { .last = { .wallOffset = 1000 } };
+    const Peer close { .last = { .wallOffset = 1010 } };
+    CHECK(agreedWallOffset(Duration(3400), { &right, &close }) == 1010ms);
+    CHECK(agreedWallOffset(Duration(1005), {}) == 1005ms);
+}
--- /dev/null
+++ b/tests/auto/scheduling/tst_rowcodec.cpp
@@ -0,0 +1,95 @@
+#include "scheduling/rowcodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace WisteriaHill::Scheduling;
+
+namespace {
+
+JobRecord makeRecord()
+{
+    JobRecord record {
+        .id = "0123456789abcdef", .host = "h", .pathPrefix = "/p/", .account = "a", .acceptedAt = StoreTime(7)
+    };
+    record.specification.payload = "text";
+    record.specification.steps = { { .taskCount = 2, .gang = true }, { .taskCount = 1, .prerequisites = { 0 } } };
+    record.specification.occurrences = 3;
+    record.specification.interval = Duration(500);
+    return record;
+}
+
+Occurrence makeOccurrence()
+{
+    Occurrence occurrence;
+    occurrence.steps.resize(2);
+    occurrence.steps[0].tasks.resize(2);
+    occurrence.steps[1].tasks.resize(1);
+    return occurrence;
+}
+
+} // namespace
+
+TEST_CASE("jobs are read as they were written")
+{
+    const JobRecord record = makeRecord();
+    const std::optional<JobRecord> read = decodeJob(encodeJob(record));
+    REQUIRE(read);
+    CHECK(read->id == record.id);
+    CHECK(read->account == record.account);
+    CHECK(read->specification == record.specification);
+}
+
+TEST_CASE("progress keeps attempts, failures, checkpoints and runs")
+{
+    Occurrence occurrence = makeOccurrence();
+    Task& task = occurrence.steps[0].tasks[1];
+    task.phase = TaskPhase::Running;
+    task.attempts = 4;
+    task.failures = 1;
+    task.checkpoint = "c";
+    task.run = Run { .attempt = 4, .server = "s", .incarnation = 9, .checkpoint = "c" };
+    occurrence.steps[1].tasks[0].phase = TaskPhase::Done;
+    Occurrence read = makeOccurrence();
+    REQUIRE(decodeProgress(encodeProgress(occurrence), read));
+    REQUIRE(read.steps[0].tasks[1].run);
+    CHECK(read.steps[0].tasks[1].run->server == "s");
+    CHECK(read.steps[0].tasks[1].run->attempt == 4);
+    CHECK(read.steps[0].tasks[1].failures == 1);
+    CHECK(read.steps[1].tasks[0].phase == TaskPhase::Done);
+    CHECK(read.steps[0].tasks[0].phase == TaskPhase::Waiting);
+}
+
+TEST_CASE("rows of other writers are refused, never half read")
+{
+    CHECK_FALSE(decodeJob("not json"));
+    CHECK_FALSE(decodeJob(R"({"id":5})"));
+    CHECK_FALSE(decodeLeadership(R"({"holder":"a"})"));
+    CHECK_FALSE(decodeState("finished"));
+    Occurrence occurrence = makeOccurrence();
+    CHECK_FALSE(decodeProgress(R"([[],[],[]])", occurrence));
+    CHECK_FALSE(decodeProgress(R"([[[7,1,1,0,""]],[]])", occurrence));
+    CHECK_FALSE(decodeProgress(R"([["x"],[]])", occurrence));
+}
+
+TEST_CASE("whatever bytes a row holds, decoding ends")
+{
+    CHECK(rc::check([](const std::string& bytes) {
+        Occurrence occurrence = makeOccurrence();
+        decodeJob(bytes);
+        decodeLeadership(bytes);
+        decodeMember(bytes);
+        decodeState(bytes);
+        decodeProgress(bytes, occurrence);
+    }));
+}
+
+TEST_CASE("task names are read as they were written, and nothing else is a task name")
+{
+    TaskName name;
+    REQUIRE(parseTaskName("0123456789abcdef.0.1.17", name));
+    CHECK(name == TaskName { "0123456789abcdef", 0, 1, 17 });
+    CHECK(formatTaskName(name) == "0123456789abcdef.0.1.17");
+    for (const char* text : { "", ".", "a", "a.1", "a.1.2", "a.1.2.", "a.1.2.x", "a.1.2.3.4", "a.-1.2.3", ".0.0.0" })
+        CHECK_FALSE(parseTaskName(text, name));
+}
--- /dev/null
+++ b/tests/auto/scheduling/tst_scheduler_faults.cpp
@@ -0,0 +1,223 @@
+#include "support/schedulerbench.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace WisteriaHill::Scheduling;
+using namespace WisteriaHill::TestSupport;
+using namespace std::chrono_literals;
+
+TEST_CASE("runs on a server that went silent for good start elsewhere once its lease is over")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 4000ms) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    FakeServer& gone = bench.serverRunning("job");
+    gone.alive = false;
+    bench.run(1s);
+    bench.removeEntry(gone);
+    CHECK(bench.runUntil("job", JobState::Completed, 14s));
+    CHECK(bench.startsOf("job") == 2);
+}
+
+TEST_CASE("a run on a server that is only cut off never runs twice at the same time")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 30s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    FakeServer& cut = bench.serverRunning("job");
+    cut.reachable = false;
+    bench.removeEntry(cut);
+    bench.run(12s);
+    CHECK(bench.startsOf("job") == 2);
+    cut.reachable = true;
+    bench.putEntry(cut);
+    bench.run(3s);
+    CHECK(bench.activeTasks("job") == 1);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("another daemon takes over from a killed leader within two seconds and adopts its runs")
+{
+    SchedulerBench bench({ .daemons = 3 });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(4, 1, 5s) });
+    REQUIRE(bench.runUntilActive("job", 4, 1s));
+    const std::size_t first = bench.leader();
+    bench.killDaemon(first);
+    bench.run(2s);
+    REQUIRE(bench.leader() < 3);
+    CHECK(bench.leader() != first);
+    bench.submit("next", "ordinary", { makeStep(1, 1, 500ms) });
+    CHECK(bench.runUntil("next", JobState::Completed, 2s));
+    CHECK(bench.runUntil("job", JobState::Completed, 5s));
+    CHECK(bench.startsOf("job") == 4);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a leader that was paused past a takeover neither stores nor starts anything")
+{
+    SchedulerBench bench({ .daemons = 2 });
+    bench.run(2s);
+    const std::size_t first = bench.leader();
+    bench.submit("job", "ordinary", { makeStep(6, 1, 3s) });
+    bench.pauseDaemon(first);
+    bench.run(3s);
+    REQUIRE(bench.leader() != first);
+    bench.resumeDaemon(first);
+    CHECK(bench.runUntil("job", JobState::Completed, 6s));
+    CHECK(bench.startsOf("job") == 6);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a transaction whose answer is lost is settled without giving up the leadership")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    const std::size_t first = bench.leader();
+    bench.store.loseAnswers = 1;
+    bench.submit("job", "ordinary", { makeStep(2, 1, 500ms) });
+    CHECK(bench.runUntil("job", JobState::Completed, 4s));
+    CHECK(bench.leader() == first);
+    CHECK(bench.startsOf("job") == 2);
+}
+
+TEST_CASE("runs go on and end while the store is down, and nothing new starts")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(2, 1, 8s) });
+    REQUIRE(bench.runUntilActive("job", 2, 1s));
+    bench.store.down = true;
+    bench.run(7s);
+    CHECK(bench.activeTasks("job") == 2);
+    bench.run(1500ms);
+    bench.store.down = false;
+    CHECK(bench.runUntil("job", JobState::Completed, 2s));
+    CHECK(bench.startsOf("job") == 2);
+}
+
+TEST_CASE("a start that was delayed and refused elsewhere does not run beside its successor")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 2 });
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).delayOrders = 1;
+    bench.submit("job", "ordinary", { makeStep(1, 1, 6s) });
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).releaseDelayedOrders();
+    bench.run(2s);
+    CHECK(bench.activeTasks("job") == 1);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a server that restarts under its id loses its runs at once")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 3s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    bench.serverRunning("job").restart();
+    CHECK(bench.runUntilActive("job", 1, 2500ms));
+    CHECK(bench.runUntil("job", JobState::Completed, 4s));
+}
+
+TEST_CASE("a server that fails everything does not use up the attempts of a job")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 4 });
+    bench.run(2s);
+    bench.server(0).health = ServerHealth::FailsAll;
+    for (int index = 0; index < 6; ++index)
+        bench.submit("job-" + std::to_string(index), "ordinary", { makeStep(2, 4, 1000ms) });
+    for (int index = 0; index < 6; ++index)
+        CHECK(bench.runUntil("job-" + std::to_string(index), JobState::Completed, 8s));
+}
+
+TEST_CASE("a run that stands still is started elsewhere")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 2s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    bench.serverRunning("job").health = ServerHealth::StandsStill;
+    CHECK(bench.runUntil("job", JobState::Completed, 10s));
+}
+
+TEST_CASE("compacted history costs a read and loses no job")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.store.down = true;
+    bench.run(500ms);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 500ms) });
+    bench.store.forgottenUpTo = bench.store.version() + 1;
+    bench.store.down = false;
+    CHECK(bench.runUntil("job", JobState::Completed, 8s));
+}
+
+TEST_CASE("whatever fails in whatever order, every job completes and no task runs twice")
+{
+    CHECK(rc::check([] {
+        SchedulerBench bench({ .daemons = 3, .racks = 2, .serversPerRack = 3 });
+        bench.run(2s);
+        const int jobs = *rc::gen::inRange(2, 6);
+        for (int index = 0; index < jobs; ++index) {
+            StepSpecification step = makeStep(*rc::gen::inRange(1, 5), *rc::gen::element(1, 2, 4, 8), 1500ms);
+            step.gang = *rc::gen::arbitrary<bool>();
+            bench.submit("job-" + std::to_string(index),
+                *rc::gen::element<std::string>("urgent", "ordinary", "background"), { step });
+        }
+        const int faults = *rc::gen::inRange(1, 8);
+        for (int fault = 0; fault < faults; ++fault) {
+            FakeServer& server = bench.server(*rc::gen::inRange<std::size_t>(0, bench.serverCount()));
+            const auto daemon = *rc::gen::inRange<std::size_t>(0, 3);
+            switch (*rc::gen::inRange(0, 9)) {
+            case 0:
+                bench.killDaemon(daemon);
+                bench.run(700ms);
+                bench.startDaemon(daemon);
+                break;
+            case 1:
+                server.reachable = !server.reachable;
+                break;
+            case 2:
+                server.restart();
+                break;
+            case 3:
+                server.loseAnswers = 2;
+                break;
+            case 4:
+                bench.store.loseAnswers = 2;
+                break;
+            case 5:
+                bench.store.down = !bench.store.down;
+                break;
+            case 6:
+                bench.pauseDaemon(daemon);
+                bench.run(1800ms);
+                bench.resumeDaemon(daemon);
+                break;
+            case 7:
+                server.delayOrders = 2;
+                break;
+            case 8:
+                bench.cut(daemon, server.entry.id);
+                break;
+            default:
+                break;
+            }
+            bench.run(Duration(*rc::gen::inRange(50, 2500)));
+            server.releaseDelayedOrders();
+        }
+        bench.store.down = false;
+        bench.heal();
+        for (std::size_t index = 0; index < bench.serverCount(); ++index)
+            bench.server(index).reachable = true;
+        for (int index = 0; index < jobs; ++index)
+            RC_ASSERT(bench.runUntil("job-" + std::to_string(index), JobState::Completed, 40s));
+        RC_ASSERT(bench.violations() == std::vector<std::string> {});
+    }));
+}
--- /dev/null
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -0,0 +1,100 @@
+// What callers get under load: each case plays the load that a decision of the planner answers.
+
+#include "support/schedulerbench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill::Scheduling;
+using namespace WisteriaHill::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Jobs of single tasks that fill the service, and more behind them.
+void fillWithBackground(SchedulerBench& bench, int jobs, Duration work)
+{
+    for (int index = 0; index < jobs; ++index)
+        bench.submit("background-" + std::to_string(index), "background", { makeStep(8, 1, work) });
+    bench.run(500ms);
+}
+
+StepSpecification gangStep(int count, std::int64_t accelerators, Duration work)
+{
+    StepSpecification step = makeStep(count, accelerators, work);
+    step.gang = true;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("a guaranteed job starts within the bound on a service that is full of others' work")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    fillWithBackground(bench, 12, 30s);
+    bench.submit("urgent", "urgent", { gangStep(2, 8, 2000ms) });
+    CHECK(bench.runUntilActive("urgent", 2, 2000ms)); // the bound is 2.7 s, of which the client's way takes some
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a guaranteed job of one rack starts within the bound when other guaranteed work stands in every rack")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    // One accelerator taken on each server of both racks, by work that may not be stopped.
+    for (int index = 0; index < 8; ++index)
+        bench.submit("holder-" + std::to_string(index), "urgent", { makeStep(1, 1, 20s) });
+    StepSpecification spread = makeStep(8, 7, 20s);
+    bench.submit("others", "ordinary", { spread });
+    bench.run(500ms);
+    StepSpecification gang = gangStep(4, 2, 2000ms);
+    gang.sameRack = true;
+    bench.submit("urgent", "urgent", { gang });
+    CHECK(bench.runUntilActive("urgent", 4, 2000ms));
+}
+
+TEST_CASE("a gang that needs whole servers starts although small work never stops coming")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    fillWithBackground(bench, 10, 1500ms);
+    bench.submit("gang", "ordinary", { gangStep(4, 8, 2000ms) });
+    bool started = false;
+    for (int round = 0; round < 40 && !started; ++round) {
+        bench.submit("small-" + std::to_string(round), "background", { makeStep(6, 1, 1500ms) });
+        bench.run(150ms);
+        started = bench.activeTasks("gang") == 4;
+    }
+    CHECK(started); // within 6 s: four times the length of the work that stands in its way
+}
+
+TEST_CASE("a gang that no rack can hold does not wait for one")
+{
+    SchedulerBench bench({ .racks = 2, .serversPerRack = 3 });
+    bench.run(2s);
+    StepSpecification gang = gangStep(5, 8, 1000ms);
+    gang.sameRack = true;
+    bench.submit("wide", "ordinary", { gang });
+    CHECK(bench.runUntilActive("wide", 5, 500ms));
+}
+
+TEST_CASE("a gang of one rack waits for a rack that will be free rather than span two")
+{
+    SchedulerBench bench({ .racks = 2, .serversPerRack = 2 });
+    bench.run(2s);
+    bench.submit("first", "ordinary", { gangStep(1, 8, 1500ms) });
+    bench.submit("second", "ordinary", { gangStep(1, 8, 10s) });
+    bench.run(300ms);
+    StepSpecification gang = gangStep(2, 8, 1000ms);
+    gang.sameRack = true;
+    bench.submit("pair", "ordinary", { gang });
+    REQUIRE(bench.runUntilActive("pair", 2, 4s));
+    std::set<std::string> racks;
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        for (const auto& [name, task] : bench.server(index).active) {
+            if (name.jobId == "pair")
+                racks.insert(bench.server(index).entry.rack);
+        }
+    }
+    CHECK(racks.size() == 1);
+}
--- /dev/null
+++ b/tests/support/fakeserver.cpp
@@ -0,0 +1,171 @@
+#include "support/fakeserver.h"
+
+#include "utils/result.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::TestSupport {
+
+using namespace Scheduling;
+
+namespace {
+
+constexpr Duration maximumLease { 6000 };
+constexpr Duration stopTime { 200 };
+constexpr std::int64_t wholePercent = 100;
+
+} // namespace
+
+OrderResult FakeServer::handle(const ServerOrder& order, const Resources& need, Duration work)
+{
+    if (!this->alive || !this->reachable)
+        return NoAnswer {};
+    if (const auto* start = std::get_if<StartOrder>(&order); start && this->delayOrders > 0) {
+        --this->delayOrders;
+        this->delayed.push_back({ *start, need, work });
+        return NoAnswer {};
+    }
+    OrderResult result
+        = std::visit(Utils::Overloaded { [&](const StartOrder& start) { return this->start(start, need, work); },
+                         [&](const StopOrder& stop) { return this->stop(stop); },
+                         [&](const LookOrder& look) { return this->look(look); },
+                         [&](const PaceOrder&) { return OrderResult(OrderDone { this->clock }); } },
+            order);
+    if (this->loseAnswers > 0) {
+        --this->loseAnswers;
+        return NoAnswer {};
+    }
+    return result;
+}
+
+OrderResult FakeServer::start(const StartOrder& order, const Resources& need, Duration work)
+{
+    if (order.token < this->highestToken)
+        return OrderRefusal::Fenced;
+    this->highestToken = order.token;
+    const auto running = this->active.find(order.task);
+    if (running != this->active.end() && running->second.attempt == order.attempt)
+        return OrderDone { this->clock };
+    const auto closed = this->closedAttempts.find(order.task);
+    if ((closed != this->closedAttempts.end() && order.attempt <= closed->second) || running != this->active.end())
+        return OrderRefusal::Outdated;
+    if (order.leaseEnd <= this->clock)
+        return OrderRefusal::LeaseOver;
+    Resources free = this->entry.capacity;
+    for (const auto& [name, taken] : this->needs)
+        free -= taken;
+    if (!free.holds(need))
+        return OrderRefusal::NoRoom;
+    this->active[order.task]
+        = { .attempt = order.attempt, .work = work, .leaseEnd = std::min(order.leaseEnd, this->clock + maximumLease) };
+    this->needs[order.task] = need;
+    for (auto& [name, task] : this->active)
+        task.leaseEnd = std::max(task.leaseEnd, std::min(order.leaseEnd, this->clock + maximumLease));
+    return OrderDone { this->clock };
+}
+
+OrderResult FakeServer::stop(const StopOrder& order)
+{
+    if (order.token < this->highestToken)
+        return OrderRefusal::Fenced;
+    this->highestToken = order.token;
+    int& closed = this->closedAttempts[order.task];
+    closed = std::max(closed, order.attempt);
+    const auto running = this->active.find(order.task);
+    if (running != this->active.end() && running->second.attempt == order.attempt && !running->second.stopping) {
+        running->second.stopping = true;
+        running->second.stopLeft = stopTime;
+    }
+    return OrderDone { this->clock };
+}
+
+OrderResult FakeServer::look(const LookOrder& order)
+{
+    if (order.token < this->highestToken)
+        return OrderRefusal::Fenced;
+    this->highestToken = order.token;
+    if (order.leaseEnd) {
+        for (auto& [name, task] : this->active)
+            task.leaseEnd = std::max(task.leaseEnd, std::min(*order.leaseEnd, this->clock + maximumLease));
+    }
+    std::erase_if(this->ended, [&](const EndedRun& run) { return run.number <= order.acknowledged; });
+    LookAnswer answer { .clock = this->clock, .startedAt = this->startedAt };
+    for (const auto& [name, task] : this->active) {
+        const auto percent = task.work.count() > 0 ? wholePercent * task.worked.count() / task.work.count() : 0;
+        answer.active.push_back({ .task = name, .attempt = task.attempt, .percent = static_cast<int>(percent) });
+    }
+    answer.ended.assign(this->ended.begin(), this->ended.end());
+    return answer;
+}
+
+void FakeServer::end(const TaskName& task, RunEnd how)
+{
+    const int attempt = this->active.at(task).attempt;
+    if (how == RunEnd::Done)
+        this->done.insert(task);
+    this->ended.push_back({ .number = ++this->lastNumber, .task = task, .attempt = attempt, .end = how });
+    this->closedAttempts[task] = attempt;
+    this->active.erase(task);
+    this->needs.erase(task);
+}
+
+void FakeServer::releaseDelayedOrders()
+{
+    const std::vector<DelayedStart> late = std::exchange(this->delayed, {});
+    for (const DelayedStart& start : late) {
+        if (this->alive)
+            this->start(start.order, start.need, start.work);
+    }
+}
+
+void FakeServer::advance(Duration time)
+{
+    if (!this->alive)
+        return;
+    this->clock += time;
+    const std::map<TaskName, ActiveTask> before = this->active;
+    for (const auto& [name, unused] : before) {
+        ActiveTask& task = this->active.at(name);
+        if (task.leaseEnd <= this->clock) {
+            this->end(name, RunEnd::Lapsed);
+            continue;
+        }
+        if (task.stopping) {
+            task.stopLeft -= time;
+            if (task.stopLeft <= Duration(0))
+                this->end(name, RunEnd::Stopped);
+            continue;
+        }
+        if (this->health == ServerHealth::StandsStill)
+            continue;
+        if (this->health == ServerHealth::FailsAll) {
+            this->end(name, RunEnd::Failed);
+            continue;
+        }
+        task.worked += time;
+        if (task.worked >= task.work)
+            this->end(name, RunEnd::Done);
+    }
+}
+
+void FakeServer::restart()
+{
+    ++this->startedAt;
+    for (const EndedRun& lost : this->ended)
+        this->done.erase(lost.task);
+    this->active.clear();
+    this->needs.clear();
+    this->closedAttempts.clear();
+    this->ended.clear();
+    this->delayed.clear();
+    this->lastNumber = 0;
+    this->highestToken = 0;
+    this->clock = ServerTime(0);
+}
+
+bool FakeServer::hasEndAfter(std::int64_t acknowledged) const
+{
+    return std::ranges::any_of(this->ended, [&](const EndedRun& run) { return run.number > acknowledged; });
+}
+
+} // namespace WisteriaHill::TestSupport
--- /dev/null
+++ b/tests/support/fakeserver.h
@@ -0,0 +1,85 @@
+/// A backend server in memory for tests of the scheduling library: runs under leases and fencing tokens.
+#pragma once
+
+#include "scheduling/scheduler.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::TestSupport {
+
+/// How the server treats what it runs.
+enum class ServerHealth { Sound, FailsAll, StandsStill };
+
+/// Thread safety: none.
+class FakeServer {
+public:
+    FakeServer(Scheduling::ServerEntry entry, std::int64_t startedAt)
+        : entry(std::move(entry))
+        , startedAt(startedAt)
+    {
+    }
+
+    struct ActiveTask {
+        int attempt = 0;
+        Scheduling::Duration worked { 0 };
+        Scheduling::Duration work { 0 };
+        Scheduling::ServerTime leaseEnd { 0 };
+        bool stopping = false;
+        Scheduling::Duration stopLeft { 0 };
+    };
+
+    Scheduling::ServerEntry entry;
+    std::int64_t startedAt = 0;
+    bool reachable = true;
+    bool alive = true;
+    ServerHealth health = ServerHealth::Sound;
+    int loseAnswers = 0; ///< so many orders are carried out without an answer
+    int delayOrders = 0; ///< so many starts get no answer and are carried out later
+    std::map<Scheduling::TaskName, ActiveTask> active;
+    std::set<Scheduling::TaskName> done; ///< tasks that ended well here and whose end was not lost in a restart
+
+    /// Carries out an order; `work` is how long the task of a start takes.
+    Scheduling::OrderResult handle(
+        const Scheduling::ServerOrder& order, const Scheduling::Resources& need, Scheduling::Duration work);
+
+    /// Carries out the starts that were delayed.
+    void releaseDelayedOrders();
+
+    /// Lets time pass.
+    void advance(Scheduling::Duration time);
+
+    /// Begins a new incarnation that knows nothing.
+    void restart();
+
+    /// True when a look with this acknowledgement would list an end.
+    bool hasEndAfter(std::int64_t acknowledged) const;
+
+    const std::map<Scheduling::TaskName, Scheduling::Resources>& needsOfActive() const { return this->needs; }
+
+private:
+    struct DelayedStart {
+        Scheduling::StartOrder order;
+        Scheduling::Resources need;
+        Scheduling::Duration work { 0 };
+    };
+
+    Scheduling::OrderResult start(
+        const Scheduling::StartOrder& order, const Scheduling::Resources& need, Scheduling::Duration work);
+    Scheduling::OrderResult stop(const Scheduling::StopOrder& order);
+    Scheduling::OrderResult look(const Scheduling::LookOrder& order);
+    void end(const Scheduling::TaskName& task, Scheduling::RunEnd how);
+
+    Scheduling::ServerTime clock { 0 };
+    Scheduling::FencingToken highestToken = 0;
+    std::map<Scheduling::TaskName, Scheduling::Resources> needs;
+    std::map<Scheduling::TaskName, int> closedAttempts; ///< highest attempt that was stopped or has ended
+    std::deque<Scheduling::EndedRun> ended;
+    std::vector<DelayedStart> delayed;
+    std::int64_t lastNumber = 0;
+};
+
+} // namespace WisteriaHill::TestSupport
--- /dev/null
+++ b/tests/support/fakestore.cpp
@@ -0,0 +1,96 @@
+#include "support/fakestore.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::TestSupport {
+
+using namespace Scheduling;
+
+CommitResult FakeStore::apply(const Transaction& transaction)
+{
+    Conflict conflict;
+    bool matches = true;
+    for (const ExpectedRow& expected : transaction.expected) {
+        const auto found = this->rows.find(expected.key);
+        const RowVersion current = found == this->rows.end() ? 0 : found->second.version;
+        matches = matches && current == expected.version;
+        if (found != this->rows.end())
+            conflict.current.push_back(found->second);
+    }
+    if (!matches)
+        return conflict;
+    ++this->newest;
+    for (const WrittenRow& written : transaction.writes) {
+        const Row row { .key = written.key, .value = written.value, .version = this->newest };
+        this->rows[written.key] = row;
+        this->history.push_back(row);
+    }
+    for (const RowKey& key : transaction.removals) {
+        this->rows.erase(key);
+        this->history.push_back({ .key = key, .version = this->newest, .removed = true });
+    }
+    return Committed { this->newest };
+}
+
+CommitResult FakeStore::commit(const Transaction& transaction)
+{
+    if (this->down)
+        return StoreError::NotDone;
+    if (this->silent)
+        return StoreError::Unknown;
+    CommitResult result = this->apply(transaction);
+    if (this->loseAnswers > 0 && std::holds_alternative<Committed>(result)) {
+        --this->loseAnswers;
+        return StoreError::Unknown;
+    }
+    return result;
+}
+
+ReadResult FakeStore::read(const RowRange& range) const
+{
+    if (this->down)
+        return StoreError::NotDone;
+    if (this->silent)
+        return StoreError::Unknown;
+    RowPage page { .version = this->newest };
+    for (const auto& [key, row] : this->rows) {
+        const bool inside = key.table == range.table && key.partition == range.partition && key.key >= range.from
+            && (range.to.empty() || key.key < range.to);
+        if (!inside)
+            continue;
+        if (static_cast<int>(page.rows.size()) == range.limit) {
+            page.more = true;
+            break;
+        }
+        page.rows.push_back(row);
+    }
+    return page;
+}
+
+WatchResult FakeStore::changes(const std::string& table, RowVersion after) const
+{
+    if (this->down)
+        return StoreError::NotDone;
+    if (this->silent)
+        return StoreError::Unknown;
+    if (after < this->forgottenUpTo)
+        return HistoryGone {};
+    RowPage page { .version = this->newest };
+    for (const Row& row : this->history) {
+        if (row.key.table == table && row.version > after)
+            page.rows.push_back(row);
+    }
+    return page;
+}
+
+void FakeStore::put(const RowKey& key, const std::string& value) { this->apply({ .writes = { { key, value } } }); }
+
+void FakeStore::remove(const RowKey& key) { this->apply({ .removals = { key } }); }
+
+std::optional<std::string> FakeStore::find(const RowKey& key) const
+{
+    const auto found = this->rows.find(key);
+    return found == this->rows.end() ? std::nullopt : std::optional(found->second.value);
+}
+
+} // namespace WisteriaHill::TestSupport
--- /dev/null
+++ b/tests/support/schedulerbench.cpp
@@ -0,0 +1,371 @@
+#include "support/schedulerbench.h"
+
+#include "scheduling/placement.h"
+#include "scheduling/rowcodec.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::TestSupport {
+
+using namespace Scheduling;
+
+namespace {
+
+constexpr Duration tick { 10 };
+constexpr Duration networkDelay { 2 };
+constexpr Duration heartbeatInterval { 200 };
+constexpr const char* serverTable = "servers";
+constexpr const char* service = "scoring";
+constexpr Resources serverCapacity { .milliCores = 128'000, .memoryMb = 512'000, .accelerators = 8 };
+
+std::shared_ptr<const FleetConfiguration> makeConfiguration()
+{
+    FleetConfiguration configuration { .version = 1 };
+    const std::vector<std::string> names { "urgent", "ordinary", "background" };
+    for (std::size_t priority = 0; priority < names.size(); ++priority)
+        configuration.queues.push_back({ .name = names[priority],
+            .host = "mill.example",
+            .pathPrefix = "/" + names[priority] + "/",
+            .service = service,
+            .priority = static_cast<int>(priority),
+            .maximumAttempts = 3,
+            .stretchFactor = 3,
+            .targetDuration = Duration(1000) });
+    configuration.services.push_back({ .name = service });
+    configuration.accounts.push_back({ .name = "mill", .keys = { "key" }, .guaranteedAccelerators = 16 });
+    configuration.accounts.push_back({ .name = "shop", .keys = { "other" } });
+    return std::make_shared<const FleetConfiguration>(std::move(configuration));
+}
+
+} // namespace
+
+StepSpecification makeStep(int count, std::int64_t accelerators, Duration work)
+{
+    return { .taskCount = count,
+        .perTask = { .milliCores = 4000, .memoryMb = 16'000, .accelerators = accelerators },
+        .estimate = work };
+}
+
+SchedulerBench::SchedulerBench(Options givenOptions)
+    : options(givenOptions)
+    , time(std::chrono::seconds(1000))
+    , configuration(makeConfiguration())
+{
+    this->storeClock.note(StoreTime(1'000'000), this->time);
+    for (int rack = 0; rack < this->options.racks; ++rack) {
+        for (int position = 0; position < this->options.serversPerRack; ++position) {
+            const std::string number = std::to_string(rack) + "-" + std::to_string(position);
+            this->servers.push_back(std::make_unique<FakeServer>(ServerEntry { .id = "server-" + number,
+                                                                     .service = service,
+                                                                     .address = "10.0.0.1",
+                                                                     .port = 80,
+                                                                     .rack = "rack-" + std::to_string(rack),
+                                                                     .capacity = serverCapacity },
+                1));
+            this->putEntry(*this->servers.back());
+        }
+    }
+    for (int index = 0; index < this->options.daemons; ++index) {
+        this->daemons.push_back(std::make_unique<Daemon>());
+        this->startDaemon(static_cast<std::size_t>(index));
+    }
+}
+
+void SchedulerBench::startDaemon(std::size_t index)
+{
+    Daemon& daemon = *this->daemons.at(index);
+    daemon.life = ++this->lives;
+    daemon.alive = true;
+    daemon.paused = false;
+    SchedulerOptions schedulerOptions { .leadership = { .node = "daemon-" + std::to_string(index),
+                                            .incarnation = daemon.life,
+                                            .stagger = Duration(20 * static_cast<std::int64_t>(index)) },
+        .serverTable = serverTable };
+    daemon.scheduler = std::make_unique<Scheduler>(
+        schedulerOptions,
+        [this](const Row& row) -> std::optional<ServerEntry> {
+            const FakeServer* found = this->find(row.key.key);
+            if (!found || row.value.empty())
+                return std::nullopt;
+            ServerEntry entry = found->entry;
+            entry.draining = row.value == "draining";
+            return entry;
+        },
+        [this]() { return this->time; }, this->storeClock);
+    daemon.scheduler->setConfiguration(this->configuration);
+}
+
+void SchedulerBench::killDaemon(std::size_t index)
+{
+    this->daemons.at(index)->alive = false;
+    this->daemons.at(index)->scheduler.reset();
+}
+
+FakeServer* SchedulerBench::find(const std::string& id)
+{
+    const auto found = std::ranges::find_if(this->servers, [&](const auto& server) { return server->entry.id == id; });
+    return found == this->servers.end() ? nullptr : found->get();
+}
+
+void SchedulerBench::putEntry(const FakeServer& server)
+{
+    this->store.put({ serverTable, "", server.entry.id }, server.entry.draining ? "draining" : "ready");
+}
+
+void SchedulerBench::removeEntry(const FakeServer& server) { this->store.remove({ serverTable, "", server.entry.id }); }
+
+void SchedulerBench::submit(const std::string& id, const std::string& queue,
+    const std::vector<StepSpecification>& steps, const std::string& account)
+{
+    const JobRecord record { .id = id,
+        .host = "mill.example",
+        .pathPrefix = "/" + queue + "/",
+        .account = account,
+        .acceptedAt = this->storeClock.at(this->time),
+        .specification = { .payload = id, .steps = steps } };
+    this->submitted[id] = record;
+    this->store.put({ StoreTable::jobs, StoreTable::intakePartition, id }, encodeJob(record));
+}
+
+void SchedulerBench::cancel(const std::string& id)
+{
+    this->store.put({ StoreTable::jobs, StoreTable::intakePartition, cancelKey(id) }, "cancel");
+}
+
+std::optional<JobState> SchedulerBench::storedState(const std::string& id) const
+{
+    const auto text = this->store.find({ StoreTable::states, StoreTable::schedulerPartition, id });
+    return text ? decodeState(*text) : std::nullopt;
+}
+
+Duration SchedulerBench::workOf(const TaskName& task) const
+{
+    return this->submitted.at(task.jobId).specification.steps.at(static_cast<std::size_t>(task.step)).estimate;
+}
+
+void SchedulerBench::answer(std::size_t daemon, std::function<void()> deliver, Duration delay)
+{
+    this->answers.push_back({ this->time + delay, daemon, this->daemons.at(daemon)->life, std::move(deliver) });
+}
+
+void SchedulerBench::carryOut(std::size_t daemon, ServerCall call)
+{
+    FakeServer* target = this->find(call.server.id);
+    Resources need;
+    Duration work { 0 };
+    if (const auto* start = std::get_if<StartOrder>(&call.order)) {
+        need = countedNeed(
+            this->submitted.at(start->task.jobId).specification.steps.at(static_cast<std::size_t>(start->task.step)));
+        work = this->workOf(start->task);
+    }
+    const bool isCut = this->cuts.contains({ daemon, call.server.id });
+    const OrderResult result = target && !isCut ? target->handle(call.order, need, work) : OrderResult(NoAnswer {});
+    const Duration delay = std::holds_alternative<NoAnswer>(result) ? call.timeout : networkDelay;
+    this->answer(
+        daemon, [done = std::move(call.done), result]() { done(result); }, delay);
+}
+
+void SchedulerBench::execute(std::size_t index)
+{
+    Daemon& daemon = *this->daemons.at(index);
+    while (daemon.alive && !daemon.scheduler->pendingEffects().empty()) {
+        Effect effect = daemon.scheduler->pendingEffects().pop();
+        if (auto* commit = std::get_if<CommitCall>(&effect)) {
+            const CommitResult result = this->store.commit(commit->transaction);
+            const bool lost
+                = std::holds_alternative<StoreError>(result) && std::get<StoreError>(result) == StoreError::Unknown;
+            this->answer(
+                index, [done = std::move(commit->done), result]() { done(result); },
+                lost ? commit->timeout : networkDelay);
+        } else if (auto* read = std::get_if<ReadCall>(&effect)) {
+            const ReadResult result = this->store.read(read->range);
+            this->answer(
+                index, [done = std::move(read->done), result]() { done(result); },
+                this->store.silent ? read->timeout : networkDelay);
+        } else if (auto* watch = std::get_if<WatchCall>(&effect)) {
+            this->watches.push_back({ this->time + watch->wait, index, daemon.life, std::move(*watch) });
+        } else if (auto* call = std::get_if<ServerCall>(&effect)) {
+            const auto* look = std::get_if<LookOrder>(&call->order);
+            if (look && look->wait.count() > 0)
+                this->looks.push_back({ this->time + look->wait, index, daemon.life, std::move(*call) });
+            else
+                this->carryOut(index, std::move(*call));
+        }
+    }
+}
+
+void SchedulerBench::serveWaiting()
+{
+    std::vector<WaitingLook> lookedAt;
+    std::erase_if(this->looks, [&](WaitingLook& look) {
+        const FakeServer* target = this->find(look.call.server.id);
+        const auto& order = std::get<LookOrder>(look.call.order);
+        if (this->time < look.until && !(target && target->hasEndAfter(order.acknowledged)))
+            return false;
+        lookedAt.push_back(std::move(look));
+        return true;
+    });
+    for (WaitingLook& look : lookedAt) {
+        if (this->daemons.at(look.daemon)->life == look.life)
+            this->carryOut(look.daemon, std::move(look.call));
+    }
+    std::vector<WaitingWatch> changed;
+    std::erase_if(this->watches, [&](WaitingWatch& watch) {
+        const WatchResult result = this->store.changes(watch.call.table, watch.call.after);
+        const auto* page = std::get_if<RowPage>(&result);
+        if (this->time < watch.until && page && page->rows.empty())
+            return false;
+        changed.push_back(std::move(watch));
+        return true;
+    });
+    for (WaitingWatch& watch : changed) {
+        const WatchResult result = this->store.changes(watch.call.table, watch.call.after);
+        if (this->daemons.at(watch.daemon)->life == watch.life)
+            this->answer(
+                watch.daemon, [done = std::move(watch.call.done), result]() { done(result); }, networkDelay);
+    }
+}
+
+void SchedulerBench::exchangeHeartbeats()
+{
+    if (this->time.time_since_epoch() % heartbeatInterval != std::chrono::nanoseconds(0))
+        return;
+    for (const auto& from : this->daemons) {
+        if (!from->alive || from->paused || !from->scheduler->leadership().isLeader())
+            continue;
+        const Leadership& leading = std::as_const(*from->scheduler).leadership();
+        for (const auto& to : this->daemons) {
+            if (to->alive && !to->paused && to != from)
+                to->scheduler->leadership().heardLeader(leading.leaderNode(), leading.term(), this->time);
+        }
+    }
+}
+
+void SchedulerBench::check()
+{
+    std::map<TaskName, int> running;
+    std::set<TaskName> doneTasks;
+    for (const auto& server : this->servers) {
+        if (!server->alive)
+            continue;
+        Resources free = server->entry.capacity;
+        for (const auto& [name, need] : server->needsOfActive())
+            free -= need;
+        if (!free.holds({}))
+            this->faults.push_back(server->entry.id + " is over its capacity");
+        doneTasks.insert(server->done.begin(), server->done.end());
+    }
+    for (const auto& server : this->servers) {
+        if (!server->alive)
+            continue;
+        for (const auto& [name, task] : server->active) {
+            if (++running[name] == 2)
+                this->faults.push_back(formatTaskName(name) + " runs twice at the same time");
+            if (doneTasks.contains(name) && !this->seenAttempts[name].contains(task.attempt))
+                this->faults.push_back(formatTaskName(name) + " was started after it was done");
+            this->seenAttempts[name].insert(task.attempt);
+        }
+    }
+}
+
+void SchedulerBench::step()
+{
+    this->time += tick;
+    for (const auto& server : this->servers)
+        server->advance(tick);
+    this->serveWaiting();
+    std::vector<PendingAnswer> due;
+    std::erase_if(this->answers, [&](PendingAnswer& pending) {
+        if (pending.at > this->time || this->daemons.at(pending.daemon)->paused)
+            return false;
+        due.push_back(std::move(pending));
+        return true;
+    });
+    for (const PendingAnswer& pending : due) {
+        Daemon& daemon = *this->daemons.at(pending.daemon);
+        if (!daemon.alive || daemon.life != pending.life)
+            continue;
+        pending.deliver();
+        daemon.scheduler->react(this->time);
+        this->execute(pending.daemon);
+    }
+    this->exchangeHeartbeats();
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        Daemon& daemon = *this->daemons[index];
+        if (!daemon.alive || daemon.paused)
+            continue;
+        daemon.scheduler->tick(this->time, this->storeClock.at(this->time));
+        this->execute(index);
+    }
+    this->check();
+}
+
+void SchedulerBench::run(Duration duration)
+{
+    const SteadyTime end = this->time + duration;
+    while (this->time < end)
+        this->step();
+}
+
+bool SchedulerBench::runUntil(const std::string& id, JobState state, Duration limit)
+{
+    const SteadyTime end = this->time + limit;
+    while (this->storedState(id) != state) {
+        if (this->time >= end)
+            return false;
+        this->step();
+    }
+    return true;
+}
+
+int SchedulerBench::activeTasks(const std::string& id) const
+{
+    int active = 0;
+    for (const auto& server : this->servers) {
+        for (const auto& [name, task] : server->active)
+            active += server->alive && name.jobId == id && !task.stopping ? 1 : 0;
+    }
+    return active;
+}
+
+bool SchedulerBench::runUntilActive(const std::string& id, int tasks, Duration limit)
+{
+    const SteadyTime end = this->time + limit;
+    while (this->activeTasks(id) < tasks) {
+        if (this->time >= end)
+            return false;
+        this->step();
+    }
+    return true;
+}
+
+int SchedulerBench::startsOf(const std::string& id) const
+{
+    int starts = 0;
+    for (const auto& [name, attempts] : this->seenAttempts)
+        starts += name.jobId == id ? static_cast<int>(attempts.size()) : 0;
+    return starts;
+}
+
+FakeServer& SchedulerBench::serverRunning(const std::string& id)
+{
+    for (const auto& server : this->servers) {
+        for (const auto& [name, task] : server->active) {
+            if (name.jobId == id)
+                return *server;
+        }
+    }
+    throw std::logic_error("no server runs a task of " + id);
+}
+
+std::size_t SchedulerBench::leader() const
+{
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        const Daemon& daemon = *this->daemons[index];
+        if (daemon.alive && !daemon.paused && daemon.scheduler->isActive())
+            return index;
+    }
+    return this->daemons.size();
+}
+
+} // namespace WisteriaHill::TestSupport
--- /dev/null
+++ b/tests/support/schedulerbench.h
@@ -0,0 +1,132 @@
+/// Schedulers, a store and backend servers on one fake clock, with the checks that hold at every moment.
+#pragma once
+
+#include "support/fakeserver.h"
+#include "support/fakestore.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::TestSupport {
+
+/// A step of `count` tasks with the given accelerators each; memory and cores follow from these.
+Scheduling::StepSpecification makeStep(int count, std::int64_t accelerators, Scheduling::Duration work);
+
+/// Thread safety: none.
+class SchedulerBench {
+public:
+    struct Options {
+        int daemons = 2;
+        int racks = 2;
+        int serversPerRack = 4;
+    };
+
+    explicit SchedulerBench(Options options);
+
+    FakeStore store;
+
+    /// Stores a job, as an entry host does after its client's call. Queues: "urgent", "ordinary", "background".
+    void submit(const std::string& id, const std::string& queue,
+        const std::vector<Scheduling::StepSpecification>& steps, const std::string& account = "mill");
+    void cancel(const std::string& id);
+
+    /// Lets time pass, a tick at a time.
+    void run(Scheduling::Duration time);
+
+    /// Runs until the stored state of the job is `state` or `limit` has passed. False when it has passed.
+    bool runUntil(const std::string& id, Scheduling::JobState state, Scheduling::Duration limit);
+
+    /// Runs until so many tasks of the job are active on servers.
+    bool runUntilActive(const std::string& id, int tasks, Scheduling::Duration limit);
+
+    int activeTasks(const std::string& id) const;
+
+    /// Starts of a job's tasks that servers carried out, in all.
+    int startsOf(const std::string& id) const;
+
+    std::optional<Scheduling::JobState> storedState(const std::string& id) const;
+
+    FakeServer& server(std::size_t index) { return *this->servers.at(index); }
+    std::size_t serverCount() const { return this->servers.size(); }
+
+    /// The server that runs a task of the job. Precondition: one does.
+    FakeServer& serverRunning(const std::string& id);
+
+    /// Takes a server's entry out of the store.
+    void removeEntry(const FakeServer& server);
+    void putEntry(const FakeServer& server);
+
+    /// Index of the daemon that leads; daemons.size() when none does.
+    std::size_t leader() const;
+    void killDaemon(std::size_t index);
+    void startDaemon(std::size_t index);
+    void pauseDaemon(std::size_t index) { this->daemons.at(index)->paused = true; }
+    void resumeDaemon(std::size_t index) { this->daemons.at(index)->paused = false; }
+
+    /// Cuts a daemon off from a server: orders get no answer and are not carried out.
+    void cut(std::size_t daemon, const std::string& server) { this->cuts.emplace(daemon, server); }
+    void heal() { this->cuts.clear(); }
+
+    Scheduling::SteadyTime now() const { return this->time; }
+
+    /// What broke at some moment: two runs of a task, a start after its end, capacity exceeded. Empty when all held.
+    const std::vector<std::string>& violations() const { return this->faults; }
+
+private:
+    struct PendingAnswer {
+        Scheduling::SteadyTime at {};
+        std::size_t daemon = 0;
+        std::uint64_t life = 0;
+        std::function<void()> deliver;
+    };
+
+    struct WaitingLook {
+        Scheduling::SteadyTime until {};
+        std::size_t daemon = 0;
+        std::uint64_t life = 0;
+        Scheduling::ServerCall call;
+    };
+
+    struct WaitingWatch {
+        Scheduling::SteadyTime until {};
+        std::size_t daemon = 0;
+        std::uint64_t life = 0;
+        Scheduling::WatchCall call;
+    };
+
+    struct Daemon {
+        std::unique_ptr<Scheduling::Scheduler> scheduler;
+        std::uint64_t life = 0;
+        bool alive = false;
+        bool paused = false;
+    };
+
+    void step();
+    void execute(std::size_t daemon);
+    void answer(std::size_t daemon, std::function<void()> deliver, Scheduling::Duration delay);
+    void carryOut(std::size_t daemon, Scheduling::ServerCall call);
+    void serveWaiting();
+    void exchangeHeartbeats();
+    void check();
+    FakeServer* find(const std::string& id);
+    Scheduling::Duration workOf(const Scheduling::TaskName& task) const;
+
+    Options options;
+    Scheduling::SteadyTime time {};
+    Scheduling::StoreClock storeClock;
+    std::shared_ptr<const Scheduling::FleetConfiguration> configuration;
+    std::vector<std::unique_ptr<FakeServer>> servers;
+    std::vector<std::unique_ptr<Daemon>> daemons;
+    std::vector<PendingAnswer> answers;
+    std::vector<WaitingLook> looks;
+    std::vector<WaitingWatch> watches;
+    std::set<std::pair<std::size_t, std::string>> cuts;
+    std::map<std::string, Scheduling::JobRecord> submitted;
+    std::map<Scheduling::TaskName, std::set<int>> seenAttempts;
+    std::vector<std::string> faults;
+    std::uint64_t lives = 0;
+};
+
+} // namespace WisteriaHill::TestSupport
