Guaranteed gangs span racks when none can be cleared, and never take each other's cleared servers

Change: when no rack can be cleared, servers of any rack are; a cleared server belongs to the job it was cleared for.

--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// A server that is being cleared stays reserved this long; stops take well under a second.
-constexpr Duration clearingTime { 2000 };
+constexpr Duration clearingTime { 1200 };
 
 /// Racks are held ready for this multiple of the recent peak of urgent work.
 constexpr double readyMargin = 1.1;
@@ -190,7 +190,7 @@
             continue;
         const auto cleared = this->clearing.find(id);
         if (cleared != this->clearing.end() && cleared->second.jobId != unit.job->record.id
-            && unit.urgency != Urgency::Guaranteed)
+            && cleared->second.urgency <= unit.urgency)
             continue;
         PlacementServer& candidate = servers.emplace_back(PlacementServer { .id = id,
             .rack = server.rack,
@@ -222,8 +222,10 @@
 {
     std::vector<PlacementServer> servers = this->serversFor(board, usable, unit, plan, now);
     const ServiceLoad& load = this->load[unit.queue->service];
-    const bool impatient
-        = now - unit.readySince > (load.mostlyIdle() ? this->options.idleRackPatience : this->options.rackPatience);
+    const Duration patience = unit.urgency == Urgency::Guaranteed ? this->options.guaranteedRackPatience
+        : load.mostlyIdle()                                       ? this->options.idleRackPatience
+                                                                  : this->options.rackPatience;
+    const bool impatient = now - unit.readySince > patience;
     const PlacementRequest request { .step = unit.specification,
         .taskCount = static_cast<int>(unit.waiting.size()),
         .allOrNone = unit.specification->gang,
@@ -244,8 +246,11 @@
     if (complete)
         std::erase_if(this->clearing, [&](const auto& entry) { return entry.second.jobId == unit.job->record.id; });
     else if (unit.urgency != Urgency::Ordinary && unit.outlook != Outlook::TooLate
-        && now - unit.readySince >= this->options.urgentPatience)
-        this->makeRoom(board, usable, unit, plan, now);
+        && now - unit.readySince >= this->options.urgentPatience) {
+        const bool cleared = this->makeRoom(board, usable, unit, plan, unit.specification->sameRack && !impatient, now);
+        if (!cleared && unit.urgency == Urgency::Guaranteed)
+            this->makeRoom(board, usable, unit, plan, false, now);
+    }
     if (!complete && unit.specification->gang && unit.outlook != Outlook::TooLate)
         this->claimServers(board, usable, unit, plan, now);
 }
@@ -288,12 +293,12 @@
         this->claimed.insert((*best)[index].second);
 }
 
-void Planner::makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
-    Plan& plan, SteadyTime now)
+bool Planner::makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
+    Plan& plan, bool inOneRack, SteadyTime now)
 {
     if (std::ranges::any_of(
             this->clearing, [&](const auto& entry) { return entry.second.jobId == unit.job->record.id; }))
-        return; // stops are under way
+        return true; // stops are under way
     struct Candidate {
         std::string server;
         Resources free;
@@ -324,7 +329,7 @@
             candidate.victims.emplace_back(members * lossOf(step, *task.run, now), name);
         }
         std::ranges::sort(candidate.victims);
-        racks[unit.specification->sameRack ? server.rack : std::string()].push_back(std::move(candidate));
+        racks[inOneRack ? server.rack : std::string()].push_back(std::move(candidate));
     }
 
     // For each rack, the servers whose clearing loses least; the cheapest rack wins.
@@ -369,7 +374,7 @@
         best = std::move(chosen);
     }
     for (const auto& [server, stops] : best) {
-        this->clearing[server] = { unit.job->record.id, now + clearingTime };
+        this->clearing[server] = { unit.job->record.id, unit.urgency, now + clearingTime };
         for (const TaskName& victim : stops) {
             const bool known
                 = std::ranges::any_of(plan.stops, [&](const PlannedStop& stop) { return stop.task == victim; });
@@ -377,6 +382,7 @@
                 plan.stops.push_back({ victim, unit.job->record.id });
         }
     }
+    return !best.empty();
 }
 
 void Planner::measureLoad(const Board& board, const std::function<bool(const BackendServer&)>& usable,
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -35,6 +35,7 @@
 struct PlannerOptions {
     Duration rackPatience { 6000 }; ///< how long a step waits for the rack that suits it
     Duration idleRackPatience { 1500 }; ///< the same while most of the service is idle
+    Duration guaranteedRackPatience { 500 }; ///< the same for guaranteed work, whose start is bounded
     Duration urgentPatience { 300 }; ///< how long urgent work waits for room before others are stopped for it
 };
 
@@ -67,11 +68,12 @@
         Plan& plan, SteadyTime now);
     void claimServers(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
         const Plan& plan, SteadyTime now);
-    void makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
-        Plan& plan, SteadyTime now);
+    bool makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
+        Plan& plan, bool inOneRack, SteadyTime now);
 
     struct Clearing {
         std::string jobId;
+        Urgency urgency = Urgency::Urgent;
         SteadyTime until {};
     };
 
--- a/tests/auto/scheduling/tst_scheduler_load.cpp
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -53,6 +53,33 @@
     CHECK(bench.runUntilActive("urgent", 4, 2000ms));
 }
 
+TEST_CASE("a guaranteed job of one rack spans two when guaranteed work that may not be stopped stands in both")
+{
+    SchedulerBench bench({ .racks = 2, .serversPerRack = 3 });
+    bench.run(2s);
+    bench.submit("first", "urgent", { makeStep(1, 8, 20s) }, "shop-a");
+    bench.submit("second", "urgent", { makeStep(1, 8, 20s) }, "shop-b");
+    bench.run(200ms);
+    fillWithBackground(bench, 4, 30s);
+    StepSpecification gang = gangStep(4, 4, 2000ms);
+    gang.sameRack = true;
+    gang.perTask.memoryMb = 300'000;
+    bench.submit("urgent", "urgent", { gang });
+    CHECK(bench.runUntilActive("urgent", 4, 2300ms));
+}
+
+TEST_CASE("two guaranteed jobs that clear servers at the same time both start within the bound")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    fillWithBackground(bench, 12, 30s);
+    bench.submit("one", "urgent", { gangStep(2, 8, 3000ms) }, "shop-a");
+    bench.submit("two", "urgent", { gangStep(2, 8, 3000ms) }, "shop-b");
+    bench.run(2300ms);
+    CHECK(bench.activeTasks("one") == 2);
+    CHECK(bench.activeTasks("two") == 2);
+}
+
 TEST_CASE("a gang that needs whole servers starts although small work never stops coming")
 {
     SchedulerBench bench({});
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -33,7 +33,8 @@
             .targetDuration = Duration(1000) });
     configuration.services.push_back({ .name = service });
     configuration.accounts.push_back({ .name = "mill", .keys = { "key" }, .guaranteedAccelerators = 16 });
-    configuration.accounts.push_back({ .name = "shop", .keys = { "other" } });
+    configuration.accounts.push_back({ .name = "shop-a", .keys = { "a" }, .guaranteedAccelerators = 16 });
+    configuration.accounts.push_back({ .name = "shop-b", .keys = { "b" }, .guaranteedAccelerators = 16 });
     return std::make_shared<const FleetConfiguration>(std::move(configuration));
 }
 
