Placement advice, upkeep waves, pacing and evacuation; metrics, dump and explanations on an address of their own

Cause: the platform's contracts name them and the product lacked them; on-call engineers had logs only.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -3,6 +3,7 @@
 #include "app/daemonsettings.h"
 #include "platform/documents.h"
 #include "platform/wirenames.h"
+#include "scheduling/boarddump.h"
 #include "utils/eventlog.h"
 
 #include <chrono>
@@ -55,9 +56,24 @@
                  .stagger = Duration(
                      static_cast<std::int64_t>(incarnation % static_cast<std::uint64_t>(largestStagger.count()))) },
         .servers = { .maximumLease = settings.maximumLease, .stopTime = settings.stopTime },
+        .upkeep = { .waveTable = Platform::Wire::operatorTable,
+            .wavePrefix = Platform::Wire::waveKeyPrefix,
+            .statusTable = Platform::Wire::statusTable,
+            .upkeepTime = settings.upkeepTime,
+            .decodeWave = Platform::decodeWave,
+            .encodeStatus = Platform::encodeWaveStatus },
         .serverTable = Platform::Wire::serverTable };
 }
 
+const char* orderKind(const Scheduling::ServerOrder& order)
+{
+    return std::visit(
+        Utils::Overloaded { [](const Scheduling::StartOrder&) { return "start"; },
+            [](const Scheduling::StopOrder&) { return "stop"; }, [](const Scheduling::LookOrder&) { return "look"; },
+            [](const Scheduling::PaceOrder&) { return "pace"; } },
+        order);
+}
+
 } // namespace
 
 FleetDaemon::FleetDaemon(const FleetSettings& givenSettings, std::string settingsPath)
@@ -77,28 +93,33 @@
               .direct = { .address = this->settings.store.address, .port = this->settings.store.port } },
           this->storeClock)
     , servers(this->loop)
+    , services(this->loop,
+          { .advice = { .address = this->settings.advisor.address, .port = this->settings.advisor.port },
+              .machines = { .address = this->settings.machines.address, .port = this->settings.machines.port } })
     , heartbeats(this->loop, { .address = this->settings.address, .port = this->settings.heartbeatPort },
           [this](const std::string& bytes) { this->heartbeatReceived(bytes); })
     , callers(this->loop, this->settings.callers.address, this->settings.callers.port,
           { .submit =
                   [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
                       Scheduling::AnswerCaller answer) {
-                      this->intake.submit(
-                          context, id, std::move(job), this->storeClock.at(steadyNow()), std::move(answer));
+                      this->intake.submit(context, id, std::move(job), this->storeClock.at(steadyNow()),
+                          this->measured("submit", std::move(answer)));
                       this->runEffects();
                   },
               .cancel =
                   [this](const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer) {
-                      this->intake.cancel(context, id, std::move(answer));
+                      this->intake.cancel(context, id, this->measured("cancel", std::move(answer)));
                       this->runEffects();
                   },
               .state =
                   [this](const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer) {
-                      this->intake.state(context, id, std::move(answer));
+                      this->intake.state(context, id, this->measured("state", std::move(answer)));
                       this->runEffects();
                   },
-              .pending = [this](const CallerContext& context,
-                             const Scheduling::AnswerCaller& answer) { this->answerPending(context, answer); },
+              .pending =
+                  [this](const CallerContext& context, const Scheduling::AnswerCaller& answer) {
+                      this->answerPending(context, this->measured("pending", answer));
+                  },
               .findQueue = [this](const CallerContext& context) -> const Scheduling::Queue* {
                   const auto& inForce = this->configuration.inForce();
                   return inForce ? inForce->findQueue(context.host, context.path) : nullptr;
@@ -113,6 +134,10 @@
                   this->relay.respond(exchange, std::move(response));
               });
           })
+    , operators(this->loop, { .address = this->settings.metrics.address, .port = this->settings.metrics.port },
+          [this](Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request) {
+              this->answerOperator(exchange, request);
+          })
 {
     this->configuration.onApplied([this](const std::shared_ptr<const Scheduling::FleetConfiguration>& inForce) {
         this->intake.setConfiguration(inForce);
@@ -173,31 +198,92 @@
 
 void FleetDaemon::execute(Scheduling::Effect effect)
 {
+    using StoreRecorder = void (FleetMetrics::*)(const std::string&, Duration);
     // An answer may cause further effects, which are run at once.
-    const auto thenRun = [this](auto done) {
-        return [this, done = std::move(done)](auto result) {
+    const auto thenRun = [this](auto done, StoreRecorder record, const char* kind) {
+        return [this, done = std::move(done), record, kind, begin = steadyNow()](auto result) {
+            (this->metrics.*record)(kind, std::chrono::duration_cast<Duration>(steadyNow() - begin));
             done(std::move(result));
             this->scheduler.react(steadyNow());
             this->runEffects();
         };
     };
     if (auto* commit = std::get_if<Scheduling::CommitCall>(&effect)) {
-        commit->done = thenRun(std::move(commit->done));
+        commit->done = thenRun(std::move(commit->done), &FleetMetrics::recordStoreCall, "commit");
         this->store.commit(std::move(*commit));
     } else if (auto* read = std::get_if<Scheduling::ReadCall>(&effect)) {
-        read->done = thenRun(std::move(read->done));
+        read->done = thenRun(std::move(read->done), &FleetMetrics::recordStoreCall, "read");
         this->store.read(std::move(*read));
     } else if (auto* watch = std::get_if<Scheduling::WatchCall>(&effect)) {
-        watch->done = thenRun(std::move(watch->done));
+        watch->done = thenRun(std::move(watch->done), &FleetMetrics::recordStoreCall, "watch");
         this->store.watch(std::move(*watch));
     } else if (auto* order = std::get_if<Scheduling::ServerCall>(&effect)) {
-        order->done = thenRun(std::move(order->done));
+        order->done = thenRun(std::move(order->done), &FleetMetrics::recordServerCall, orderKind(order->order));
         this->servers.send(std::move(*order));
+    } else if (auto* advice = std::get_if<Scheduling::AdviceCall>(&effect)) {
+        advice->done = thenRun(std::move(advice->done), &FleetMetrics::recordServerCall, "advice");
+        this->services.ask(std::move(*advice));
+    } else if (auto* upkeep = std::get_if<Scheduling::UpkeepCall>(&effect)) {
+        upkeep->done = thenRun(std::move(upkeep->done), &FleetMetrics::recordServerCall, "upkeep");
+        this->services.orderUpkeep(std::move(*upkeep));
     } else if (const auto* line = std::get_if<Scheduling::LogLine>(&effect)) {
+        this->metrics.countEvent(line->event);
         Utils::logStructured(line->event, line->fields);
     }
 }
 
+Scheduling::AnswerCaller FleetDaemon::measured(const char* kind, Scheduling::AnswerCaller answer)
+{
+    return [this, kind, answer = std::move(answer), begin = steadyNow()](const CallerAnswer& given) {
+        this->metrics.recordCall(kind, given.outcome, std::chrono::duration_cast<Duration>(steadyNow() - begin));
+        answer(given);
+    };
+}
+
+FleetGauges FleetDaemon::gauges(SteadyTime now) const
+{
+    return { .configurationVersion = this->configuration.inForce() ? this->configuration.inForce()->version : 0,
+        .term = this->scheduler.leadership().knownTerm(),
+        .leading = this->scheduler.isActive(),
+        .storeReachable = this->storeRoute.isReachable(now),
+        .storeDirect = this->storeRoute.isDirect(),
+        .jobs = this->scheduler.state().jobs.size(),
+        .servers = this->scheduler.state().servers.size(),
+        .peers = this->peers.heardWithin(heartbeatInterval * 3, now).size(),
+        .storeCalls = this->store.callsMade(),
+        .serverCalls = this->servers.callsMade(),
+        .heartbeatBytesSent = this->heartbeats.bytesSent(),
+        .heartbeatBytesReceived = this->heartbeats.bytesReceived() };
+}
+
+void FleetDaemon::answerOperator(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request)
+{
+    constexpr int statusNotFound = 404;
+    constexpr std::string_view jobsPath = "/v1/jobs/";
+    constexpr std::string_view explainSuffix = "/explain";
+    constexpr int indent = 2;
+    const SteadyTime now = steadyNow();
+    Adapters::HttpResponse response;
+    if (request.path == "/metrics") {
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = this->metrics.text(this->gauges(now));
+    } else if (request.path == "/v1/dump") {
+        response.body = Utils::toText(Scheduling::dumpScheduler(this->scheduler, now), indent);
+    } else if (request.path.starts_with(jobsPath) && request.path.ends_with(explainSuffix)
+        && request.path.size() > jobsPath.size() + explainSuffix.size()) {
+        const std::string job
+            = request.path.substr(jobsPath.size(), request.path.size() - jobsPath.size() - explainSuffix.size());
+        const Json explained = Scheduling::explainJob(this->scheduler, job, now);
+        response.status = explained.is_null() ? statusNotFound : response.status;
+        response.body = explained.is_null() ? Utils::toText({ { "error", "not known here; ask the leader" },
+                            { "leader", std::as_const(this->scheduler).leadership().leaderNode() } })
+                                            : Utils::toText(explained, indent);
+    } else {
+        response.status = statusNotFound;
+    }
+    this->operators.respond(exchange, std::move(response));
+}
+
 Scheduling::PeerHeartbeat FleetDaemon::ownHeartbeat(SteadyTime now) const
 {
     const Scheduling::MemberRow& self = this->peers.own();
--- a/src/app/fleetdaemon.h
+++ b/src/app/fleetdaemon.h
@@ -4,9 +4,11 @@
 #include "adapters/datagramlink.h"
 #include "adapters/eventloop.h"
 #include "adapters/httpserver.h"
+#include "app/fleetmetrics.h"
 #include "app/fleetsettings.h"
 #include "platform/callerapi.h"
 #include "platform/serverclient.h"
+#include "platform/serviceclient.h"
 #include "platform/storeclient.h"
 #include "scheduling/configurationfollower.h"
 #include "scheduling/intake.h"
@@ -42,6 +44,10 @@
     void heartbeatReceived(const std::string& bytes);
     void answerPending(const Scheduling::CallerContext& context, const Scheduling::AnswerCaller& answer);
     void answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    void answerOperator(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    FleetGauges gauges(SteadyTime now) const;
+    /// The answer, with its latency recorded under `kind` when it is given.
+    Scheduling::AnswerCaller measured(const char* kind, Scheduling::AnswerCaller answer);
     bool isReady(SteadyTime now) const;
     void beginStop();
     void exitWhenIdle();
@@ -52,6 +58,7 @@
     FleetSettings settings;
     std::string settingsPath;
     Adapters::EventLoop loop;
+    FleetMetrics metrics;
     Scheduling::Effects effects;
     Scheduling::StoreClock storeClock;
     Scheduling::PeerDirectory peers;
@@ -61,10 +68,12 @@
     Scheduling::Scheduler scheduler;
     Platform::StoreClient store;
     Platform::ServerClient servers;
+    Platform::ServiceClient services;
     Adapters::DatagramLink heartbeats;
     Platform::CallerApi callers;
     Adapters::HttpServer readiness;
     Adapters::HttpServer relay;
+    Adapters::HttpServer operators;
     SteadyTime nextHeartbeat {};
     SteadyTime stopBegan {};
     bool stopping = false;
--- /dev/null
+++ b/src/app/fleetmetrics.h
@@ -0,0 +1,59 @@
+/// Counters and latency histograms of a daemon of the fleet, in the text format of Prometheus.
+#pragma once
+
+#include "scheduling/intake.h"
+#include "utils/eventcatalogue.h"
+#include "utils/latencyhistogram.h"
+#include "utils/steadytime.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace WisteriaHill::App {
+
+/// Values that are read when the metrics are asked for.
+struct FleetGauges {
+    std::int64_t configurationVersion = 0;
+    std::int64_t term = 0;
+    bool leading = false;
+    bool storeReachable = false;
+    bool storeDirect = false;
+    std::size_t jobs = 0;
+    std::size_t servers = 0;
+    std::size_t peers = 0;
+    std::uint64_t storeCalls = 0;
+    std::uint64_t serverCalls = 0;
+    std::uint64_t heartbeatBytesSent = 0;
+    std::uint64_t heartbeatBytesReceived = 0;
+};
+
+/// Thread safety: none.
+class FleetMetrics {
+public:
+    /// Counts a log event, whether or not its line was written.
+    void countEvent(Utils::Event event) { ++this->events[event]; }
+
+    /// A client's call had its final answer.
+    void recordCall(const std::string& kind, Scheduling::CallerOutcome outcome, Utils::Duration latency);
+
+    /// A call to the state store or an order to a backend server has ended.
+    void recordStoreCall(const std::string& kind, Utils::Duration latency);
+    void recordServerCall(const std::string& kind, Utils::Duration latency);
+
+    std::string text(const FleetGauges& gauges) const;
+
+private:
+    using Series = std::map<std::string, Utils::LatencyHistogram>;
+
+    std::map<Utils::Event, std::uint64_t> events;
+    std::map<std::pair<std::string, Scheduling::CallerOutcome>, std::uint64_t> outcomes;
+    Series calls;
+    Series storeCalls;
+    Series serverCalls;
+};
+
+/// The name of an outcome, for labels and logs.
+std::string callerOutcomeName(Scheduling::CallerOutcome outcome);
+
+} // namespace WisteriaHill::App
--- a/src/app/fleetsettings.cpp
+++ b/src/app/fleetsettings.cpp
@@ -52,6 +52,7 @@
     settings.callers = readEndpoint(reader, "callers");
     settings.readiness = readEndpoint(reader, "readiness");
     settings.relay = readEndpoint(reader, "relay");
+    settings.metrics = readEndpoint(reader, "metrics");
     settings.heartbeatPort = static_cast<std::uint16_t>(reader.integer("heartbeatPort", { 1, 65535 }));
     settings.store = readEndpoint(reader, "store");
     settings.advisor = readEndpoint(reader, "advisor", true);
@@ -60,6 +61,7 @@
         settings.maximumLease = member.duration("maximum", { 500ms, 3600s });
         settings.stopTime = member.duration("stopTime", { 0ms, 60s });
     });
+    settings.upkeepTime = reader.durationOr("upkeepTime", { 0ms, 3600s }, 2s);
     settings.stopBound = reader.durationOr("stopBound", { 1s, 3600s }, 6s);
     settings.logLevel = reader.textOr("logLevel", "information");
     if (std::ranges::find(logLevels, settings.logLevel) == logLevels.end())
--- a/src/app/fleetsettings.h
+++ b/src/app/fleetsettings.h
@@ -23,12 +23,14 @@
     Endpoint callers; ///< listens for clients
     Endpoint readiness; ///< listens for the balancer's question
     Endpoint relay; ///< listens for store calls of other daemons
+    Endpoint metrics; ///< listens for questions of operators: metrics, dump, explanations
     std::uint16_t heartbeatPort = 0; ///< UDP
     Endpoint store; ///< of the state store
     Endpoint advisor; ///< of placement advice; port 0 when there is none
     Endpoint machines; ///< of the machines' service; port 0 when there is none
     Utils::Duration maximumLease { 0 }; ///< longest lease that backend servers grant
     Utils::Duration stopTime { 0 }; ///< longest time that stopping a run takes
+    Utils::Duration upkeepTime { 0 }; ///< time that a machine's upkeep takes
     Utils::Duration stopBound { 0 }; ///< time from SIGTERM until the process is killed
     std::string logLevel;
 };
--- a/src/libs/adapters/requestmetrics.cpp
+++ b/src/libs/adapters/requestmetrics.cpp
@@ -1,9 +1,9 @@
 #include "adapters/requestmetrics.h"
 
 #include "controllers/statedump.h"
+#include "utils/latencyhistogram.h"
 
 #include <array>
-#include <boost/histogram.hpp>
 #include <cctype>
 #include <sstream>
 
@@ -11,20 +11,8 @@
 
 namespace {
 
-constexpr unsigned int bucketCount = 24;
-constexpr double shortestSeconds = 0.0005;
-constexpr double longestSeconds = 100;
 constexpr std::array outcomes { Model::Outcome::Completed, Model::Outcome::NotRun, Model::Outcome::Unknown };
 
-auto makeHistogram()
-{
-    using namespace boost::histogram;
-    using LogAxis = axis::regular<double, axis::transform::log>;
-    return make_histogram(LogAxis(bucketCount, shortestSeconds, longestSeconds));
-}
-
-using LatencyHistogram = decltype(makeHistogram());
-
 /// "requestsCompleted" becomes "requests_completed".
 std::string snakeCase(const std::string& name)
 {
@@ -45,12 +33,7 @@
 } // namespace
 
 struct RequestMetrics::Histograms {
-    struct Series {
-        LatencyHistogram histogram = makeHistogram();
-        double sum = 0;
-        std::uint64_t count = 0;
-    };
-    std::array<Series, outcomes.size()> series;
+    std::array<Utils::LatencyHistogram, outcomes.size()> series;
 };
 
 RequestMetrics::RequestMetrics()
@@ -62,10 +45,7 @@
 
 void RequestMetrics::record(Model::Outcome outcome, std::chrono::duration<double> latency)
 {
-    Histograms::Series& series = this->histograms->series[static_cast<std::size_t>(outcome)];
-    series.histogram(latency.count());
-    series.sum += latency.count();
-    ++series.count;
+    this->histograms->series[static_cast<std::size_t>(outcome)].record(latency);
 }
 
 std::string RequestMetrics::prometheusText(const Model::Blackboard& state) const
@@ -73,17 +53,8 @@
     std::ostringstream out;
     out << "# TYPE wisteriahill_request_seconds histogram\n";
     for (const Model::Outcome outcome : outcomes) {
-        const Histograms::Series& series = this->histograms->series[static_cast<std::size_t>(outcome)];
         const std::string label = "outcome=\"" + std::string(Model::outcomeName(outcome)) + "\"";
-        double cumulative = series.histogram.at(-1);
-        for (const auto& bin : boost::histogram::indexed(series.histogram)) {
-            cumulative += *bin;
-            out << "wisteriahill_request_seconds_bucket{" << label << ",le=\"" << bin.bin().upper() << "\"} "
-                << cumulative << '\n';
-        }
-        out << "wisteriahill_request_seconds_bucket{" << label << ",le=\"+Inf\"} " << series.count << '\n'
-            << "wisteriahill_request_seconds_sum{" << label << "} " << series.sum << '\n'
-            << "wisteriahill_request_seconds_count{" << label << "} " << series.count << '\n';
+        this->histograms->series[static_cast<std::size_t>(outcome)].write(out, "wisteriahill_request_seconds", label);
     }
     const Utils::Json counters = Controllers::dumpCounters(state.counters);
     for (const auto& [name, value] : counters.items()) {
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -53,6 +53,12 @@
     SteadyTime atWorkSince {}; ///< of a long-running task
 };
 
+/// Leave of the placement advice to run a step's tasks on one server.
+struct Ticket {
+    std::string text;
+    SteadyTime validUntil {};
+};
+
 struct Step {
     std::vector<Task> tasks;
     int done = 0;
@@ -60,6 +66,8 @@
     SteadyTime readySince {}; ///< when its prerequisites were met
     int lastFailedAttempt = 0; ///< of a gang
     bool ready = false;
+    std::map<std::string, Ticket> tickets; ///< by server, of queues with placement advice
+    std::set<std::string> deniedServers; ///< the advice for a step doesn't change
 };
 
 /// One due execution of a job's steps.
@@ -100,6 +108,8 @@
     std::string rack;
     std::set<std::string> labels;
     Resources capacity;
+    std::string machine; ///< the machine of which this server is one life
+    bool evacuating = false; ///< its machine is due for upkeep
     bool present = false; ///< its entry is in the store
     bool draining = false;
     SteadyTime drainUntil {}; ///< earliest end while draining
--- /dev/null
+++ b/src/libs/scheduling/boarddump.cpp
@@ -0,0 +1,133 @@
+#include "scheduling/boarddump.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+using Utils::Json;
+
+std::int64_t ageMs(SteadyTime since, SteadyTime now)
+{
+    return std::chrono::duration_cast<Duration>(now - since).count();
+}
+
+Json resourcesToJson(const Resources& resources)
+{
+    return { { "milliCores", resources.milliCores }, { "memoryMb", resources.memoryMb },
+        { "accelerators", resources.accelerators } };
+}
+
+std::string phaseName(RunPhase phase)
+{
+    switch (phase) {
+    case RunPhase::Recording:
+        return "its record is being stored";
+    case RunPhase::Ordered:
+        return "its start was ordered";
+    case RunPhase::Active:
+        return "running";
+    case RunPhase::Stopping:
+        return "being stopped";
+    }
+    return "unknown";
+}
+
+Json serverToJson(const BackendServer& server, SteadyTime now)
+{
+    return { { "id", server.address.id }, { "address", server.address.address }, { "rack", server.rack },
+        { "service", server.service }, { "present", server.present }, { "draining", server.draining },
+        { "incarnation", server.incarnation }, { "failedLooks", server.unansweredLooks },
+        { "avoided", now < server.avoidUntil }, { "runs", server.occupants.size() },
+        { "free", resourcesToJson(server.freeCapacity()) } };
+}
+
+Json taskToJson(const TaskName& name, const Task& task, SteadyTime now)
+{
+    Json json { { "task", formatTaskName(name) }, { "attempts", task.attempts }, { "failures", task.failures } };
+    if (!task.run) {
+        json["state"] = task.phase == TaskPhase::Done ? "done" : "waiting";
+        if (task.phase == TaskPhase::Waiting)
+            json["waitingMs"] = ageMs(task.waitingSince, now);
+        return json;
+    }
+    json["state"] = phaseName(task.run->phase);
+    json["server"] = task.run->server;
+    json["incarnation"] = task.run->incarnation;
+    json["percent"] = task.run->percent;
+    json["sinceMs"] = ageMs(task.run->phaseSince, now);
+    if (!task.run->stopReason.empty())
+        json["stopReason"] = task.run->stopReason;
+    return json;
+}
+
+/// Why a step has tasks that wait.
+std::string waitReason(const Scheduler& scheduler, const Job& job, const Step& step, const StepSpecification& wanted)
+{
+    const Board& board = scheduler.state();
+    const Queue* queue = board.configuration ? board.configuration->queueOf(job.record) : nullptr;
+    if (!queue)
+        return "its queue is not in the configuration in force";
+    if (!step.ready)
+        return "steps before it are not done";
+    if (wanted.gang && step.running > 0)
+        return "members of the last attempt have not ended";
+    const auto holds = [&](const auto& entry) {
+        const BackendServer& server = entry.second;
+        return server.present && server.service == queue->service && server.capacity.holds(wanted.perTask)
+            && (wanted.requiredLabel.empty() || server.labels.contains(wanted.requiredLabel));
+    };
+    const auto able = std::ranges::count_if(board.servers, holds);
+    if (able == 0)
+        return "no backend server of " + queue->service + " could ever hold one of its tasks";
+    const auto roomy = std::ranges::count_if(board.servers,
+        [&](const auto& entry) { return holds(entry) && entry.second.freeCapacity().holds(wanted.perTask); });
+    return std::to_string(able) + " backend servers could hold a task, " + std::to_string(roomy)
+        + " have room now; more urgent or earlier work goes first";
+}
+
+} // namespace
+
+Json dumpScheduler(const Scheduler& scheduler, SteadyTime now)
+{
+    const Board& board = scheduler.state();
+    Json json { { "leading", scheduler.isActive() }, { "leader", scheduler.leadership().leaderNode() },
+        { "term", scheduler.leadership().knownTerm() },
+        { "configuration", board.configuration ? board.configuration->version : 0 }, { "servers", Json::array() },
+        { "jobs", Json::array() } };
+    for (const auto& [id, server] : board.servers)
+        json["servers"].push_back(serverToJson(server, now));
+    for (const auto& [id, job] : board.jobs)
+        json["jobs"].push_back({ { "job", id }, { "state", jobStateName(job.state) }, { "account", job.record.account },
+            { "queue", job.record.pathPrefix }, { "ageMs", ageMs(job.acceptedAt, now) } });
+    return json;
+}
+
+Json explainJob(const Scheduler& scheduler, const std::string& jobId, SteadyTime now)
+{
+    const auto found = scheduler.state().jobs.find(jobId);
+    if (found == scheduler.state().jobs.end())
+        return nullptr;
+    const Job& job = found->second;
+    Json json { { "job", jobId }, { "state", jobStateName(job.state) },
+        { "storedState", jobStateName(job.storedState) }, { "account", job.record.account },
+        { "queue", job.record.pathPrefix }, { "ageMs", ageMs(job.acceptedAt, now) }, { "steps", Json::array() } };
+    for (const auto& [index, occurrence] : job.occurrences) {
+        for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
+            const Step& step = occurrence.steps[number];
+            const StepSpecification& wanted = job.record.specification.steps[number];
+            Json tasks = Json::array();
+            for (std::size_t position = 0; position < step.tasks.size(); ++position)
+                tasks.push_back(taskToJson(
+                    { jobId, index, static_cast<int>(number), static_cast<int>(position) }, step.tasks[position], now));
+            Json entry { { "occurrence", index }, { "step", number }, { "tasks", std::move(tasks) } };
+            if (!job.ended() && step.done + step.running < static_cast<int>(step.tasks.size()))
+                entry["waitsFor"] = waitReason(scheduler, job, step, wanted);
+            json["steps"].push_back(std::move(entry));
+        }
+    }
+    return json;
+}
+
+} // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/effects.h
+++ b/src/libs/scheduling/effects.h
@@ -17,7 +17,39 @@
     Utils::Json fields;
 };
 
-using Effect = std::variant<CommitCall, ReadCall, WatchCall, ServerCall, LogLine>;
+struct AdviceAnswer {
+    std::vector<std::pair<std::string, std::string>> allowed; ///< server and ticket
+    Duration validity { 0 }; ///< zero when the answer doesn't say
+};
+
+enum class AdviceError { Busy, NoAnswer };
+
+using AdviceResult = std::variant<AdviceAnswer, AdviceError>;
+
+/// Asks which of some servers may run the tasks of a step.
+struct AdviceCall {
+    TaskName step; ///< index 0
+    std::vector<std::string> servers;
+    Duration timeout { 0 };
+    std::function<void(AdviceResult)> done;
+};
+
+enum class UpkeepResult { Done, Fenced, Busy, OtherWave, NoSuchMachine, NotNow, NoAnswer };
+
+/// The name of a result, for logs.
+std::string upkeepResultName(UpkeepResult result);
+
+/// Takes a machine down for its upkeep; everything on it ends. Answered as done also when it was done before.
+struct UpkeepCall {
+    std::string machine;
+    std::int64_t wave = 0;
+    std::string holder; ///< node that schedules
+    FencingToken token = 0;
+    Duration timeout { 0 };
+    std::function<void(UpkeepResult)> done;
+};
+
+using Effect = std::variant<CommitCall, ReadCall, WatchCall, ServerCall, AdviceCall, UpkeepCall, LogLine>;
 
 /// Collects effects in order. Thread safety: none.
 class Effects {
--- /dev/null
+++ b/src/libs/scheduling/evacuation.cpp
@@ -0,0 +1,69 @@
+#include "scheduling/evacuation.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+/// Between the stop and the moment the server goes: the stop has to arrive and the checkpoint to be listed.
+constexpr Duration stopMargin { 700 };
+constexpr int wholePercent = 100;
+
+} // namespace
+
+bool Evacuation::endsBefore(const TaskName& name, const Run& run, SteadyTime bound, SteadyTime now) const
+{
+    const auto ran = now - run.phaseSince;
+    if (run.percent <= 0 || run.percent > wholePercent)
+        return now + this->board.stepOf(name).estimate < bound;
+    return now + ran * (wholePercent - run.percent) / run.percent < bound;
+}
+
+bool Evacuation::mayMissAnother(const TaskName& name) const
+{
+    const Step& step
+        = this->board.jobs.at(name.jobId).occurrences.at(name.occurrence).steps.at(static_cast<std::size_t>(name.step));
+    const auto missing = std::ranges::count_if(step.tasks, [](const Task& task) {
+        return !task.run || task.run->phase != RunPhase::Active || task.run->percent < wholePercent;
+    });
+    return missing < this->board.stepOf(name).maximumMissing;
+}
+
+void Evacuation::tick(SteadyTime now)
+{
+    for (const auto& [id, server] : this->board.servers) {
+        if (!server.draining || server.occupants.empty() || server.unansweredLooks > 0)
+            continue;
+        const SteadyTime lastStop = server.drainUntil - this->stopTime - stopMargin;
+        const std::map<TaskName, Resources> occupants = server.occupants;
+        for (const auto& [name, need] : occupants) {
+            const Task* task = this->board.findTask(name);
+            if (!task || !task->run || task->run->phase != RunPhase::Active)
+                continue;
+            const StepSpecification& step = this->board.stepOf(name);
+            if (!step.savesProgress && !step.longRunning)
+                continue;
+            // Long-running tasks gain nothing by staying; others stay while they may still end here.
+            if (step.longRunning || (now >= lastStop && !this->endsBefore(name, *task->run, server.drainUntil, now)))
+                this->tracker.requestStop(name, "its server is draining", now);
+        }
+    }
+}
+
+void Evacuation::empty(const BackendServer& server, bool force, SteadyTime now)
+{
+    const std::map<TaskName, Resources> occupants = server.occupants;
+    for (const auto& [name, need] : occupants) {
+        const Task* task = this->board.findTask(name);
+        if (!task || !task->run || task->run->phase == RunPhase::Stopping)
+            continue;
+        const StepSpecification& step = this->board.stepOf(name);
+        if (step.longRunning && !this->mayMissAnother(name))
+            continue;
+        if (force || step.longRunning || step.savesProgress)
+            this->tracker.requestStop(name, "its machine is due for upkeep", now);
+    }
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/pacecontroller.cpp
@@ -0,0 +1,89 @@
+#include "scheduling/pacecontroller.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+/// Latencies are means over half a second, so a pace shows in them after that.
+constexpr Duration effectTime { 700 };
+constexpr double slowDownAt = 0.85; ///< of the target latency
+constexpr double speedUpBelow = 0.6;
+constexpr int speedUpStep = 15; ///< percent; slowing halves, so that a disturbance ends within a few paces
+constexpr int wholePace = 100;
+constexpr int slowestPace = 5; ///< below this a task is paced to a stand
+constexpr Duration orderTimeout { 500 };
+
+} // namespace
+
+bool PaceController::isMixed(const BackendServer& server) const
+{
+    bool serves = false;
+    bool fills = false;
+    for (const auto& [name, need] : server.occupants) {
+        if (!this->board.jobs.contains(name.jobId))
+            continue;
+        const StepSpecification& step = this->board.stepOf(name);
+        serves = serves || step.latencyTarget.count() > 0;
+        fills = fills || step.fillsIdleCapacity;
+    }
+    return serves && fills;
+}
+
+int PaceController::wantedPercent(const BackendServer& server, int current) const
+{
+    double worst = 0;
+    for (const auto& [name, need] : server.occupants) {
+        const auto job = this->board.jobs.find(name.jobId);
+        if (job == this->board.jobs.end())
+            continue;
+        const StepSpecification& step = this->board.stepOf(name);
+        if (step.latencyTarget.count() == 0)
+            continue;
+        const Task& task = job->second.occurrences.at(name.occurrence)
+                               .steps.at(static_cast<std::size_t>(name.step))
+                               .tasks.at(static_cast<std::size_t>(name.index));
+        if (task.run)
+            worst = std::max(
+                worst, static_cast<double>(task.run->load) / static_cast<double>(step.latencyTarget.count()));
+    }
+    if (worst > slowDownAt)
+        return current / 2 < slowestPace ? 0 : current / 2;
+    if (worst < speedUpBelow)
+        return std::min(wholePace, current + speedUpStep);
+    return current;
+}
+
+void PaceController::tick(FencingToken token, SteadyTime now)
+{
+    for (const auto& [id, server] : this->board.servers) {
+        if (server.unansweredLooks == 0 && now - this->changedAt[id] >= effectTime && this->isMixed(server))
+            this->paceServer(server, token, now);
+    }
+}
+
+void PaceController::paceServer(const BackendServer& server, FencingToken token, SteadyTime now)
+{
+    for (const auto& [name, need] : server.occupants) {
+        Task* task = this->board.findTask(name);
+        if (!task || !task->run || task->run->phase != RunPhase::Active || !this->board.stepOf(name).fillsIdleCapacity)
+            continue;
+        const int wanted = this->wantedPercent(server, task->run->pace);
+        if (wanted == task->run->pace)
+            continue;
+        this->effects.log(Event::RunPaced,
+            { { "task", formatTaskName(name) }, { "server", server.address.id }, { "percent", wanted },
+                { "previous", task->run->pace } });
+        task->run->pace = wanted;
+        this->changedAt[server.address.id] = now;
+        this->effects.push(ServerCall { .server = server.address,
+            .order = PaceOrder { .task = name, .attempt = task->run->attempt, .percent = wanted, .token = token },
+            .timeout = orderTimeout,
+            .done = [](const OrderResult&) {} }); // the next latencies tell whether it took effect
+    }
+}
+
+} // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/planner.h"
 
+#include "scheduling/advicecontroller.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -188,6 +190,8 @@
         if (server.service != unit.queue->service || !usable(server) || this->claimed.contains(id)
             || (now < server.avoidUntil && this->excludeAvoided))
             continue;
+        if (!hasTicket(*unit.queue, unit.occurrence->steps.at(static_cast<std::size_t>(unit.step)), id, now))
+            continue;
         const auto cleared = this->clearing.find(id);
         if (cleared != this->clearing.end() && cleared->second.jobId != unit.job->record.id
             && cleared->second.urgency <= unit.urgency)
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -68,7 +68,14 @@
     , monitor(this->board, this->effects, this->tracker, this->options.servers)
     , writer(this->board, this->effects, this->leader)
     , planner(this->options.planner)
+    , evacuation(this->board, this->tracker, this->options.servers.stopTime)
+    , advice(this->board, this->effects)
+    , pace(this->board, this->effects)
+    , upkeep(this->board, this->effects, this->evacuation, this->options.upkeep)
 {
+    this->advice.setClock(this->clock);
+    this->upkeep.setClock(this->clock);
+    this->monitor.onLooksOften([this](const BackendServer& server) { return this->pace.isMixed(server); });
     this->leader.setClock(this->clock);
     this->monitor.setClock(this->clock);
     this->writer.setClock(this->clock);
@@ -101,6 +108,8 @@
     this->loadedRows.clear();
     this->feeds.clear();
     this->planner.reset();
+    this->advice.begin();
+    this->upkeep.begin(this->options.leadership.node, this->leader.term());
     this->writer.begin(now);
     this->load(now);
 }
@@ -262,6 +271,7 @@
     server.service = entry->service;
     server.zone = entry->zone;
     server.rack = entry->rack;
+    server.machine = entry->machine;
     server.labels = entry->labels;
     server.capacity = entry->capacity;
     server.present = true;
@@ -336,6 +346,10 @@
         this->nextHousekeeping = now + housekeepingInterval;
         this->tracker.createDueOccurrences(wallNow, now);
         this->findStalledRuns(now);
+        this->evacuation.tick(now);
+        if (this->options.upkeep.decodeWave)
+            this->upkeep.tick(now);
+        this->pace.tick(this->leader.term(), now);
         this->forgetOldJobs(now);
         this->nextSchedule = std::min(this->nextSchedule, now);
     }
@@ -347,7 +361,10 @@
 {
     if (!this->isActive() || !this->board.configuration)
         return;
-    if (this->monitor.takeChanged())
+    const auto usable = [this](const BackendServer& server) { return this->monitor.isUsable(server); };
+    this->advice.tick(usable, now);
+    const bool ticketsCame = this->advice.takeChanged();
+    if (this->monitor.takeChanged() || ticketsCame)
         this->nextSchedule = std::min(this->nextSchedule, now);
     if (now >= this->nextSchedule)
         this->schedule(now);
@@ -390,6 +407,9 @@
         .phase = RunPhase::Recording,
         .phaseSince = now,
         .checkpoint = specification.gang ? step.tasks.front().checkpoint : task.checkpoint };
+    const auto ticket = step.tickets.find(start.server);
+    if (ticket != step.tickets.end())
+        task.run->ticket = ticket->second.text;
     ++step.running;
     server.occupants[start.task] = countedNeed(specification);
     this->tracker.markDirty(start.task);
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -1,12 +1,16 @@
 /// The scheduler of the fleet: active in the daemon that holds the leadership, idle in the others.
 #pragma once
 
+#include "scheduling/advicecontroller.h"
+#include "scheduling/evacuation.h"
 #include "scheduling/jobtracker.h"
 #include "scheduling/leadership.h"
+#include "scheduling/pacecontroller.h"
 #include "scheduling/planner.h"
 #include "scheduling/servermonitor.h"
 #include "scheduling/statewriter.h"
 #include "scheduling/storeclock.h"
+#include "scheduling/upkeepcontroller.h"
 
 #include <map>
 #include <optional>
@@ -22,6 +26,7 @@
     std::uint16_t port = 0;
     std::string zone;
     std::string rack;
+    std::string machine; ///< the machine of which this server is one life
     std::set<std::string> labels;
     Resources capacity;
     bool draining = false;
@@ -38,6 +43,7 @@
     LeadershipOptions leadership;
     ServerMonitorOptions servers;
     PlannerOptions planner;
+    UpkeepOptions upkeep;
     Duration stateRetention { 130'000 }; ///< how long an ended job stays known
     std::string serverTable; ///< table of the backend servers' entries
 };
@@ -110,6 +116,10 @@
     ServerMonitor monitor;
     StateWriter writer;
     Planner planner;
+    Evacuation evacuation;
+    AdviceController advice;
+    PaceController pace;
+    UpkeepController upkeep;
     bool loaded = false;
     std::uint64_t loadGeneration = 0;
     std::map<std::string, std::vector<Row>> loadedRows;
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -12,6 +12,8 @@
 
 /// A look returns at the next end, or after this; well under the lease, so that two can fail.
 constexpr Duration lookWait { 1500 };
+/// Latencies of tasks that serve are means over half a second.
+constexpr Duration shortLookWait { 500 };
 /// An answer that is this late beyond its wait will not come: round trips are a few milliseconds.
 constexpr Duration lookSlack { 700 };
 constexpr Duration orderTimeout { 500 };
@@ -54,7 +56,7 @@
 
 bool ServerMonitor::isUsable(const BackendServer& server) const
 {
-    return server.present && !server.draining && server.fenced && server.unansweredLooks == 0;
+    return server.present && !server.draining && !server.evacuating && server.fenced && server.unansweredLooks == 0;
 }
 
 Run* ServerMonitor::currentRun(const TaskName& name, int attempt)
@@ -141,7 +143,9 @@
 {
     LookOrder order { .token = this->token, .acknowledged = server.acknowledged };
     const bool pending = server.handled > server.acknowledged;
-    order.wait = server.lookSoon || pending || !server.fenced || server.occupants.empty() ? Duration(0) : lookWait;
+    order.wait = server.lookSoon || pending || !server.fenced || server.occupants.empty() ? Duration(0)
+        : this->looksOften(server)                                                        ? shortLookWait
+                                                                                          : lookWait;
     // A server that does not answer gets no new lease, so that its runs are surely over some time later.
     if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredLooks == 0) {
         order.leaseEnd = this->leaseEndFor(server, now);
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -45,6 +45,9 @@
     /// Called when a server refuses an order because a higher token was seen.
     void onFenced(std::function<void(SteadyTime)> handler) { this->fenced = std::move(handler); }
 
+    /// Tells which servers are to be looked at often.
+    void onLooksOften(std::function<bool(const BackendServer&)> handler) { this->looksOften = std::move(handler); }
+
     /// Returns the time; set by the owner, so that answers are handled at their time.
     void setClock(std::function<SteadyTime()> handler) { this->clock = std::move(handler); }
 
@@ -73,6 +76,7 @@
     ServerMonitorOptions options;
     FencingToken token = 0;
     std::function<void(SteadyTime)> fenced;
+    std::function<bool(const BackendServer&)> looksOften;
     std::function<SteadyTime()> clock;
     bool changed = false;
 };
--- /dev/null
+++ b/src/libs/scheduling/upkeepcontroller.cpp
@@ -0,0 +1,254 @@
+#include "scheduling/upkeepcontroller.h"
+
+#include "utils/checkedjson.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+constexpr Duration readInterval { 2000 }; ///< waves take tens of seconds
+constexpr Duration storeTimeout { 800 };
+constexpr Duration callTimeout { 1500 };
+constexpr Duration callRetryPause { 200 };
+/// A call without an answer may still be carried out for this long, and then takes the machine down.
+constexpr Duration lateExecution { 12'500 };
+/// Of a machine's share of the wave's time: runs without saved progress may use it up to here.
+constexpr double patienceShare = 0.6;
+constexpr const char* progressTable = "upkeep";
+
+RowKey progressRow(std::int64_t wave)
+{
+    return { progressTable, StoreTable::schedulerPartition, std::to_string(wave) };
+}
+
+} // namespace
+
+void UpkeepController::begin(const std::string& newHolder, FencingToken newToken)
+{
+    ++this->generation;
+    this->holder = newHolder;
+    this->token = newToken;
+    this->waves.clear();
+    this->readOpen = false;
+    this->nextRead = {};
+}
+
+BackendServer* UpkeepController::serverOf(const std::string& machine)
+{
+    for (auto& [id, server] : this->board.servers) {
+        if (server.present && server.machine == machine)
+            return &server;
+    }
+    return nullptr;
+}
+
+void UpkeepController::readWaves(SteadyTime now)
+{
+    if (this->readOpen || now < this->nextRead)
+        return;
+    this->readOpen = true;
+    this->nextRead = now + readInterval;
+    this->effects.push(ReadCall { .range = { .table = this->options.waveTable,
+                                      .from = this->options.wavePrefix,
+                                      .to = this->options.wavePrefix + '\x7f' },
+        .timeout = storeTimeout,
+        .done = [this, open = this->generation](const ReadResult& result) {
+            if (open != this->generation)
+                return;
+            this->readOpen = false;
+            const auto* page = std::get_if<RowPage>(&result);
+            if (!page)
+                return;
+            for (const Row& row : page->rows)
+                this->takeWave(row, this->clock());
+        } });
+}
+
+void UpkeepController::takeWave(const Row& row, SteadyTime now)
+{
+    const std::optional<UpkeepWave> wave = this->options.decodeWave(row);
+    if (!wave || this->waves.contains(wave->number))
+        return;
+    Wave& added = this->waves[wave->number];
+    added.wave = *wave;
+    added.seenAt = now;
+    for (const std::string& machine : wave->machines)
+        added.machines[machine] = { .since = now };
+    this->effects.log(Event::WaveBegun,
+        { { "wave", wave->number }, { "machines", wave->machines.size() }, { "maximumDown", wave->maximumDown },
+            { "durationMs", wave->duration.count() } });
+}
+
+void UpkeepController::readProgress(Wave& wave)
+{
+    if (wave.progressOpen)
+        return;
+    wave.progressOpen = true;
+    const RowKey key = progressRow(wave.wave.number);
+    this->effects.push(ReadCall { .range
+        = { .table = key.table, .partition = key.partition, .from = key.key, .to = key.key + '\x01', .limit = 1 },
+        .timeout = storeTimeout,
+        .done = [this, number = wave.wave.number, open = this->generation](const ReadResult& result) {
+            if (open != this->generation)
+                return;
+            Wave& read = this->waves.at(number);
+            read.progressOpen = false;
+            const auto* page = std::get_if<RowPage>(&result);
+            if (!page)
+                return;
+            read.progressRead = true;
+            const auto through
+                = page->rows.empty() ? Utils::Json() : Utils::Json::parse(page->rows.front().value, nullptr, false);
+            for (auto& [id, machine] : read.machines) {
+                if (through.is_array() && std::ranges::find(through, Utils::Json(id)) != through.end()) {
+                    machine.stage = Stage::Down;
+                    machine.since = this->clock();
+                }
+            }
+        } });
+}
+
+void UpkeepController::tick(SteadyTime now)
+{
+    this->readWaves(now);
+    for (auto& [number, wave] : this->waves) {
+        if (!wave.progressRead)
+            this->readProgress(wave);
+        else
+            this->advance(wave, now);
+    }
+}
+
+void UpkeepController::advance(Wave& wave, SteadyTime now)
+{
+    int busy = 0;
+    bool allBegun = true;
+    for (auto& [id, machine] : wave.machines) {
+        if (machine.stage != Stage::Waiting)
+            this->advanceMachine(wave, id, machine, now);
+        busy += machine.stage == Stage::Emptying || isDown(machine) ? 1 : 0;
+        allBegun = allBegun && (machine.stage == Stage::Down || machine.stage == Stage::Through);
+    }
+    for (auto& [id, machine] : wave.machines) {
+        if (machine.stage != Stage::Waiting || busy >= wave.wave.maximumDown)
+            continue;
+        machine.stage = Stage::Emptying;
+        machine.since = now;
+        ++busy;
+        if (BackendServer* server = this->serverOf(id))
+            server->evacuating = true;
+    }
+    if (allBegun && !wave.progressDirty && !wave.progressOpen && !wave.completed) {
+        wave.completed = true;
+        wave.statusStored = false;
+        this->effects.log(Event::WaveCompleted, { { "wave", wave.wave.number } });
+    }
+    if (wave.progressDirty && !wave.progressOpen)
+        this->storeProgress(wave);
+    if (!wave.statusStored && !wave.statusOpen)
+        this->storeStatus(wave);
+}
+
+void UpkeepController::advanceMachine(Wave& wave, const std::string& id, Machine& machine, SteadyTime now)
+{
+    BackendServer* server = this->serverOf(id);
+    if (machine.stage == Stage::Emptying) {
+        const auto rounds
+            = static_cast<std::int64_t>((wave.machines.size() + static_cast<std::size_t>(wave.wave.maximumDown) - 1)
+                / static_cast<std::size_t>(std::max(wave.wave.maximumDown, 1)));
+        const Duration share = wave.wave.duration / std::max<std::int64_t>(rounds, 1);
+        const bool force = now - machine.since > std::chrono::duration_cast<Duration>(share * patienceShare);
+        if (server) {
+            server->evacuating = true;
+            this->evacuation.empty(*server, force, now);
+        }
+        if (!server || server->occupants.empty())
+            machine.stage = Stage::Ordering;
+    }
+    if (machine.stage == Stage::Ordering && !machine.callOpen && now >= machine.nextCall)
+        this->order(wave, id, machine, now);
+    if (machine.stage == Stage::Down) {
+        const bool returned = server && server->incarnation != machine.incarnation && server->incarnation != 0;
+        if (now - machine.since > this->options.upkeepTime && (returned || now - machine.since > lateExecution)) {
+            machine.stage = Stage::Through;
+            if (server)
+                server->evacuating = false;
+        }
+    }
+}
+
+void UpkeepController::order(Wave& wave, const std::string& id, Machine& machine, SteadyTime)
+{
+    const BackendServer* server = this->serverOf(id);
+    if (server)
+        machine.incarnation = server->incarnation;
+    machine.callOpen = true;
+    this->effects.push(UpkeepCall { .machine = id,
+        .wave = wave.wave.number,
+        .holder = this->holder,
+        .token = this->token,
+        .timeout = callTimeout,
+        .done = [this, number = wave.wave.number, id, open = this->generation](UpkeepResult result) {
+            if (open == this->generation)
+                this->ordered(number, id, result);
+        } });
+}
+
+void UpkeepController::ordered(std::int64_t number, const std::string& id, UpkeepResult result)
+{
+    const SteadyTime now = this->clock();
+    Wave& wave = this->waves.at(number);
+    Machine& machine = wave.machines.at(id);
+    machine.callOpen = false;
+    machine.nextCall = now + callRetryPause;
+    this->effects.log(Event::UpkeepOrdered,
+        { { "wave", number }, { "machine", id }, { "result", upkeepResultName(result) }, { "token", this->token } });
+    if (result != UpkeepResult::Done && result != UpkeepResult::NoSuchMachine && result != UpkeepResult::OtherWave)
+        return;
+    machine.stage = Stage::Down;
+    machine.since = now;
+    wave.progressDirty = true;
+}
+
+void UpkeepController::storeProgress(Wave& wave)
+{
+    Utils::Json through = Utils::Json::array();
+    for (const auto& [id, machine] : wave.machines) {
+        if (machine.stage == Stage::Down || machine.stage == Stage::Through)
+            through.push_back(id);
+    }
+    wave.progressOpen = true;
+    wave.progressDirty = false;
+    this->effects.push(CommitCall { .transaction = { .writes = { { progressRow(wave.wave.number), through.dump() } } },
+        .timeout = storeTimeout,
+        .done = [this, number = wave.wave.number, open = this->generation](const CommitResult& result) {
+            if (open != this->generation)
+                return;
+            Wave& stored = this->waves.at(number);
+            stored.progressOpen = false;
+            stored.progressDirty = stored.progressDirty || !std::holds_alternative<Committed>(result);
+        } });
+}
+
+void UpkeepController::storeStatus(Wave& wave)
+{
+    wave.statusOpen = true;
+    const RowKey key { this->options.statusTable, "", this->options.wavePrefix + std::to_string(wave.wave.number) };
+    this->effects.push(
+        CommitCall { .transaction = { .writes = { { key, this->options.encodeStatus(wave.completed) } } },
+            .timeout = storeTimeout,
+            .done = [this, number = wave.wave.number, completed = wave.completed, open = this->generation](
+                        const CommitResult& result) {
+                if (open != this->generation)
+                    return;
+                Wave& stored = this->waves.at(number);
+                stored.statusOpen = false;
+                stored.statusStored = std::holds_alternative<Committed>(result) && stored.completed == completed;
+            } });
+}
+
+} // namespace WisteriaHill::Scheduling
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -173,6 +173,17 @@
         Event::LookRefused, Warning, "LookRefused", "A backend server refused to list its runs.", "See the reason." },
     EventDescription { Event::LogLinesDropped, Warning, "LogLinesDropped",
         "Lines of an event were left out to bound the volume.", "See the counters of the metrics address." },
+    EventDescription { Event::AdviceTaken, Information, "AdviceTaken",
+        "The placement advice named the servers that may run a step.", "None." },
+    EventDescription { Event::AdviceMissing, Warning, "AdviceMissing",
+        "The placement advice did not answer; it is asked again.", "Check the advice service if it lasts." },
+    EventDescription { Event::RunPaced, Information, "RunPaced",
+        "A task that fills idle capacity was slowed down or let go.", "None." },
+    EventDescription { Event::WaveBegun, Information, "WaveBegun", "A wave of upkeep was taken up.", "None." },
+    EventDescription { Event::UpkeepOrdered, Information, "UpkeepOrdered", "A machine was ordered into its upkeep.",
+        "See the result; it is tried again until it is done." },
+    EventDescription {
+        Event::WaveCompleted, Information, "WaveCompleted", "Every machine of a wave has begun its upkeep.", "None." },
 };
 
 std::string_view levelName(EventLevel level)
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -90,6 +90,12 @@
     ServerReachable = 864,
     LookRefused = 865,
     LogLinesDropped = 870,
+    AdviceTaken = 880,
+    AdviceMissing = 881,
+    RunPaced = 882,
+    WaveBegun = 883,
+    UpkeepOrdered = 884,
+    WaveCompleted = 885,
 };
 
 enum class EventLevel { Information, Warning, Error };
