--- a/src/libs/scheduling/advicecontroller.cpp
+++ b/src/libs/scheduling/advicecontroller.cpp
@@ -61,7 +61,7 @@
     std::optional<Question> best;
     SteadyTime bestSince {};
     for (const auto& [id, job] : this->board.jobs) {
-        const Queue* queue = job.ended() ? nullptr : this->board.configuration->queueOf(job.record);
+        const Queue* queue = job.ended() ? nullptr : job.queue;
         if (!queue || !queue->advice)
             continue;
         for (const auto& [index, occurrence] : job.occurrences) {
@@ -87,7 +87,7 @@
 
 void AdviceController::tick(const std::function<bool(const BackendServer&)>& usable, SteadyTime now)
 {
-    if (this->callOpen || now < this->nextCall || !this->board.configuration)
+    if (this->callOpen || now < this->nextCall || !this->board.advisedQueues)
         return;
     std::optional<Question> question = this->nextQuestion(usable, now);
     if (!question)
--- a/src/libs/scheduling/board.cpp
+++ b/src/libs/scheduling/board.cpp
@@ -1,7 +1,18 @@
 #include "scheduling/board.h"
 
+#include <algorithm>
+
 namespace WisteriaHill::Scheduling {
 
+void Board::setConfiguration(std::shared_ptr<const FleetConfiguration> inForce)
+{
+    this->configuration = std::move(inForce);
+    this->advisedQueues
+        = std::ranges::any_of(this->configuration->queues, [](const Queue& queue) { return queue.advice.has_value(); });
+    for (auto& [id, job] : this->jobs)
+        job.queue = this->configuration->queueOf(job.record);
+}
+
 Task* Board::findTask(const TaskName& name)
 {
     const auto job = this->jobs.find(name.jobId);
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -82,6 +82,7 @@
 
 struct Job {
     JobRecord record;
+    const Queue* queue = nullptr; ///< in the configuration in force; null when it was removed
     JobState state = JobState::Queued;
     JobState storedState = JobState::Queued;
     std::map<int, Occurrence> occurrences; ///< by index; made when due
@@ -145,6 +146,12 @@
     std::shared_ptr<const FleetConfiguration> configuration;
     std::map<std::string, Job> jobs;
     std::map<std::string, BackendServer> servers;
+    std::set<std::string> dirtyJobs; ///< jobs with rows that differ from the stored ones
+    bool advisedQueues = false; ///< some queue needs placement advice
+    bool servingTasks = false; ///< some job has tasks with a latency target
+
+    /// Puts a configuration in force and finds every job's queue in it.
+    void setConfiguration(std::shared_ptr<const FleetConfiguration> inForce);
 
     /// The task, or nothing when it is not known.
     Task* findTask(const TaskName& name);
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -54,6 +54,9 @@
         return;
     Job& job = this->board.jobs[id];
     job.record = std::move(record);
+    job.queue = this->board.configuration ? this->board.configuration->queueOf(job.record) : nullptr;
+    for (const StepSpecification& step : job.record.specification.steps)
+        this->board.servingTasks = this->board.servingTasks || step.latencyTarget.count() > 0;
     job.state = storedState;
     job.storedState = storedState;
     job.acceptedAt = acceptedAt;
@@ -131,6 +134,7 @@
 void JobTracker::markDirty(const TaskName& name)
 {
     this->board.jobs.at(name.jobId).occurrences.at(name.occurrence).dirty = true;
+    this->board.dirtyJobs.insert(name.jobId);
 }
 
 void JobTracker::releaseOccupant(const TaskName& name, const std::string& server)
@@ -154,6 +158,7 @@
         return;
     job.state = state;
     job.stateDirty = true;
+    this->board.dirtyJobs.insert(job.record.id);
     job.finishedAt = now;
     this->effects.log(Event::JobEnded,
         { { "job", job.record.id }, { "state", jobStateName(state) }, { "reason", reason },
@@ -207,7 +212,7 @@
     Occurrence& occurrence = job.occurrences.at(ended.task.occurrence);
     Step& step = stepAt(occurrence, ended.task.step);
     const StepSpecification& specification = specificationOf(job, ended.task.step);
-    occurrence.dirty = true;
+    this->markDirty(ended.task);
     if (!ended.checkpoint.empty())
         (specification.gang ? step.tasks.front() : *task).checkpoint = ended.checkpoint;
 
@@ -296,8 +301,7 @@
     } else {
         failures = ++task.failures;
     }
-    const Queue* queue = this->board.configuration ? this->board.configuration->queueOf(job.record) : nullptr;
-    const int limit = queue ? queue->maximumAttempts : 0;
+    const int limit = job.queue ? job.queue->maximumAttempts : 0;
     if (limit > 0 && failures >= limit && !specification.longRunning)
         this->endJob(job, JobState::Failed,
             "task " + formatTaskName(name) + " failed " + std::to_string(failures) + " times", now);
@@ -330,7 +334,7 @@
     this->effects.log(Event::RunLost,
         { { "task", formatTaskName(name) }, { "attempt", task->run->attempt }, { "server", task->run->server },
             { "reason", runLossName(loss) }, { "stopReason", task->run->stopReason } });
-    occurrence.dirty = true;
+    this->markDirty(name);
     this->requeue(name, stepAt(occurrence, name.step), *task, now);
     if (specificationOf(job, name.step).gang)
         this->stopGang(name, "another member was lost", now);
@@ -358,6 +362,7 @@
     if (job.begun && job.state == JobState::Queued) {
         job.state = JobState::Running;
         job.stateDirty = true;
+        this->board.dirtyJobs.insert(job.record.id);
     }
     const int occurrences = std::max(job.record.specification.occurrences, 1);
     const bool allCreated = job.nextOccurrence >= occurrences;
--- /dev/null
+++ b/src/libs/scheduling/outlook.cpp
@@ -0,0 +1,51 @@
+#include "scheduling/outlook.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+/// Beyond this multiple of the objective a result is of no use.
+constexpr int uselessMultiple = 3;
+/// Late work is worth about a fifth to a third of the same work on time: less than on-time work of the next priority.
+constexpr int lateSetback = 3;
+constexpr int tooLateSetback = 100;
+
+/// Declared run time of the steps on the longest path that begins at `first` or later.
+Duration longestPath(const JobSpecification& job, std::size_t first)
+{
+    if (job.steps.size() == 1)
+        return job.steps.front().estimate;
+    std::vector<Duration> ends(job.steps.size(), Duration(0));
+    Duration longest { 0 };
+    for (std::size_t index = first; index < job.steps.size(); ++index) {
+        Duration begin { 0 };
+        for (const int earlier : job.steps[index].prerequisites)
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        ends[index] = begin + job.steps[index].estimate;
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+} // namespace
+
+Outlook outlookOf(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now)
+{
+    const Duration whole = longestPath(job.record.specification, 0);
+    const Duration rest = step == 0 ? whole : longestPath(job.record.specification, step);
+    const auto objective = std::chrono::duration_cast<Duration>(whole * queue.stretchFactor) + queue.targetDuration;
+    const auto expected = std::chrono::duration_cast<Duration>(now - since) + rest;
+    if (expected <= objective)
+        return Outlook::OnTime;
+    return expected <= objective * uselessMultiple ? Outlook::Late : Outlook::TooLate;
+}
+
+int standing(int priority, Outlook outlook)
+{
+    const int setback = outlook == Outlook::OnTime ? 0 : outlook == Outlook::Late ? lateSetback : tooLateSetback;
+    return 2 * priority + setback;
+}
+
+} // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/pacecontroller.cpp
+++ b/src/libs/scheduling/pacecontroller.cpp
@@ -21,6 +21,8 @@
 
 bool PaceController::isMixed(const BackendServer& server) const
 {
+    if (!this->board.servingTasks)
+        return false;
     bool serves = false;
     bool fills = false;
     for (const auto& [name, need] : server.occupants) {
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -93,58 +93,59 @@
 }
 
 std::vector<std::optional<std::size_t>> placeTasks(
-    std::vector<PlacementServer>& servers, const PlacementRequest& request)
+    std::vector<PlacementServer>& servers, const std::vector<std::size_t>& candidates, const PlacementRequest& request)
 {
     const StepSpecification& step = *request.step;
-    std::map<std::string, std::vector<std::size_t>> byRack;
-    std::map<std::string, std::vector<std::size_t>> everyServer;
-    std::vector<std::size_t> all;
-    for (std::size_t index = 0; index < servers.size(); ++index) {
-        if (!isEligible(servers[index], step) || (!request.onlyRack.empty() && servers[index].rack != request.onlyRack))
-            continue;
-        everyServer[servers[index].rack].push_back(index);
-        if (servers[index].heldReady && !request.mayUseHeldReady && servers[index].rack != step.dataRack)
+    const auto mayUse = [&](std::size_t index) {
+        const PlacementServer& server = servers[index];
+        return isEligible(server, step)
+            && (!server.heldReady || request.mayUseHeldReady || server.rack == step.dataRack);
+    };
+    const bool byRack = (step.sameRack && request.allOrNone) || (!step.dataRack.empty() && !request.anyRack);
+    std::vector<std::size_t> allowed;
+    std::map<std::string, std::vector<std::size_t>> allowedByRack;
+    std::map<std::string, std::vector<std::size_t>> eligibleByRack;
+    for (const std::size_t index : candidates) {
+        if (byRack && isEligible(servers[index], step))
+            eligibleByRack[servers[index].rack].push_back(index);
+        if (!mayUse(index))
             continue;
-        byRack[servers[index].rack].push_back(index);
-        all.push_back(index);
+        allowed.push_back(index);
+        if (byRack)
+            allowedByRack[servers[index].rack].push_back(index);
     }
+    const auto none = [&]() { return Choice(static_cast<std::size_t>(request.taskCount)); };
+    const auto place = [&](const std::vector<std::size_t>& among) {
+        Choice choice = placeAmong(servers, among, step, request.taskCount);
+        if (!request.allOrNone || isComplete(choice))
+            return choice;
+        undo(servers, step, choice);
+        return none();
+    };
 
-    if (!step.dataRack.empty() && !request.anyRack) {
-        Choice choice = placeAmong(servers, byRack[step.dataRack], step, request.taskCount);
-        if (request.allOrNone && !isComplete(choice)) {
-            undo(servers, step, choice);
-            return Choice(static_cast<std::size_t>(request.taskCount));
-        }
-        return choice;
-    }
+    if (!step.dataRack.empty() && !request.anyRack)
+        return place(allowedByRack[step.dataRack]);
 
     if (step.sameRack && request.allOrNone) {
         // The rack with the least room that holds the whole gang.
-        std::map<std::int64_t, std::string> racks;
-        for (const auto& [rack, candidates] : byRack) {
-            const std::int64_t room = roomFor(servers, candidates, step);
+        std::multimap<std::int64_t, const std::vector<std::size_t>*> racks;
+        for (const auto& [rack, members] : allowedByRack) {
+            const std::int64_t room = roomFor(servers, members, step);
             if (room >= request.taskCount)
-                racks.emplace(room, rack);
+                racks.emplace(room, &members);
         }
-        for (const auto& [room, rack] : racks) {
-            Choice choice = placeAmong(servers, byRack[rack], step, request.taskCount);
+        for (const auto& [room, members] : racks) {
+            Choice choice = place(*members);
             if (isComplete(choice))
                 return choice;
-            undo(servers, step, choice);
         }
         // A gang that no rack could ever hold gains nothing by waiting.
-        const bool someRackSuffices = std::ranges::any_of(everyServer,
+        const bool someRackSuffices = std::ranges::any_of(eligibleByRack,
             [&](const auto& rack) { return roomFor(servers, rack.second, step, true) >= request.taskCount; });
         if (!request.anyRack && someRackSuffices)
-            return Choice(static_cast<std::size_t>(request.taskCount));
+            return none();
     }
-
-    Choice choice = placeAmong(servers, all, step, request.taskCount);
-    if (request.allOrNone && !isComplete(choice)) {
-        undo(servers, step, choice);
-        return Choice(static_cast<std::size_t>(request.taskCount));
-    }
-    return choice;
+    return place(allowed);
 }
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -28,14 +28,14 @@
     bool allOrNone = false; ///< place every task or none
     bool anyRack = false; ///< ignore rack preferences
     bool mayUseHeldReady = true;
-    std::string onlyRack; ///< when set, nothing outside this rack
 };
 
-/// Index into the servers for each task; an unset entry could not be placed. Servers' free capacity and tasksOfStep are
-/// reduced by what was placed. Tasks go to the fullest server that still fits, so that whole servers stay free for
-/// tasks that need all accelerators of one; gangs of one rack go to the rack with the tightest fit.
+/// Index into the servers for each task, chosen among `candidates`; an unset entry could not be placed. Servers' free
+/// capacity and tasksOfStep are reduced by what was placed. Tasks go to the fullest server that still fits, so that
+/// whole servers stay free for tasks that need all accelerators of one; gangs of one rack go to the rack with the
+/// tightest fit.
 std::vector<std::optional<std::size_t>> placeTasks(
-    std::vector<PlacementServer>& servers, const PlacementRequest& request);
+    std::vector<PlacementServer>& servers, const std::vector<std::size_t>& candidates, const PlacementRequest& request);
 
 /// True when the server may run a task of the step at all, were it empty.
 bool isEligible(const PlacementServer& server, const StepSpecification& step);
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -3,8 +3,6 @@
 #include "scheduling/advicecontroller.h"
 
 #include <algorithm>
-#include <cmath>
-#include <tuple>
 
 namespace WisteriaHill::Scheduling {
 
@@ -12,270 +10,196 @@
 
 /// A server that is being cleared stays reserved this long; stops take well under a second.
 constexpr Duration clearingTime { 1200 };
-
-/// Racks are held ready for this multiple of the recent peak of urgent work.
-constexpr double readyMargin = 1.1;
-/// At most this share of a service is held ready, so that ordinary work goes on.
-constexpr double largestReadyShare = 0.55;
 /// At most this share of the servers drains for gangs that wait; smaller work goes on elsewhere.
 constexpr double largestClaimedShare = 0.4;
 /// When more servers than this share are avoided, they are used last instead of not at all.
 constexpr double largestAvoidedShare = 0.3;
-/// A run that is stopped costs this much besides what it has done: it has to start again.
-constexpr double restartCostMs = 2000;
-/// The peak of urgent work is forgotten by half in this time; bursts last a few seconds.
-constexpr Duration peakHalfLife { 5000 };
 
-std::int64_t acceleratorsOfFirstSteps(const Job& job)
+/// Searches for servers to clear in one pass; each looks at every run of a service.
+constexpr int clearingsPerPass = 8;
+
+std::int64_t memoryPerAccelerator(const Resources& capacity)
 {
-    std::int64_t accelerators = 0;
-    for (const StepSpecification& step : job.record.specification.steps)
-        accelerators = std::max(accelerators, step.perTask.accelerators * step.taskCount);
-    return accelerators;
+    return capacity.memoryMb / std::max<std::int64_t>(capacity.accelerators, 1);
 }
 
-/// Work that is lost when the run stops now, in core milliseconds; an accelerator counts as 8 cores.
-double lossOf(const StepSpecification& step, const Run& run, SteadyTime now)
+/// How much has to end before the server has room, with accelerators weighed as their share of memory.
+std::int64_t occupiedBefore(const PlacementServer& server, const Resources& need)
 {
-    constexpr double coresPerAccelerator = 8;
-    constexpr double milliCoresPerCore = 1000;
-    constexpr double savedShare = 0.02; // progress is saved when the run is stopped; only the restart costs
-    const double cores = static_cast<double>(step.perTask.milliCores) / milliCoresPerCore
-        + coresPerAccelerator * static_cast<double>(step.perTask.accelerators);
-    const double age = std::chrono::duration<double, std::milli>(now - run.phaseSince).count();
-    return cores * (restartCostMs + age) * (step.savesProgress ? savedShare : 1);
+    if (server.free.holds(need))
+        return 0;
+    return server.capacity.memoryMb - server.free.memoryMb
+        + memoryPerAccelerator(server.capacity) * (server.capacity.accelerators - server.free.accelerators);
 }
 
-std::int64_t memoryPerAccelerator(const Resources& capacity)
+/// Work that can be stopped without loss, and urgent work, may use servers that are held ready.
+bool mayUseHeldReady(const WaitingUnit& unit)
 {
-    return capacity.memoryMb / std::max<std::int64_t>(capacity.accelerators, 1);
+    return unit.urgency != Urgency::Ordinary || unit.specification->savesProgress;
 }
 
 } // namespace
 
-/// What a job's client can still get.
-enum class Outlook {
-    OnTime, ///< may end within its objective
-    Late, ///< will miss its objective, but is still of use
-    TooLate, ///< is of no use to its client any more
-};
-
-namespace {
-
-/// Late work gives way to on-time work of the next priority: it is worth a fraction of what on-time work is.
-int standing(int priority, Outlook outlook)
+Plan Planner::plan(const Board& board, const PlanningPass::Usable& usable, SteadyTime now)
 {
-    constexpr int lateSetback = 3;
-    constexpr int tooLateSetback = 100;
-    const int setback = outlook == Outlook::OnTime ? 0 : outlook == Outlook::Late ? lateSetback : tooLateSetback;
-    return 2 * priority + setback;
+    Plan plan;
+    PlanningPass pass(board, usable, now);
+    this->claimed.clear();
+    this->failedShapes.clear();
+    this->clearingsLeft = clearingsPerPass;
+    this->expireClearings(board, now);
+    const std::vector<WaitingUnit> units = pass.waitingUnits();
+    const auto avoided = std::ranges::count_if(pass.servers, &PlacementServer::lastChoice);
+    this->excludeAvoided
+        = static_cast<double>(avoided) <= largestAvoidedShare * static_cast<double>(pass.servers.size());
+    this->reserve.apply(pass, units);
+    for (const WaitingUnit& unit : units)
+        this->placeUnit(pass, unit, plan);
+    return plan;
 }
 
-/// Expected run time of the steps on the longest path from `first` on, by their declared estimates.
-Duration longestPath(const JobSpecification& job, std::size_t first)
+void Planner::expireClearings(const Board& board, SteadyTime now)
 {
-    std::vector<Duration> ends(job.steps.size(), Duration(0));
-    Duration longest { 0 };
-    for (std::size_t index = first; index < job.steps.size(); ++index) {
-        Duration begin { 0 };
-        for (const int earlier : job.steps[index].prerequisites)
-            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-        ends[index] = begin + job.steps[index].estimate;
-        longest = std::max(longest, ends[index]);
-    }
-    return longest;
+    std::erase_if(this->clearings, [&](const auto& entry) {
+        const auto job = board.jobs.find(entry.second.jobId);
+        return now > entry.second.until || job == board.jobs.end() || job->second.ended();
+    });
 }
 
-Outlook outlookOf(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now)
+std::vector<std::size_t> Planner::candidatesFor(const PlanningPass& pass, const WaitingUnit& unit) const
 {
-    constexpr int lateMultiple = 3; // beyond this multiple of the objective a result is of no use
-    const Duration whole = longestPath(job.record.specification, 0);
-    const Duration rest = longestPath(job.record.specification, step);
-    const auto objective = std::chrono::duration_cast<Duration>(whole * queue.stretchFactor) + queue.targetDuration;
-    const auto expected = std::chrono::duration_cast<Duration>(now - since) + rest;
-    if (expected <= objective)
-        return Outlook::OnTime;
-    return expected <= objective * lateMultiple ? Outlook::Late : Outlook::TooLate;
-}
-
-} // namespace
-
-struct Planner::Unit {
-    const Job* job = nullptr;
-    const Occurrence* occurrence = nullptr;
-    int step = 0;
-    const StepSpecification* specification = nullptr;
-    const Queue* queue = nullptr;
-    Urgency urgency = Urgency::Ordinary;
-    std::vector<int> waiting;
-    SteadyTime readySince {};
-    Outlook outlook = Outlook::OnTime;
-
-    auto rank() const
-    {
-        return std::tuple(this->urgency != Urgency::Guaranteed, standing(this->queue->priority, this->outlook),
-            this->job->acceptedAt, this->job->record.id, this->step);
+    std::vector<std::size_t> candidates;
+    candidates.reserve(pass.servers.size());
+    for (std::size_t index = 0; index < pass.servers.size(); ++index) {
+        const PlacementServer& server = pass.servers[index];
+        if (pass.entries[index]->service != unit.queue->service || (server.lastChoice && this->excludeAvoided)
+            || !isEligible(server, *unit.specification) || (!this->claimed.empty() && this->claimed.contains(server.id))
+            || !hasTicket(*unit.queue, *unit.state, server.id, pass.time()))
+            continue;
+        const auto clearing = this->clearings.empty() ? this->clearings.end() : this->clearings.find(server.id);
+        if (clearing != this->clearings.end() && clearing->second.jobId != unit.job->record.id
+            && clearing->second.urgency <= unit.urgency)
+            continue;
+        candidates.push_back(index);
     }
-};
+    return candidates;
+}
 
-std::set<std::string> guaranteedJobs(const Board& board)
+void Planner::countTasksOfStep(PlanningPass& pass, const WaitingUnit& unit, const Plan& plan)
 {
-    std::vector<const Job*> urgent;
-    for (const auto& [id, job] : board.jobs) {
-        const Queue* queue = job.ended() ? nullptr : board.configuration->queueOf(job.record);
-        if (queue && queue->priority == 0)
-            urgent.push_back(&job);
-    }
-    std::ranges::sort(urgent, {}, [](const Job* job) { return std::tuple(job->acceptedAt, job->record.id); });
-    std::map<std::string, std::int64_t> used;
-    std::set<std::string> guaranteed;
-    for (const Job* job : urgent) {
-        const ClientAccount* account = board.configuration->findAccount(job->record.account);
-        if (!account)
+    const auto isSameStep = [&](const TaskName& name) {
+        return name.jobId == unit.job->record.id && name.occurrence == unit.occurrence->index && name.step == unit.step;
+    };
+    for (std::size_t index = 0; index < pass.servers.size(); ++index) {
+        PlacementServer& server = pass.servers[index];
+        server.tasksOfStep = 0;
+        if (unit.specification->maximumPerServer == 0)
             continue;
-        std::int64_t& accelerators = used[account->name];
-        accelerators += acceleratorsOfFirstSteps(*job);
-        if (accelerators <= account->guaranteedAccelerators)
-            guaranteed.insert(job->record.id);
+        for (const auto& [name, need] : pass.entries[index]->occupants)
+            server.tasksOfStep += isSameStep(name) ? 1 : 0;
+        for (const PlannedStart& start : plan.starts)
+            server.tasksOfStep += start.server == server.id && isSameStep(start.task) ? 1 : 0;
     }
-    return guaranteed;
 }
 
-std::vector<Planner::Unit> Planner::waitingUnits(const Board& board, SteadyTime now)
+bool Planner::ownsClearing(const WaitingUnit& unit) const
 {
-    const std::set<std::string> guaranteed = guaranteedJobs(board);
-    std::vector<Unit> units;
-    for (const auto& [id, job] : board.jobs) {
-        if (job.ended())
-            continue;
-        const Queue* queue = board.configuration->queueOf(job.record);
-        if (!queue)
-            continue; // the queue was removed: nothing may start
-        for (const auto& [index, occurrence] : job.occurrences) {
-            for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
-                const Step& step = occurrence.steps[number];
-                const int total = static_cast<int>(step.tasks.size());
-                const StepSpecification& specification = job.record.specification.steps[number];
-                if (!step.ready || step.done + step.running >= total || (specification.gang && step.running > 0))
-                    continue;
-                Unit unit { .job = &job,
-                    .occurrence = &occurrence,
-                    .step = static_cast<int>(number),
-                    .specification = &specification,
-                    .queue = queue,
-                    .urgency = queue->priority > 0 ? Urgency::Ordinary
-                        : guaranteed.contains(id)  ? Urgency::Guaranteed
-                                                   : Urgency::Urgent,
-                    .readySince = step.readySince };
-                const SteadyTime since
-                    = job.record.specification.occurrences > 0 ? occurrence.createdAt : job.acceptedAt;
-                unit.outlook = outlookOf(job, *queue, number, since, now);
-                for (int task = 0; task < total; ++task) {
-                    if (step.tasks[static_cast<std::size_t>(task)].phase == TaskPhase::Waiting)
-                        unit.waiting.push_back(task);
-                }
-                units.push_back(std::move(unit));
-            }
-        }
-    }
-    std::ranges::sort(units, {}, &Unit::rank);
-    return units;
+    return std::ranges::any_of(
+        this->clearings, [&](const auto& entry) { return entry.second.jobId == unit.job->record.id; });
 }
 
-std::vector<PlacementServer> Planner::serversFor(const Board& board,
-    const std::function<bool(const BackendServer&)>& usable, const Unit& unit, const Plan& plan, SteadyTime now) const
+Planner::FailedShape Planner::shapeOf(const WaitingUnit& unit, bool anyRack) const
 {
-    std::vector<PlacementServer> servers;
-    for (const auto& [id, server] : board.servers) {
-        if (server.service != unit.queue->service || !usable(server) || this->claimed.contains(id)
-            || (now < server.avoidUntil && this->excludeAvoided))
-            continue;
-        if (!hasTicket(*unit.queue, unit.occurrence->steps.at(static_cast<std::size_t>(unit.step)), id, now))
-            continue;
-        const auto cleared = this->clearing.find(id);
-        if (cleared != this->clearing.end() && cleared->second.jobId != unit.job->record.id
-            && cleared->second.urgency <= unit.urgency)
-            continue;
-        PlacementServer& candidate = servers.emplace_back(PlacementServer { .id = id,
-            .rack = server.rack,
-            .labels = &server.labels,
-            .capacity = server.capacity,
-            .free = server.freeCapacity(),
-            .lastChoice = now < server.avoidUntil,
-            .heldReady = this->heldReady.contains(id) });
-        const auto taken = this->planned.find(id);
-        if (taken != this->planned.end())
-            candidate.free -= taken->second;
-        if (unit.specification->maximumPerServer == 0)
-            continue;
-        const auto sameStep = [&](const TaskName& name) {
-            return name.jobId == unit.job->record.id && name.occurrence == unit.occurrence->index
-                && name.step == unit.step;
-        };
-        candidate.tasksOfStep = static_cast<int>(std::ranges::count_if(server.occupants, [&](const auto& occupant) {
-            return sameStep(occupant.first);
-        }) + std::ranges::count_if(plan.starts, [&](const PlannedStart& start) {
-            return start.server == id && sameStep(start.task);
-        }));
-    }
-    return servers;
+    return { .service = unit.queue->service,
+        .need = countedNeed(*unit.specification),
+        .count = unit.specification->gang ? static_cast<int>(unit.waiting.size()) : 1,
+        .inOneRack = unit.specification->gang && unit.specification->sameRack && !anyRack,
+        .mayUseHeldReady = mayUseHeldReady(unit) };
+}
+
+bool Planner::mustFail(const WaitingUnit& unit, const FailedShape& shape) const
+{
+    const auto failedBefore = [&](const FailedShape& failed) {
+        return failed.service == shape.service && shape.need.holds(failed.need) && shape.count >= failed.count
+            && (shape.inOneRack || !failed.inOneRack) && (failed.mayUseHeldReady || !shape.mayUseHeldReady);
+    };
+    return std::ranges::any_of(this->failedShapes, failedBefore) && !this->ownsClearing(unit);
 }
 
-void Planner::placeUnit(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
-    Plan& plan, SteadyTime now)
+void Planner::placeUnit(PlanningPass& pass, const WaitingUnit& unit, Plan& plan)
 {
-    std::vector<PlacementServer> servers = this->serversFor(board, usable, unit, plan, now);
-    const ServiceLoad& load = this->load[unit.queue->service];
+    const StepSpecification& step = *unit.specification;
     const Duration patience = unit.urgency == Urgency::Guaranteed ? this->options.guaranteedRackPatience
-        : load.mostlyIdle()                                       ? this->options.idleRackPatience
+        : this->reserve.loadOf(unit.queue->service).mostlyIdle()  ? this->options.idleRackPatience
                                                                   : this->options.rackPatience;
-    const bool impatient = now - unit.readySince > patience;
-    const PlacementRequest request { .step = unit.specification,
-        .taskCount = static_cast<int>(unit.waiting.size()),
-        .allOrNone = unit.specification->gang,
-        .anyRack = impatient,
-        .mayUseHeldReady = unit.urgency != Urgency::Ordinary || unit.specification->savesProgress };
-    const std::vector<std::optional<std::size_t>> choice = placeTasks(servers, request);
-    bool complete = true;
+    const bool anyRack = pass.time() - unit.state->readySince > patience;
+    const FailedShape shape = this->shapeOf(unit, anyRack);
+    if (!this->mustFail(unit, shape)) {
+        if (this->placeTasksOf(pass, unit, anyRack, plan))
+            return;
+        const bool unconstrained
+            = step.requiredLabel.empty() && step.dataRack.empty() && step.maximumPerServer == 0 && !unit.queue->advice;
+        if (unconstrained)
+            this->failedShapes.push_back(shape);
+    }
+    if (unit.outlook != Outlook::TooLate || unit.urgency == Urgency::Guaranteed)
+        this->waitForRoom(pass, unit, anyRack, plan);
+}
+
+bool Planner::placeTasksOf(PlanningPass& pass, const WaitingUnit& unit, bool anyRack, Plan& plan)
+{
+    const StepSpecification& step = *unit.specification;
+    if (step.maximumPerServer > 0)
+        countTasksOfStep(pass, unit, plan);
+    const std::vector<std::optional<std::size_t>> choice = placeTasks(pass.servers, this->candidatesFor(pass, unit),
+        { .step = &step,
+            .taskCount = static_cast<int>(unit.waiting.size()),
+            .allOrNone = step.gang,
+            .anyRack = anyRack,
+            .mayUseHeldReady = mayUseHeldReady(unit) });
+    std::size_t placed = 0;
     for (std::size_t index = 0; index < choice.size(); ++index) {
-        if (!choice[index]) {
-            complete = false;
+        if (!choice[index])
             continue;
-        }
-        const std::string& server = servers[*choice[index]].id;
-        plan.starts.push_back(
-            { { unit.job->record.id, unit.occurrence->index, unit.step, unit.waiting[index] }, server });
-        this->planned[server] += countedNeed(*unit.specification);
+        ++placed;
+        plan.starts.push_back({ unit.taskName(unit.waiting[index]), pass.servers[*choice[index]].id });
     }
-    if (complete)
-        std::erase_if(this->clearing, [&](const auto& entry) { return entry.second.jobId == unit.job->record.id; });
-    else if (unit.urgency != Urgency::Ordinary && unit.outlook != Outlook::TooLate
-        && now - unit.readySince >= this->options.urgentPatience) {
-        const bool cleared = this->makeRoom(board, usable, unit, plan, unit.specification->sameRack && !impatient, now);
+    if (placed < choice.size())
+        return false;
+    std::erase_if(this->clearings, [&](const auto& entry) { return entry.second.jobId == unit.job->record.id; });
+    return true;
+}
+
+void Planner::waitForRoom(PlanningPass& pass, const WaitingUnit& unit, bool anyRack, Plan& plan)
+{
+    const bool patient = pass.time() - unit.state->readySince < this->options.urgentPatience;
+    if (unit.urgency != Urgency::Ordinary && !patient && this->clearingsLeft > 0) {
+        --this->clearingsLeft;
+        const bool cleared = this->makeRoom(pass, unit, unit.specification->sameRack && !anyRack, plan);
         if (!cleared && unit.urgency == Urgency::Guaranteed)
-            this->makeRoom(board, usable, unit, plan, false, now);
+            this->makeRoom(pass, unit, false, plan);
     }
-    if (!complete && unit.specification->gang && unit.outlook != Outlook::TooLate)
-        this->claimServers(board, usable, unit, plan, now);
+    if (unit.specification->gang)
+        this->claimServers(pass, unit);
 }
 
-void Planner::claimServers(const Board& board, const std::function<bool(const BackendServer&)>& usable,
-    const Unit& unit, const Plan& plan, SteadyTime now)
+void Planner::claimServers(const PlanningPass& pass, const WaitingUnit& unit)
 {
+    const std::size_t wanted = unit.waiting.size();
+    const auto limit = static_cast<std::size_t>(largestClaimedShare * static_cast<double>(pass.servers.size()));
+    // The first gang in the queue always gets its servers, however many it needs.
+    if (!this->claimed.empty() && this->claimed.size() + wanted > limit)
+        return;
     const Resources need = countedNeed(*unit.specification);
-    // By rack for gangs of one rack: how much has to end before a server has room for its share.
-    std::map<std::string, std::vector<std::pair<std::int64_t, std::string>>> racks;
-    for (const PlacementServer& server : this->serversFor(board, usable, unit, plan, now)) {
-        if (!isEligible(server, *unit.specification) || !server.capacity.holds(need)
-            || (server.heldReady && unit.urgency == Urgency::Ordinary && !unit.specification->savesProgress))
-            continue;
-        const std::int64_t occupied = server.free.holds(need) ? 0
-                                                              : server.capacity.memoryMb - server.free.memoryMb
-                + memoryPerAccelerator(server.capacity) * (server.capacity.accelerators - server.free.accelerators);
-        racks[unit.specification->sameRack ? server.rack : std::string()].emplace_back(occupied, server.id);
+    // By rack for gangs of one rack.
+    std::map<std::string, std::vector<std::pair<std::int64_t, std::size_t>>> racks;
+    for (const std::size_t index : this->candidatesFor(pass, unit)) {
+        const PlacementServer& server = pass.servers[index];
+        if (server.capacity.holds(need) && (!server.heldReady || mayUseHeldReady(unit)))
+            racks[unit.specification->sameRack ? server.rack : std::string()].emplace_back(
+                occupiedBefore(server, need), index);
     }
-    const std::size_t wanted = unit.waiting.size();
-    const std::vector<std::pair<std::int64_t, std::string>>* best = nullptr;
+    const std::vector<std::pair<std::int64_t, std::size_t>>* best = nullptr;
     std::int64_t bestOccupied = 0;
     for (auto& [rack, servers] : racks) {
         if (servers.size() < wanted)
@@ -289,182 +213,79 @@
         best = &servers;
         bestOccupied = occupied;
     }
-    const std::size_t limit = static_cast<std::size_t>(largestClaimedShare * static_cast<double>(board.servers.size()));
-    // The first gang in the queue always gets its servers, however many it needs.
-    if (!best || (!this->claimed.empty() && this->claimed.size() + wanted > limit))
-        return;
-    for (std::size_t index = 0; index < wanted; ++index)
-        this->claimed.insert((*best)[index].second);
+    for (std::size_t index = 0; best && index < wanted; ++index)
+        this->claimed.insert(pass.servers[(*best)[index].second].id);
 }
 
-bool Planner::makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
-    Plan& plan, bool inOneRack, SteadyTime now)
+Planner::ClearingChoice Planner::cheapestClearing(
+    PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates)
 {
-    if (std::ranges::any_of(
-            this->clearing, [&](const auto& entry) { return entry.second.jobId == unit.job->record.id; }))
-        return true; // stops are under way
-    struct Candidate {
-        std::string server;
-        Resources free;
-        std::vector<std::pair<double, TaskName>> victims; ///< by loss
-    };
     const Resources need = countedNeed(*unit.specification);
-    const std::set<std::string> guaranteed = guaranteedJobs(board);
-    std::map<std::string, std::vector<Candidate>> racks;
-    for (const PlacementServer& server : this->serversFor(board, usable, unit, plan, now)) {
-        if (!isEligible(server, *unit.specification) || this->clearing.contains(server.id))
-            continue;
-        Candidate candidate { .server = server.id, .free = server.free };
-        for (const auto& [name, taken] : board.servers.at(server.id).occupants) {
-            const auto job = board.jobs.find(name.jobId);
-            if (job == board.jobs.end() || job->second.ended() || name.jobId == unit.job->record.id)
-                continue;
-            const Queue* queue = board.configuration->queueOf(job->second.record);
-            const Urgency urgency = queue && queue->priority > 0 ? Urgency::Ordinary
-                : guaranteed.contains(name.jobId)                ? Urgency::Guaranteed
-                                                                 : Urgency::Urgent;
-            const Task& task = job->second.occurrences.at(name.occurrence)
-                                   .steps.at(static_cast<std::size_t>(name.step))
-                                   .tasks.at(static_cast<std::size_t>(name.index));
-            if (urgency <= unit.urgency || !task.run || task.run->phase == RunPhase::Stopping)
-                continue;
-            const StepSpecification& step = board.stepOf(name);
-            const double members = step.gang ? step.taskCount : 1;
-            candidate.victims.emplace_back(members * lossOf(step, *task.run, now), name);
-        }
-        std::ranges::sort(candidate.victims);
-        racks[inOneRack ? server.rack : std::string()].push_back(std::move(candidate));
-    }
-
-    // For each rack, the servers whose clearing loses least; the cheapest rack wins.
-    double bestLoss = 0;
-    std::vector<std::pair<std::string, std::vector<TaskName>>> best;
-    for (auto& [rack, candidates] : racks) {
-        std::vector<std::tuple<double, std::string, std::vector<TaskName>>> options;
-        for (const Candidate& candidate : candidates) {
-            Resources free = candidate.free;
-            double loss = 0;
-            std::vector<TaskName> stops;
-            std::size_t next = 0;
-            while (true) {
-                while (!free.holds(need) && next < candidate.victims.size()) {
-                    const auto& [victimLoss, victim] = candidate.victims[next++];
-                    free += countedNeed(board.stepOf(victim));
-                    loss += victimLoss;
-                    stops.push_back(victim);
-                }
-                if (!free.holds(need))
-                    break;
-                free -= need;
-                options.emplace_back(loss, candidate.server, stops);
-                if (unit.specification->maximumPerServer == 1)
-                    break;
+    struct Option {
+        double loss = 0;
+        std::size_t server = 0;
+        std::vector<const TaskName*> stops;
+    };
+    std::vector<Option> offers;
+    for (const std::size_t index : candidates) {
+        Resources free = pass.servers[index].free;
+        Option offer { .server = index };
+        const std::vector<PossibleVictim>& victims = pass.victims(index);
+        auto next = victims.begin();
+        while (true) {
+            for (; !free.holds(need) && next != victims.end(); ++next) {
+                if (next->urgency <= unit.urgency || next->name->jobId == unit.job->record.id)
+                    continue;
+                free += next->need;
+                offer.loss += next->loss;
+                offer.stops.push_back(next->name);
             }
+            if (!free.holds(need))
+                break;
+            free -= need;
+            offers.push_back(offer);
+            if (unit.specification->maximumPerServer == 1)
+                break;
         }
-        const std::size_t wanted = unit.waiting.size();
-        if (options.size() < wanted && unit.specification->gang)
-            continue;
-        std::ranges::sort(options, {}, [](const auto& option) { return std::get<0>(option); });
-        options.resize(std::min(options.size(), wanted));
-        double total = 0;
-        std::vector<std::pair<std::string, std::vector<TaskName>>> chosen;
-        for (auto& [loss, server, stops] : options) {
-            total += loss;
-            chosen.emplace_back(server, stops);
-        }
-        if (chosen.empty() || (!best.empty() && total >= bestLoss))
-            continue;
-        bestLoss = total;
-        best = std::move(chosen);
     }
-    for (const auto& [server, stops] : best) {
-        this->clearing[server] = { unit.job->record.id, unit.urgency, now + clearingTime };
-        for (const TaskName& victim : stops) {
-            const bool known
-                = std::ranges::any_of(plan.stops, [&](const PlannedStop& stop) { return stop.task == victim; });
-            if (!known)
-                plan.stops.push_back({ victim, unit.job->record.id });
-        }
+    const std::size_t wanted = unit.waiting.size();
+    if (offers.size() < wanted && unit.specification->gang)
+        return {};
+    std::ranges::sort(offers, {}, &Option::loss);
+    offers.resize(std::min(offers.size(), wanted));
+    ClearingChoice choice;
+    for (Option& offer : offers) {
+        choice.loss += offer.loss;
+        choice.servers.emplace_back(offer.server, std::move(offer.stops));
     }
-    return !best.empty();
+    return choice;
 }
 
-void Planner::measureLoad(const Board& board, const std::function<bool(const BackendServer&)>& usable,
-    const std::vector<Unit>& units, SteadyTime now)
+bool Planner::makeRoom(PlanningPass& pass, const WaitingUnit& unit, bool inOneRack, Plan& plan)
 {
-    this->load.clear();
-    for (const auto& [id, server] : board.servers) {
-        if (!usable(server))
-            continue;
-        ServiceLoad& service = this->load[server.service];
-        service.capacity += server.capacity.accelerators;
-        for (const auto& [name, need] : server.occupants) {
-            service.used += need.accelerators;
-            const auto job = board.jobs.find(name.jobId);
-            const Queue* queue = job == board.jobs.end() ? nullptr : board.configuration->queueOf(job->second.record);
-            if (queue && queue->priority == 0)
-                service.urgent += need.accelerators;
-        }
-    }
-    for (const Unit& unit : units) {
-        if (unit.urgency != Urgency::Ordinary && unit.outlook == Outlook::OnTime)
-            this->load[unit.queue->service].urgent
-                += unit.specification->perTask.accelerators * static_cast<std::int64_t>(unit.waiting.size());
+    if (this->ownsClearing(unit))
+        return true; // stops are under way
+    std::map<std::string, std::vector<std::size_t>> racks;
+    for (const std::size_t index : this->candidatesFor(pass, unit)) {
+        if (!this->clearings.contains(pass.servers[index].id))
+            racks[inOneRack ? pass.servers[index].rack : std::string()].push_back(index);
     }
-    const double halfLives = std::chrono::duration<double>(now - this->peakMeasuredAt) / peakHalfLife;
-    const double remaining = std::exp2(-std::min(halfLives, 60.0));
-    this->peakMeasuredAt = now;
-    for (const auto& [service, measured] : this->load) {
-        double& peak = this->urgentPeak[service];
-        peak = std::max(peak * remaining, static_cast<double>(measured.urgent));
+    ClearingChoice best;
+    for (const auto& [rack, candidates] : racks) {
+        ClearingChoice choice = cheapestClearing(pass, unit, candidates);
+        if (!choice.servers.empty() && (best.servers.empty() || choice.loss < best.loss))
+            best = std::move(choice);
     }
-}
-
-void Planner::holdServersReady(const Board& board, const std::function<bool(const BackendServer&)>& usable)
-{
-    this->heldReady.clear();
-    for (const auto& [service, measured] : this->load) {
-        if (measured.mostlyIdle())
-            continue; // there is room for everyone
-        // Whole racks, since urgent gangs want to stand in one.
-        std::map<std::string, std::vector<const BackendServer*>> racks;
-        for (const auto& [id, server] : board.servers) {
-            if (server.service == service && usable(server))
-                racks[server.rack].push_back(&server);
-        }
-        const double wanted = std::min(
-            this->urgentPeak[service] * readyMargin, largestReadyShare * static_cast<double>(measured.capacity));
-        double held = 0;
-        for (const auto& [rack, servers] : racks) {
-            if (held >= wanted)
-                break;
-            for (const BackendServer* server : servers) {
-                this->heldReady.insert(server->address.id);
-                held += static_cast<double>(server->capacity.accelerators);
-            }
+    for (const auto& [server, stops] : best.servers) {
+        this->clearings[pass.servers[server].id] = { unit.job->record.id, unit.urgency, pass.time() + clearingTime };
+        for (const TaskName* victim : stops) {
+            const bool known
+                = std::ranges::any_of(plan.stops, [&](const PlannedStop& stop) { return stop.task == *victim; });
+            if (!known)
+                plan.stops.push_back({ *victim, unit.job->record.id });
         }
     }
-}
-
-Plan Planner::plan(const Board& board, const std::function<bool(const BackendServer&)>& usable, SteadyTime now)
-{
-    Plan plan;
-    this->planned.clear();
-    this->claimed.clear();
-    std::erase_if(this->clearing, [&](const auto& entry) {
-        return now > entry.second.until || !board.jobs.contains(entry.second.jobId)
-            || board.jobs.at(entry.second.jobId).ended();
-    });
-    const std::vector<Unit> units = waitingUnits(board, now);
-    const auto avoided
-        = std::ranges::count_if(board.servers, [&](const auto& entry) { return now < entry.second.avoidUntil; });
-    this->excludeAvoided
-        = static_cast<double>(avoided) <= largestAvoidedShare * static_cast<double>(board.servers.size());
-    this->measureLoad(board, usable, units, now);
-    this->holdServersReady(board, usable);
-    for (const Unit& unit : units)
-        this->placeUnit(board, usable, unit, plan, now);
-    return plan;
+    return !best.servers.empty();
 }
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -1,20 +1,15 @@
 /// Decides which waiting tasks start where, and which runs make room for more urgent ones.
 #pragma once
 
-#include "scheduling/board.h"
-#include "scheduling/effects.h"
-#include "scheduling/placement.h"
+#include "scheduling/planningpass.h"
+#include "scheduling/urgentreserve.h"
 
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace WisteriaHill::Scheduling {
 
-/// Urgency of a job's tasks; lower goes first, and may take the room of higher.
-enum class Urgency { Guaranteed, Urgent, Ordinary };
-
 /// A start that was decided.
 struct PlannedStart {
     TaskName task;
@@ -39,7 +34,7 @@
     Duration urgentPatience { 300 }; ///< how long urgent work waits for room before others are stopped for it
 };
 
-/// Reads the blackboard; keeps only which servers are being cleared for whom. Thread safety: none.
+/// Reads the blackboard; remembers which servers are being cleared for whom, and recent peaks. Thread safety: none.
 class Planner {
 public:
     explicit Planner(PlannerOptions options)
@@ -47,60 +42,61 @@
     {
     }
 
-    /// Forgets which servers are being cleared.
+    /// Forgets what earlier passes left, when a term begins.
     void reset()
     {
-        this->clearing.clear();
-        this->urgentPeak.clear();
+        this->clearings.clear();
+        this->reserve.reset();
     }
 
     /// `usable` tells whether a server takes new runs.
-    Plan plan(const Board& board, const std::function<bool(const BackendServer&)>& usable, SteadyTime now);
+    Plan plan(const Board& board, const PlanningPass::Usable& usable, SteadyTime now);
 
 private:
-    struct Unit;
-    struct Clearing;
-
-    static std::vector<Unit> waitingUnits(const Board& board, SteadyTime now);
-    std::vector<PlacementServer> serversFor(const Board& board, const std::function<bool(const BackendServer&)>& usable,
-        const Unit& unit, const Plan& plan, SteadyTime now) const;
-    void placeUnit(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
-        Plan& plan, SteadyTime now);
-    void claimServers(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
-        const Plan& plan, SteadyTime now);
-    bool makeRoom(const Board& board, const std::function<bool(const BackendServer&)>& usable, const Unit& unit,
-        Plan& plan, bool inOneRack, SteadyTime now);
-
+    /// A server whose runs are being stopped for a job.
     struct Clearing {
         std::string jobId;
         Urgency urgency = Urgency::Urgent;
         SteadyTime until {};
     };
 
-    /// Accelerators of a service.
-    struct ServiceLoad {
-        std::int64_t capacity = 0;
-        std::int64_t used = 0;
-        std::int64_t urgent = 0; ///< running for urgent work or asked for by it
-        bool mostlyIdle() const { return this->used * 2 < this->capacity; }
+    /// What could not be placed in this pass. Room only shrinks during a pass, so what needs as much or more, with no
+    /// more freedom, cannot be placed either.
+    struct FailedShape {
+        std::string service;
+        Resources need;
+        int count = 1; ///< tasks that have to be placed together
+        bool inOneRack = false;
+        bool mayUseHeldReady = false;
+    };
+
+    /// Servers to clear and the runs to stop on each.
+    struct ClearingChoice {
+        double loss = 0;
+        std::vector<std::pair<std::size_t, std::vector<const TaskName*>>> servers;
     };
 
-    void measureLoad(const Board& board, const std::function<bool(const BackendServer&)>& usable,
-        const std::vector<Unit>& units, SteadyTime now);
-    void holdServersReady(const Board& board, const std::function<bool(const BackendServer&)>& usable);
+    void expireClearings(const Board& board, SteadyTime now);
+    std::vector<std::size_t> candidatesFor(const PlanningPass& pass, const WaitingUnit& unit) const;
+    static void countTasksOfStep(PlanningPass& pass, const WaitingUnit& unit, const Plan& plan);
+    void placeUnit(PlanningPass& pass, const WaitingUnit& unit, Plan& plan);
+    bool placeTasksOf(PlanningPass& pass, const WaitingUnit& unit, bool anyRack, Plan& plan);
+    void waitForRoom(PlanningPass& pass, const WaitingUnit& unit, bool anyRack, Plan& plan);
+    bool makeRoom(PlanningPass& pass, const WaitingUnit& unit, bool inOneRack, Plan& plan);
+    static ClearingChoice cheapestClearing(
+        PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates);
+    void claimServers(const PlanningPass& pass, const WaitingUnit& unit);
+    bool ownsClearing(const WaitingUnit& unit) const;
+    FailedShape shapeOf(const WaitingUnit& unit, bool anyRack) const;
+    bool mustFail(const WaitingUnit& unit, const FailedShape& shape) const;
 
     PlannerOptions options;
-    std::map<std::string, Clearing> clearing; ///< by server
-    std::map<std::string, ServiceLoad> load; ///< by service, in this pass
-    std::map<std::string, double> urgentPeak; ///< recent need of urgent work in accelerators, by service
-    bool excludeAvoided = true;
-    SteadyTime peakMeasuredAt {};
+    UrgentReserve reserve;
+    std::map<std::string, Clearing> clearings; ///< by server
     std::set<std::string> claimed; ///< servers that drain for a waiting gang in this pass
-    std::set<std::string> heldReady; ///< servers kept for urgent work in this pass
-    std::map<std::string, Resources> planned; ///< taken in this pass, by server
+    std::vector<FailedShape> failedShapes; ///< in this pass
+    int clearingsLeft = 0; ///< searches for servers to clear that this pass may still make
+    bool excludeAvoided = true;
 };
 
-/// The accounts' jobs of priority 0 that lie within their guarantee.
-std::set<std::string> guaranteedJobs(const Board& board);
-
 } // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/planningpass.cpp
@@ -0,0 +1,159 @@
+#include "scheduling/planningpass.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+#include <tuple>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+/// A run that is stopped costs this much besides what it has done: it has to start again.
+constexpr double restartCostMs = 2000;
+/// Progress is saved when a run is stopped; only the restart costs.
+constexpr double savedShare = 0.02;
+constexpr double coresPerAccelerator = 8;
+constexpr double milliCoresPerCore = 1000;
+
+std::int64_t mostAccelerators(const Job& job)
+{
+    std::int64_t accelerators = 0;
+    for (const StepSpecification& step : job.record.specification.steps)
+        accelerators = std::max(accelerators, step.perTask.accelerators * step.taskCount);
+    return accelerators;
+}
+
+/// Work that is lost when the run stops now.
+double lossOf(const StepSpecification& step, const Run& run, SteadyTime now)
+{
+    const double cores = static_cast<double>(step.perTask.milliCores) / milliCoresPerCore
+        + coresPerAccelerator * static_cast<double>(step.perTask.accelerators);
+    const double age = std::chrono::duration<double, std::milli>(now - run.phaseSince).count();
+    const double members = step.gang ? step.taskCount : 1;
+    return members * cores * (restartCostMs + age) * (step.savesProgress ? savedShare : 1);
+}
+
+/// Guaranteed work first, whatever its outlook; then by standing, then the oldest.
+bool goesBefore(const WaitingUnit& left, const WaitingUnit& right)
+{
+    const auto key = [](const WaitingUnit& unit) {
+        return std::tuple(unit.urgency != Urgency::Guaranteed, standing(unit.queue->priority, unit.outlook),
+            unit.job->acceptedAt, std::string_view(unit.job->record.id), unit.step);
+    };
+    return key(left) < key(right);
+}
+
+} // namespace
+
+std::set<std::string> guaranteedJobs(const Board& board)
+{
+    std::vector<const Job*> urgent;
+    for (const auto& [id, job] : board.jobs) {
+        if (!job.ended() && job.queue && job.queue->priority == 0)
+            urgent.push_back(&job);
+    }
+    std::ranges::sort(urgent, [](const Job* left, const Job* right) {
+        return std::tie(left->acceptedAt, left->record.id) < std::tie(right->acceptedAt, right->record.id);
+    });
+    std::map<std::string, std::int64_t> used;
+    std::set<std::string> guaranteed;
+    for (const Job* job : urgent) {
+        const ClientAccount* account = board.configuration->findAccount(job->record.account);
+        if (!account)
+            continue;
+        std::int64_t& accelerators = used[account->name];
+        accelerators += mostAccelerators(*job);
+        if (accelerators <= account->guaranteedAccelerators)
+            guaranteed.insert(job->record.id);
+    }
+    return guaranteed;
+}
+
+PlanningPass::PlanningPass(const Board& board, const Usable& usable, SteadyTime now)
+    : board(board)
+    , now(now)
+    , guaranteed(guaranteedJobs(board))
+{
+    for (const auto& [id, server] : board.servers) {
+        if (!usable(server))
+            continue;
+        this->servers.push_back({ .id = id,
+            .rack = server.rack,
+            .labels = &server.labels,
+            .capacity = server.capacity,
+            .free = server.freeCapacity(),
+            .lastChoice = now < server.avoidUntil });
+        this->entries.push_back(&server);
+    }
+    this->victimsByServer.resize(this->servers.size());
+    this->victimsGathered.resize(this->servers.size());
+}
+
+Urgency PlanningPass::urgencyOf(const Job& job) const
+{
+    if (!job.queue || job.queue->priority > 0)
+        return Urgency::Ordinary;
+    return this->guaranteed.contains(job.record.id) ? Urgency::Guaranteed : Urgency::Urgent;
+}
+
+std::vector<WaitingUnit> PlanningPass::waitingUnits() const
+{
+    std::vector<WaitingUnit> units;
+    for (const auto& [id, job] : this->board.jobs) {
+        if (job.ended() || !job.queue)
+            continue; // nothing starts on a queue that was removed
+        for (const auto& [index, occurrence] : job.occurrences) {
+            for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
+                const Step& step = occurrence.steps[number];
+                const int total = static_cast<int>(step.tasks.size());
+                const StepSpecification& specification = job.record.specification.steps[number];
+                if (!step.ready || step.done + step.running >= total || (specification.gang && step.running > 0))
+                    continue;
+                const bool scheduled = job.record.specification.occurrences > 0;
+                WaitingUnit unit { .job = &job,
+                    .occurrence = &occurrence,
+                    .state = &step,
+                    .specification = &specification,
+                    .queue = job.queue,
+                    .step = static_cast<int>(number),
+                    .urgency = this->urgencyOf(job),
+                    .outlook = outlookOf(
+                        job, *job.queue, number, scheduled ? occurrence.createdAt : job.acceptedAt, this->now) };
+                for (int task = 0; task < total; ++task) {
+                    if (step.tasks[static_cast<std::size_t>(task)].phase == TaskPhase::Waiting)
+                        unit.waiting.push_back(task);
+                }
+                units.push_back(std::move(unit));
+            }
+        }
+    }
+    std::ranges::sort(units, goesBefore);
+    return units;
+}
+
+const std::vector<PossibleVictim>& PlanningPass::victims(std::size_t server)
+{
+    std::vector<PossibleVictim>& victims = this->victimsByServer[server];
+    if (this->victimsGathered[server])
+        return victims;
+    this->victimsGathered[server] = true;
+    for (const auto& [name, need] : this->entries[server]->occupants) {
+        const auto job = this->board.jobs.find(name.jobId);
+        if (job == this->board.jobs.end() || job->second.ended())
+            continue;
+        const auto step = static_cast<std::size_t>(name.step);
+        const Task& task
+            = job->second.occurrences.at(name.occurrence).steps.at(step).tasks.at(static_cast<std::size_t>(name.index));
+        if (!task.run || task.run->phase == RunPhase::Stopping || task.run->server != this->servers[server].id)
+            continue;
+        victims.push_back({ .name = &name,
+            .urgency = this->urgencyOf(job->second),
+            .loss = lossOf(job->second.record.specification.steps.at(step), *task.run, this->now),
+            .need = need });
+    }
+    std::ranges::sort(victims, {}, &PossibleVictim::loss);
+    return victims;
+}
+
+} // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -18,6 +18,8 @@
 constexpr Duration serverFeedInterval { 400 };
 constexpr Duration housekeepingInterval { 200 };
 constexpr Duration scheduleInterval { 15 };
+/// After a planning pass the loop is left to looks, orders and heartbeats for this multiple of the time it took.
+constexpr int restPerWork = 4;
 /// A run whose progress stands still this long is taken for stuck.
 constexpr Duration stallTime { 4500 };
 constexpr Duration stallAvoidance { 8000 };
@@ -87,7 +89,7 @@
 
 void Scheduler::setConfiguration(std::shared_ptr<const FleetConfiguration> configuration)
 {
-    this->board.configuration = std::move(configuration);
+    this->board.setConfiguration(std::move(configuration));
     this->nextSchedule = SteadyTime();
 }
 
@@ -104,6 +106,7 @@
 {
     this->loaded = false;
     this->board.jobs.clear();
+    this->board.dirtyJobs.clear();
     this->board.servers.clear();
     this->loadedRows.clear();
     this->feeds.clear();
@@ -366,7 +369,7 @@
     const bool ticketsCame = this->advice.takeChanged();
     if (this->monitor.takeChanged() || ticketsCame)
         this->nextSchedule = std::min(this->nextSchedule, now);
-    if (now >= this->nextSchedule)
+    if (now >= this->nextSchedule && now >= this->earliestSchedule)
         this->schedule(now);
     this->watch(StoreTable::jobs, this->feeds.at(StoreTable::jobs), jobFeedWait, now);
     this->writer.flush(now);
@@ -377,6 +380,8 @@
     this->nextSchedule = SteadyTime::max();
     const Plan plan = this->planner.plan(
         this->board, [this](const BackendServer& server) { return this->monitor.isUsable(server); }, now);
+    const SteadyTime done = this->clock();
+    this->earliestSchedule = done + std::max<SteadyTime::duration>(scheduleInterval, (done - now) * restPerWork);
     for (const PlannedStop& stop : plan.stops) {
         this->effects.log(Event::RunPreempted, { { "task", formatTaskName(stop.task) }, { "forJob", stop.forJob } });
         this->tracker.requestStop(stop.task, "preempted for " + stop.forJob, now);
@@ -440,16 +445,18 @@
     for (auto& [id, server] : this->board.servers) {
         if (server.unansweredLooks > 0)
             continue;
-        const std::map<TaskName, Resources> occupants = server.occupants;
-        for (const auto& [name, need] : occupants) {
+        std::vector<TaskName> stalled;
+        for (const auto& [name, need] : server.occupants) {
             const Task* task = this->board.findTask(name);
-            if (!task || !task->run || task->run->phase != RunPhase::Active || this->board.stepOf(name).longRunning)
-                continue;
-            if (now - task->run->progressedAt < stallTime)
-                continue;
+            if (task && task->run && task->run->phase == RunPhase::Active && now - task->run->progressedAt >= stallTime
+                && !this->board.stepOf(name).longRunning)
+                stalled.push_back(name);
+        }
+        for (const TaskName& name : stalled) {
             server.avoidUntil = now + stallAvoidance;
             this->effects.log(Event::RunStalled,
-                { { "task", formatTaskName(name) }, { "server", id }, { "percent", task->run->percent } });
+                { { "task", formatTaskName(name) }, { "server", id },
+                    { "percent", this->board.findTask(name)->run->percent } });
             this->tracker.requestStop(name, "no progress", now);
         }
     }
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -126,6 +126,7 @@
     std::map<std::string, TableFeed> feeds;
     SteadyTime nextHousekeeping {};
     SteadyTime nextSchedule {};
+    SteadyTime earliestSchedule {};
 };
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -18,6 +18,8 @@
 constexpr Duration lookSlack { 700 };
 constexpr Duration orderTimeout { 500 };
 constexpr Duration orderRetryPause { 50 };
+/// Orders are sent when they are decided; this finds those to be sent again.
+constexpr Duration orderSweepInterval { 50 };
 constexpr Duration failedLookPause { 150 };
 /// A server without runs is looked at this often, to notice runs that orders started late.
 constexpr Duration idleLookInterval { 5000 };
@@ -82,6 +84,10 @@
         if (!server.lookOpen && now >= server.nextLookAt && server.address.port != 0)
             this->look(server, now);
     }
+    this->removeGoneServers(now);
+    if (now < this->nextOrderSweep)
+        return;
+    this->nextOrderSweep = now + orderSweepInterval;
     for (auto& [id, job] : this->board.jobs) {
         for (auto& [index, occurrence] : job.occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -101,7 +107,6 @@
             }
         }
     }
-    this->removeGoneServers(now);
 }
 
 void ServerMonitor::removeGoneServers(SteadyTime now)
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -79,6 +79,7 @@
     std::function<bool(const BackendServer&)> looksOften;
     std::function<SteadyTime()> clock;
     bool changed = false;
+    SteadyTime nextOrderSweep {};
 };
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -57,27 +57,31 @@
     const auto full
         = [&]() { return batch.transaction.writes.size() >= entriesPerTransaction || bytes >= bytesPerTransaction; };
     bool complete = true;
-    for (auto& [id, job] : this->board.jobs) {
+    std::erase_if(this->board.dirtyJobs, [&](const std::string& id) {
+        const auto found = this->board.jobs.find(id);
+        if (found == this->board.jobs.end())
+            return true;
+        Job& job = found->second;
+        bool stored = true;
         for (auto& [index, occurrence] : job.occurrences) {
             if (!occurrence.dirty)
                 continue;
             if (full()) {
-                complete = false;
+                stored = false;
                 continue;
             }
             this->collectOccurrence(batch, id, occurrence);
             bytes += batch.transaction.writes.back().value.size();
         }
-        if (!job.stateDirty)
-            continue;
-        if (full()) {
-            complete = false;
-            continue;
+        if (job.stateDirty && !full()) {
+            job.stateDirty = false;
+            batch.states.emplace_back(id, job.state);
+            batch.transaction.writes.push_back({ schedulerRow(StoreTable::states, id), encodeState(job.state) });
         }
-        job.stateDirty = false;
-        batch.states.emplace_back(id, job.state);
-        batch.transaction.writes.push_back({ schedulerRow(StoreTable::states, id), encodeState(job.state) });
-    }
+        stored = stored && !job.stateDirty;
+        complete = complete && stored;
+        return stored;
+    });
     std::erase_if(this->starts, [&](const RecordedStart& start) {
         const Task* task = this->board.findTask(start.task);
         if (!task || !task->run || task->run->phase != RunPhase::Recording || task->run->attempt != start.attempt)
--- /dev/null
+++ b/src/libs/scheduling/urgentreserve.cpp
@@ -0,0 +1,72 @@
+#include "scheduling/urgentreserve.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+/// Racks are held ready for this multiple of the recent peak of urgent work.
+constexpr double readyMargin = 1.1;
+/// At most this share of a service is held ready, so that ordinary work goes on.
+constexpr double largestReadyShare = 0.55;
+/// The peak of urgent work is forgotten by half in this time; bursts last a few seconds.
+constexpr Duration peakHalfLife { 5000 };
+constexpr double mostHalfLives = 60;
+
+} // namespace
+
+void UrgentReserve::measure(const PlanningPass& pass, const std::vector<WaitingUnit>& units)
+{
+    this->load.clear();
+    for (const BackendServer* server : pass.entries) {
+        ServiceLoad& service = this->load[server->service];
+        service.capacity += server->capacity.accelerators;
+        for (const auto& [name, need] : server->occupants) {
+            service.used += need.accelerators;
+            const auto job = pass.state().jobs.find(name.jobId);
+            if (job != pass.state().jobs.end() && job->second.queue && job->second.queue->priority == 0)
+                service.urgent += need.accelerators;
+        }
+    }
+    for (const WaitingUnit& unit : units) {
+        if (unit.urgency != Urgency::Ordinary && unit.outlook == Outlook::OnTime)
+            this->load[unit.queue->service].urgent
+                += unit.specification->perTask.accelerators * static_cast<std::int64_t>(unit.waiting.size());
+    }
+    const double halfLives = std::chrono::duration<double>(pass.time() - this->measuredAt) / peakHalfLife;
+    const double remaining = std::exp2(-std::min(halfLives, mostHalfLives));
+    this->measuredAt = pass.time();
+    for (const auto& [service, measured] : this->load) {
+        double& peak = this->peaks[service];
+        peak = std::max(peak * remaining, static_cast<double>(measured.urgent));
+    }
+}
+
+void UrgentReserve::apply(PlanningPass& pass, const std::vector<WaitingUnit>& units)
+{
+    this->measure(pass, units);
+    // Whole racks, since urgent gangs want to stand in one.
+    std::map<std::string, std::map<std::string, std::vector<std::size_t>>> racksByService;
+    for (std::size_t index = 0; index < pass.servers.size(); ++index)
+        racksByService[pass.entries[index]->service][pass.servers[index].rack].push_back(index);
+    for (const auto& [service, racks] : racksByService) {
+        const ServiceLoad& measured = this->load[service];
+        if (measured.mostlyIdle())
+            continue; // there is room for everyone
+        const double wanted
+            = std::min(this->peaks[service] * readyMargin, largestReadyShare * static_cast<double>(measured.capacity));
+        double held = 0;
+        for (const auto& [rack, servers] : racks) {
+            if (held >= wanted)
+                break;
+            for (const std::size_t index : servers) {
+                pass.servers[index].heldReady = true;
+                held += static_cast<double>(pass.servers[index].capacity.accelerators);
+            }
+        }
+    }
+}
+
+} // namespace WisteriaHill::Scheduling
