--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -13,6 +13,7 @@
 constexpr Duration maximumLease { 6000 };
 constexpr Duration stopTime { 200 };
 constexpr std::int64_t wholePercent = 100;
+constexpr Duration lastingWork = std::chrono::hours(1); ///< a task of at least this work is taken for a lasting one
 
 } // namespace
 
@@ -29,7 +30,10 @@
         = std::visit(Utils::Overloaded { [&](const StartOrder& start) { return this->start(start, need, work); },
                          [&](const StopOrder& stop) { return this->stop(stop); },
                          [&](const LookOrder& look) { return this->look(look); },
-                         [&](const PaceOrder&) { return OrderResult(OrderDone { this->clock }); } },
+                         [&](const PaceOrder& pace) {
+                this->paces[pace.task] = pace.percent;
+                return OrderResult(OrderDone { this->clock });
+            } },
             order);
     if (this->loseAnswers > 0) {
         --this->loseAnswers;
@@ -79,6 +83,17 @@
     return OrderDone { this->clock };
 }
 
+int FakeServer::latency() const
+{
+    int latency = this->baseLatency;
+    for (const auto& [name, need] : this->needs) {
+        const auto pace = this->paces.find(name);
+        if (need.milliCores == 0)
+            latency += this->latencyPerFiller * (pace == this->paces.end() ? 100 : pace->second) / 100;
+    }
+    return latency;
+}
+
 OrderResult FakeServer::look(const LookOrder& order)
 {
     if (order.token < this->highestToken)
@@ -91,8 +106,12 @@
     std::erase_if(this->ended, [&](const EndedRun& run) { return run.number <= order.acknowledged; });
     LookAnswer answer { .clock = this->clock, .startedAt = this->startedAt };
     for (const auto& [name, task] : this->active) {
-        const auto percent = task.work.count() > 0 ? wholePercent * task.worked.count() / task.work.count() : 0;
-        answer.active.push_back({ .task = name, .attempt = task.attempt, .percent = static_cast<int>(percent) });
+        const bool lasts = task.work >= lastingWork;
+        const auto percent = lasts ? wholePercent : wholePercent * task.worked.count() / std::max<std::int64_t>(task.work.count(), 1);
+        answer.active.push_back({ .task = name,
+            .attempt = task.attempt,
+            .percent = static_cast<int>(percent),
+            .load = this->latency() });
     }
     answer.ended.assign(this->ended.begin(), this->ended.end());
     return answer;
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -37,6 +37,9 @@
     bool reachable = true;
     bool alive = true;
     ServerHealth health = ServerHealth::Sound;
+    int baseLatency = 10; ///< ms, of tasks that serve
+    int latencyPerFiller = 0; ///< ms that each task that fills adds at full pace
+    std::map<Scheduling::TaskName, int> paces;
     int loseAnswers = 0; ///< so many orders are carried out without an answer
     int delayOrders = 0; ///< so many starts get no answer and are carried out later
     std::map<Scheduling::TaskName, ActiveTask> active;
@@ -71,6 +74,7 @@
         const Scheduling::StartOrder& order, const Scheduling::Resources& need, Scheduling::Duration work);
     Scheduling::OrderResult stop(const Scheduling::StopOrder& order);
     Scheduling::OrderResult look(const Scheduling::LookOrder& order);
+    int latency() const;
     void end(const Scheduling::TaskName& task, Scheduling::RunEnd how);
 
     Scheduling::ServerTime clock { 0 };
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -21,7 +21,7 @@
 std::shared_ptr<const FleetConfiguration> makeConfiguration()
 {
     FleetConfiguration configuration { .version = 1 };
-    const std::vector<std::string> names { "urgent", "ordinary", "background" };
+    const std::vector<std::string> names { "urgent", "ordinary", "background", "advised" };
     for (std::size_t priority = 0; priority < names.size(); ++priority)
         configuration.queues.push_back({ .name = names[priority],
             .host = "mill.example",
@@ -31,6 +31,8 @@
             .maximumAttempts = 3,
             .stretchFactor = 3,
             .targetDuration = Duration(1000) });
+    configuration.queues.back().advice
+        = PlacementAdvice { .decision = Duration(20), .perServer = Duration(1), .ticketValidity = Duration(3000) };
     configuration.services.push_back({ .name = service });
     configuration.accounts.push_back({ .name = "mill", .keys = { "key" }, .guaranteedAccelerators = 16 });
     configuration.accounts.push_back({ .name = "shop-a", .keys = { "a" }, .guaranteedAccelerators = 16 });
@@ -61,6 +63,7 @@
                                                                      .address = "10.0.0.1",
                                                                      .port = 80,
                                                                      .rack = "rack-" + std::to_string(rack),
+                    .machine = "machine-" + number,
                                                                      .capacity = serverCapacity },
                 1));
             this->putEntry(*this->servers.back());
@@ -81,6 +84,13 @@
     SchedulerOptions schedulerOptions { .leadership = { .node = "daemon-" + std::to_string(index),
                                             .incarnation = daemon.life,
                                             .stagger = Duration(20 * static_cast<std::int64_t>(index)) },
+        .upkeep = { .waveTable = "waves",
+            .wavePrefix = "wave/",
+            .statusTable = "status",
+            .decodeWave = [this](const Row& row) -> std::optional<UpkeepWave> {
+                return this->requestedWaves.at(std::stoll(row.value));
+            },
+            .encodeStatus = [](bool completed) -> std::string { return completed ? "completed" : "running"; } },
         .serverTable = serverTable };
     daemon.scheduler = std::make_unique<Scheduler>(
         schedulerOptions,
@@ -124,8 +134,29 @@
         .account = account,
         .acceptedAt = this->storeClock.at(this->time),
         .specification = { .payload = id, .steps = steps } };
-    this->submitted[id] = record;
-    this->store.put({ StoreTable::jobs, StoreTable::intakePartition, id }, encodeJob(record));
+    this->storeJob(record);
+}
+
+void SchedulerBench::storeJob(const JobRecord& record)
+{
+    this->submitted[record.id] = record;
+    this->store.put({ StoreTable::jobs, StoreTable::intakePartition, record.id }, encodeJob(record));
+}
+
+void SchedulerBench::submitScheduled(const std::string& id, const std::vector<StepSpecification>& steps,
+    int occurrences, Duration delay, Duration interval)
+{
+    JobRecord record { .id = id,
+        .host = "mill.example",
+        .pathPrefix = "/ordinary/",
+        .account = "mill",
+        .acceptedAt = this->storeClock.at(this->time) };
+    record.specification = { .payload = id,
+        .steps = steps,
+        .occurrences = occurrences,
+        .firstDue = this->storeClock.at(this->time) + delay,
+        .interval = interval };
+    this->storeJob(record);
 }
 
 void SchedulerBench::cancel(const std::string& id)
@@ -185,6 +216,10 @@
                 this->store.silent ? read->timeout : networkDelay);
         } else if (auto* watch = std::get_if<WatchCall>(&effect)) {
             this->watches.push_back({ this->time + watch->wait, index, daemon.life, std::move(*watch) });
+        } else if (const auto* advice = std::get_if<AdviceCall>(&effect)) {
+            this->advise(index, *advice);
+        } else if (const auto* upkeep = std::get_if<UpkeepCall>(&effect)) {
+            this->takeDown(index, *upkeep);
         } else if (auto* call = std::get_if<ServerCall>(&effect)) {
             const auto* look = std::get_if<LookOrder>(&call->order);
             if (look && look->wait.count() > 0)
@@ -195,6 +230,62 @@
     }
 }
 
+void SchedulerBench::advise(std::size_t daemon, const AdviceCall& call)
+{
+    ++this->adviceCalls;
+    AdviceAnswer answer;
+    for (const std::string& server : call.servers) {
+        if (this->advisedServers.contains(server))
+            answer.allowed.emplace_back(server, "ticket");
+    }
+    this->answer(daemon, [done = call.done, answer]() { done(answer); }, Duration(50));
+}
+
+void SchedulerBench::requestUpkeep(
+    std::int64_t wave, const std::vector<std::size_t>& indices, int maximumDown, Duration duration)
+{
+    UpkeepWave& requested = this->requestedWaves[wave];
+    requested = { .number = wave, .duration = duration, .maximumDown = maximumDown };
+    for (const std::size_t index : indices)
+        requested.machines.push_back(this->server(index).entry.machine);
+    this->store.put({ "waves", "", "wave/" + std::to_string(wave) }, std::to_string(wave));
+}
+
+std::optional<std::string> SchedulerBench::waveStatus(std::int64_t wave) const
+{
+    return this->store.find({ "status", "", "wave/" + std::to_string(wave) });
+}
+
+void SchedulerBench::takeDown(std::size_t daemon, const UpkeepCall& call)
+{
+    const auto found = std::ranges::find_if(
+        this->servers, [&](const auto& server) { return server->entry.machine == call.machine; });
+    if (!this->upkeepsDone[call.machine].contains(call.wave)) {
+        this->upkeepsDone[call.machine].insert(call.wave);
+        FakeServer& server = **found;
+        if (!server.active.empty())
+            this->faults.push_back(call.machine + " was taken down with runs on it");
+        server.restart();
+        server.alive = false;
+        this->removeEntry(server);
+        this->upkeepEnds[server.entry.id] = this->time + Duration(2000);
+        this->mostMachinesDown = std::max(this->mostMachinesDown, static_cast<int>(this->upkeepEnds.size()));
+    }
+    this->answer(daemon, [done = call.done]() { done(UpkeepResult::Done); }, Duration(20));
+}
+
+void SchedulerBench::endUpkeeps()
+{
+    std::erase_if(this->upkeepEnds, [&](const auto& entry) {
+        if (this->time < entry.second)
+            return false;
+        FakeServer& server = *this->find(entry.first);
+        server.alive = true;
+        this->putEntry(server);
+        return true;
+    });
+}
+
 void SchedulerBench::serveWaiting()
 {
     std::vector<WaitingLook> lookedAt;
@@ -274,6 +365,7 @@
     this->time += tick;
     for (const auto& server : this->servers)
         server->advance(tick);
+    this->endUpkeeps();
     this->serveWaiting();
     std::vector<PendingAnswer> due;
     std::erase_if(this->answers, [&](PendingAnswer& pending) {
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -27,11 +27,24 @@
 
     FakeStore store;
 
-    /// Stores a job, as an entry host does after its client's call. Queues: "urgent", "ordinary", "background".
+    std::set<std::string> advisedServers; ///< that the placement advice allows for every step
+    int adviceCalls = 0;
+    int mostMachinesDown = 0; ///< at once, by upkeep
+
+    /// Stores a job, as an entry host does after its client's call. Queues: "urgent", "ordinary", "background", "advised".
     void submit(const std::string& id, const std::string& queue,
         const std::vector<Scheduling::StepSpecification>& steps, const std::string& account = "mill");
     void cancel(const std::string& id);
 
+    /// Stores a job whose first occurrence is due after `delay`.
+    void submitScheduled(const std::string& id, const std::vector<Scheduling::StepSpecification>& steps,
+        int occurrences, Scheduling::Duration delay, Scheduling::Duration interval);
+
+    /// Stores a wave of upkeep of some servers' machines, as the operator does.
+    void requestUpkeep(std::int64_t wave, const std::vector<std::size_t>& servers, int maximumDown,
+        Scheduling::Duration duration);
+    std::optional<std::string> waveStatus(std::int64_t wave) const;
+
     /// Lets time pass, a tick at a time.
     void run(Scheduling::Duration time);
 
@@ -107,10 +120,14 @@
     void execute(std::size_t daemon);
     void answer(std::size_t daemon, std::function<void()> deliver, Scheduling::Duration delay);
     void carryOut(std::size_t daemon, Scheduling::ServerCall call);
+    void advise(std::size_t daemon, const Scheduling::AdviceCall& call);
+    void takeDown(std::size_t daemon, const Scheduling::UpkeepCall& call);
+    void endUpkeeps();
     void serveWaiting();
     void exchangeHeartbeats();
     void check();
     FakeServer* find(const std::string& id);
+    void storeJob(const Scheduling::JobRecord& record);
     Scheduling::Duration workOf(const Scheduling::TaskName& task) const;
 
     Options options;
@@ -125,6 +142,9 @@
     std::set<std::pair<std::size_t, std::string>> cuts;
     std::map<std::string, Scheduling::JobRecord> submitted;
     std::map<Scheduling::TaskName, std::set<int>> seenAttempts;
+    std::map<std::string, Scheduling::SteadyTime> upkeepEnds; ///< of servers that are down
+    std::map<std::string, std::set<std::int64_t>> upkeepsDone;
+    std::map<std::int64_t, Scheduling::UpkeepWave> requestedWaves;
     std::vector<std::string> faults;
     std::uint64_t lives = 0;
 };
