Clients are answered at once while the store is known to be away

Change: calls report to the route whether they were answered; when none was for 0.7 s and three failed, submissions are refused without being sent, and open ones are given up at once as uncertain.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -92,7 +92,7 @@
     , storeRoute(this->effects, { .address = this->settings.store.address, .port = this->settings.store.port })
     , configuration(this->effects, { Platform::Wire::operatorTable, "", Platform::Wire::configurationKey },
           Platform::decodeConfiguration, steadyNow)
-    , intake(this->effects, steadyNow)
+    , intake(this->effects, steadyNow, [this]() { return this->storeRoute.isFailing(steadyNow()); })
     , scheduler(schedulerOptions(this->settings, this->peers.own().incarnation), Platform::decodeServerEntry, steadyNow,
           this->storeClock)
     , store(this->loop,
--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -25,6 +25,15 @@
 
 } // namespace
 
+namespace {
+
+CallerAnswer storeAway(CallerOutcome outcome)
+{
+    return { .outcome = outcome, .retryAfter = retryAfterStoreFailure, .reason = "the state store does not answer" };
+}
+
+} // namespace
+
 struct Intake::Submission {
     JobRecord record;
     SteadyTime deadline {};
@@ -49,7 +58,10 @@
     return wellFormed ? std::optional(id) : std::nullopt;
 }
 
-bool Intake::mayRetry(SteadyTime deadline) const { return this->clock() + answerReserve < deadline; }
+bool Intake::mayRetry(SteadyTime deadline) const
+{
+    return this->clock() + answerReserve < deadline && !this->storeFails();
+}
 
 std::optional<CallerAnswer> Intake::admit(
     const CallerContext& context, const Queue*& queue, const ClientAccount*& account)
@@ -89,6 +101,10 @@
         this->refuse(id, *refusal, answer);
         return;
     }
+    if (this->storeFails()) {
+        this->refuse(id, storeAway(CallerOutcome::NotAccepted), answer);
+        return;
+    }
     auto submission = std::make_shared<Submission>();
     submission->record = { .id = id,
         .host = queue->host,
@@ -133,18 +149,12 @@
         return;
     }
     if (!submission->uncertain) {
-        this->refuse(id,
-            { .outcome = CallerOutcome::NotAccepted,
-                .retryAfter = retryAfterStoreFailure,
-                .reason = "the state store refused the row" },
-            submission->answer);
+        this->refuse(id, storeAway(CallerOutcome::NotAccepted), submission->answer);
         return;
     }
     ++this->counts.uncertain;
     this->effects.log(Event::JobUncertain, { { "job", id }, { "sendings", submission->attempts } });
-    submission->answer({ .outcome = CallerOutcome::Uncertain,
-        .retryAfter = retryAfterStoreFailure,
-        .reason = "the state store did not answer" });
+    submission->answer(storeAway(CallerOutcome::Uncertain));
 }
 
 void Intake::cancel(const CallerContext& context, const std::string& id, AnswerCaller answer)
@@ -182,9 +192,7 @@
     } else if (this->mayRetry(lookup->deadline)) {
         this->sendCancel(lookup);
     } else {
-        lookup->answer({ .outcome = CallerOutcome::Uncertain,
-            .retryAfter = retryAfterStoreFailure,
-            .reason = "the state store did not answer" });
+        lookup->answer(storeAway(CallerOutcome::Uncertain));
     }
 }
 
@@ -221,9 +229,7 @@
             }
             if (!page) {
                 this->effects.log(Event::StatusUnknown, { { "job", lookup->id } });
-                lookup->answer({ .outcome = CallerOutcome::NotReady,
-                    .retryAfter = retryAfterStoreFailure,
-                    .reason = "the state store did not answer" });
+                lookup->answer(storeAway(CallerOutcome::NotReady));
                 return;
             }
             if (page->rows.empty()) {
@@ -255,9 +261,7 @@
                 this->readJob(lookup);
             } else if (!page) {
                 this->effects.log(Event::StatusUnknown, { { "job", lookup->id } });
-                lookup->answer({ .outcome = CallerOutcome::NotReady,
-                    .retryAfter = retryAfterStoreFailure,
-                    .reason = "the state store did not answer" });
+                lookup->answer(storeAway(CallerOutcome::NotReady));
             } else if (page->rows.empty()) {
                 lookup->answer({ .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
             } else if (lookup->cancelling) {
--- a/src/libs/scheduling/intake.h
+++ b/src/libs/scheduling/intake.h
@@ -58,9 +58,11 @@
 /// Thread safety: none.
 class Intake {
 public:
-    Intake(Effects& effects, std::function<SteadyTime()> clock)
+    /// `storeFails` tells whether calls to the store have failed for a while; clients are then answered at once.
+    Intake(Effects& effects, std::function<SteadyTime()> clock, std::function<bool()> storeFails)
         : effects(effects)
         , clock(std::move(clock))
+        , storeFails(std::move(storeFails))
     {
     }
 
@@ -99,6 +101,7 @@
 
     Effects& effects;
     std::function<SteadyTime()> clock;
+    std::function<bool()> storeFails;
     std::shared_ptr<const FleetConfiguration> configuration;
     std::unordered_map<std::string, JobState> endedJobs; ///< final states that were read; they never change
     IntakeCounters counts;
--- a/src/libs/scheduling/storeroute.cpp
+++ b/src/libs/scheduling/storeroute.cpp
@@ -9,6 +9,8 @@
 constexpr Duration directTryInterval { 500 }; ///< one call in this time finds out whether the store is back
 constexpr Duration peerAge { 2500 }; ///< a little over two heartbeats
 constexpr Duration reachableAge { 3000 };
+constexpr int failuresToGiveUp = 3; ///< two on the direct way, and one through another daemon or a further direct one
+constexpr Duration failingAge { 700 }; ///< as long as one unanswered call takes
 
 } // namespace
 
@@ -44,6 +46,7 @@
 {
     if (answered)
         this->lastSuccess = now;
+    this->failuresSinceSuccess = answered ? 0 : this->failuresSinceSuccess + 1;
     if (!endpoint.relay.empty()) {
         if (!answered && endpoint.relay == this->relay) {
             this->effects.log(Event::RelayFailed, { { "relay", this->relay } });
@@ -64,6 +67,12 @@
     }
 }
 
+bool StoreRoute::isFailing(SteadyTime now) const
+{
+    return this->failuresSinceSuccess >= failuresToGiveUp
+        && (!this->lastSuccess || now - *this->lastSuccess > failingAge);
+}
+
 bool StoreRoute::isReachable(SteadyTime now) const
 {
     return this->lastSuccess && now - *this->lastSuccess < reachableAge;
--- a/src/libs/scheduling/storeroute.h
+++ b/src/libs/scheduling/storeroute.h
@@ -34,6 +34,9 @@
     /// True when the store answers this daemon itself.
     bool isDirect() const { return this->directFailures < failuresToLeave; }
 
+    /// True when calls have failed on every way for a while: a further one would only cost its caller time.
+    bool isFailing(SteadyTime now) const;
+
     /// True when calls succeed on some way.
     bool isReachable(SteadyTime now) const;
 
@@ -43,6 +46,7 @@
     Effects& effects;
     StoreEndpoint direct;
     int directFailures = 0;
+    int failuresSinceSuccess = 0;
     SteadyTime nextDirectTry {};
     std::optional<SteadyTime> lastSuccess;
     std::string relay;
--- a/tests/auto/scheduling/tst_intake.cpp
+++ b/tests/auto/scheduling/tst_intake.cpp
@@ -15,7 +15,8 @@
     Effects effects;
     SteadyTime now { 1000s };
     FakeStore store;
-    Intake intake { this->effects, [this]() { return this->now; } };
+    bool storeFails = false;
+    Intake intake { this->effects, [this]() { return this->now; }, [this]() { return this->storeFails; } };
     std::optional<CallerAnswer> answer;
     CallerContext context { .host = "mill.example", .path = std::string("/cut/") + jobId, .key = "key" };
 
@@ -92,6 +93,31 @@
     CHECK_FALSE(bench.store.find({ StoreTable::jobs, StoreTable::intakePartition, jobId }));
 }
 
+TEST_CASE("while the store is known to be away a job is refused at once and not sent")
+{
+    IntakeBench bench;
+    bench.store.silent = true;
+    bench.storeFails = true;
+    const SteadyTime begin = bench.now;
+    bench.submit();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::NotAccepted);
+    CHECK(bench.now == begin);
+}
+
+TEST_CASE("a submission that the store did not answer is given up at once when the store turns out to be away")
+{
+    IntakeBench bench;
+    bench.store.silent = true;
+    const SteadyTime begin = bench.now;
+    bench.intake.submit(bench.context, jobId, { .steps = { {} } }, StoreTime(5), bench.capture());
+    bench.storeFails = true; // found out by other calls meanwhile
+    bench.settle();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::Uncertain);
+    CHECK(bench.now - begin < 1000ms);
+}
+
 TEST_CASE("a job is never refused while a write without an answer may still be carried out")
 {
     IntakeBench bench;
--- a/tests/auto/scheduling/tst_peers.cpp
+++ b/tests/auto/scheduling/tst_peers.cpp
@@ -60,6 +60,19 @@
     CHECK(bench.route.choose(bench.peers, bench.now).relay.empty());
 }
 
+TEST_CASE("the store is taken for away when every way fails for a while, and not before")
+{
+    RouteBench bench;
+    const StoreEndpoint direct = bench.route.choose(bench.peers, bench.now);
+    bench.route.report(direct, true, bench.now);
+    for (int failure = 0; failure < 3; ++failure)
+        bench.route.report(direct, false, bench.now);
+    CHECK_FALSE(bench.route.isFailing(bench.now + 100ms));
+    CHECK(bench.route.isFailing(bench.now + 1s));
+    bench.route.report(direct, true, bench.now + 1s);
+    CHECK_FALSE(bench.route.isFailing(bench.now + 1s));
+}
+
 TEST_CASE("daemons that the store turns away too are no way to it")
 {
     RouteBench bench;
