--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -234,7 +234,8 @@
         auto next = victims.begin();
         while (true) {
             for (; !free.holds(need) && next != victims.end(); ++next) {
-                if (next->urgency <= unit.urgency || next->name->jobId == unit.job->record.id)
+                if (next->urgency <= unit.urgency || next->name->jobId == unit.job->record.id
+                    || (next->losesGang && unit.urgency != Urgency::Guaranteed))
                     continue;
                 free += next->need;
                 offer.loss += next->loss;
--- a/src/libs/scheduling/planningpass.cpp
+++ b/src/libs/scheduling/planningpass.cpp
@@ -147,10 +147,12 @@
             = job->second.occurrences.at(name.occurrence).steps.at(step).tasks.at(static_cast<std::size_t>(name.index));
         if (!task.run || task.run->phase == RunPhase::Stopping || task.run->server != this->servers[server].id)
             continue;
+        const StepSpecification& specification = job->second.record.specification.steps.at(step);
         victims.push_back({ .name = &name,
             .urgency = this->urgencyOf(job->second),
-            .loss = lossOf(job->second.record.specification.steps.at(step), *task.run, this->now),
-            .need = need });
+            .loss = lossOf(specification, *task.run, this->now),
+            .need = need,
+            .losesGang = specification.gang && !specification.savesProgress });
     }
     std::ranges::sort(victims, {}, &PossibleVictim::loss);
     return victims;
--- a/src/libs/scheduling/planningpass.h
+++ b/src/libs/scheduling/planningpass.h
@@ -36,6 +36,7 @@
     Urgency urgency = Urgency::Ordinary;
     double loss = 0; ///< of work, in core milliseconds; of the whole gang for its members
     Resources need;
+    bool losesGang = false; ///< a whole gang loses its work with it
 };
 
 /// Reads the board; valid while the board does not change. Thread safety: none.
