The direct way to the store is probed apart from calls; cut daemons spread over relays

Twice a second one of its calls, often the one transaction under way, was spent on finding out whether the store was back; its watch of new jobs waited 5.8 s on the silent connection; and all 11 cut daemons went through the same relay. Ruled out: planning time (a pass takes 1.2 ms) and reading rows.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -26,6 +26,7 @@
 constexpr Duration heartbeatInterval { 1000 };
 constexpr Duration heartbeatPerPeer { 50 }; ///< bounds the rate in a large fleet
 constexpr Duration summaryAge { 1800 }; ///< counts may be 2 s old
+constexpr Duration probeTimeout { 350 }; ///< of the store's direct way; it answers in a few milliseconds
 constexpr Duration exitCheckInterval { 20 };
 constexpr Duration stopNotice { 1200 }; ///< the balancer asks once a second
 constexpr Duration stopReserve { 1000 }; ///< left before the process would be killed
@@ -89,7 +90,8 @@
     : settings(givenSettings)
     , settingsPath(std::move(settingsPath))
     , peers(this->effects, ownMember(this->settings), steadyNow)
-    , storeRoute(this->effects, { .address = this->settings.store.address, .port = this->settings.store.port })
+    , storeRoute(this->effects, { .address = this->settings.store.address, .port = this->settings.store.port },
+          this->settings.node)
     , configuration(this->effects, { Platform::Wire::operatorTable, "", Platform::Wire::configurationKey },
           Platform::decodeConfiguration, steadyNow)
     , intake(this->effects, steadyNow, [this]() { return this->storeRoute.isFailing(steadyNow()); })
@@ -190,6 +192,8 @@
     this->scheduler.tick(now, this->agreedWallTime(now));
     if (now >= this->nextHeartbeat)
         this->sendHeartbeats(now);
+    if (this->storeRoute.probeIsDue(now))
+        this->store.probeDirect(probeTimeout);
     this->runEffects();
 }
 
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -12,7 +12,8 @@
 
 constexpr Duration storeTimeout { 1500 };
 constexpr Duration loadRetryPause { 150 };
-constexpr Duration jobFeedWait { 5000 };
+/// Bounds how long a connection that went silent hides new jobs.
+constexpr Duration jobFeedWait { 1000 };
 constexpr Duration feedRetryPause { 150 };
 /// Entries of servers change with every heartbeat; reading them together costs fewer calls.
 constexpr Duration serverFeedInterval { 400 };
--- a/src/libs/scheduling/storeroute.cpp
+++ b/src/libs/scheduling/storeroute.cpp
@@ -1,12 +1,14 @@
 #include "scheduling/storeroute.h"
 
+#include "utils/rendezvous.h"
+
 namespace WisteriaHill::Scheduling {
 
 using Utils::Event;
 
 namespace {
 
-constexpr Duration directTryInterval { 500 }; ///< one call in this time finds out whether the store is back
+constexpr Duration probeInterval { 400 };
 constexpr Duration peerAge { 2500 }; ///< a little over two heartbeats
 constexpr Duration reachableAge { 3000 };
 constexpr int failuresToGiveUp = 3; ///< two on the direct way, and one through another daemon or a further direct one
@@ -18,21 +20,23 @@
 {
     if (this->isDirect())
         return this->direct;
-    if (now >= this->nextDirectTry) {
-        this->nextDirectTry = now + directTryInterval;
-        return this->direct;
-    }
     const Peer* chosen = nullptr;
+    std::uint64_t chosenWeight = 0;
     for (const Peer* peer : peers.heardWithin(peerAge, now)) {
-        if (!peer->last.storeReachable || peer->last.leaving)
+        if (!peer->last.storeReachable || peer->last.leaving || peer->last.node == this->failedRelay)
             continue;
         if (peer->last.node == this->relay) {
             chosen = peer;
             break;
         }
-        if (!chosen || chosen->last.node == this->failedRelay)
+        const std::uint64_t weight = Utils::rendezvousWeight(this->node, peer->last.node);
+        if (!chosen || weight > chosenWeight) {
             chosen = peer;
+            chosenWeight = weight;
+        }
     }
+    if (!chosen)
+        this->failedRelay.clear();
     if (!chosen)
         return this->direct;
     if (this->relay != chosen->last.node) {
@@ -62,11 +66,19 @@
         return;
     }
     if (++this->directFailures == failuresToLeave) {
-        this->nextDirectTry = now + directTryInterval;
+        this->nextProbe = now + probeInterval;
         this->effects.log(Event::StoreUnreachable, { { "failures", this->directFailures } });
     }
 }
 
+bool StoreRoute::probeIsDue(SteadyTime now)
+{
+    if (this->isDirect() || now < this->nextProbe)
+        return false;
+    this->nextProbe = now + probeInterval;
+    return true;
+}
+
 bool StoreRoute::isFailing(SteadyTime now) const
 {
     return this->failuresSinceSuccess >= failuresToGiveUp
--- a/src/libs/scheduling/storeroute.h
+++ b/src/libs/scheduling/storeroute.h
@@ -19,15 +19,21 @@
 /// Thread safety: none.
 class StoreRoute {
 public:
-    StoreRoute(Effects& effects, StoreEndpoint direct)
+    /// `node` is this daemon's name; daemons spread over relays by it.
+    StoreRoute(Effects& effects, StoreEndpoint direct, std::string node)
         : effects(effects)
         , direct(std::move(direct))
+        , node(std::move(node))
     {
     }
 
-    /// The way for the next call.
+    /// The way for the next call. Calls are not used to find out whether a failing direct way is back: see
+    /// probeIsDue().
     StoreEndpoint choose(const PeerDirectory& peers, SteadyTime now);
 
+    /// True when the direct way is left and should be tried by a call that nobody waits for; the next one is due later.
+    bool probeIsDue(SteadyTime now);
+
     /// A call that took this way had an answer other than a failure, or not.
     void report(const StoreEndpoint& endpoint, bool answered, SteadyTime now);
 
@@ -45,9 +51,10 @@
 
     Effects& effects;
     StoreEndpoint direct;
+    std::string node;
     int directFailures = 0;
     int failuresSinceSuccess = 0;
-    SteadyTime nextDirectTry {};
+    SteadyTime nextProbe {};
     std::optional<SteadyTime> lastSuccess;
     std::string relay;
     std::string failedRelay;
--- a/tests/auto/scheduling/tst_peers.cpp
+++ b/tests/auto/scheduling/tst_peers.cpp
@@ -24,7 +24,7 @@
     Effects effects;
     SteadyTime now { 1000s };
     PeerDirectory peers { this->effects, { .node = "self" }, [this]() { return this->now; } };
-    StoreRoute route { this->effects, { .address = "10.0.0.1", .port = 80 } };
+    StoreRoute route { this->effects, { .address = "10.0.0.1", .port = 80 }, "self" };
 };
 
 } // namespace
@@ -54,8 +54,10 @@
     CHECK(bench.route.choose(bench.peers, bench.now).relay == "helper");
     bench.now += 600ms;
     bench.peers.heard(makeHeartbeat("helper", true), bench.now);
-    CHECK(bench.route.choose(bench.peers, bench.now).relay.empty()); // now and then the direct way is tried
-    CHECK(bench.route.choose(bench.peers, bench.now).relay == "helper");
+    CHECK(bench.route.probeIsDue(bench.now));
+    CHECK_FALSE(bench.route.probeIsDue(bench.now));
+    for (int call = 0; call < 20; ++call) // no caller pays for finding out whether the direct way is back
+        CHECK(bench.route.choose(bench.peers, bench.now + Duration(100 * call)).relay == "helper");
     bench.route.report(direct, true, bench.now);
     CHECK(bench.route.choose(bench.peers, bench.now).relay.empty());
 }
@@ -83,6 +85,21 @@
     CHECK(bench.route.choose(bench.peers, bench.now).relay.empty());
 }
 
+TEST_CASE("daemons that were cut off together spread over the daemons that reach the store")
+{
+    std::set<std::string> relays;
+    for (const char* node : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+        RouteBench bench;
+        StoreRoute route(bench.effects, { .address = "10.0.0.1", .port = 80 }, node);
+        for (const char* helper : { "w", "x", "y", "z" })
+            bench.peers.heard(makeHeartbeat(helper, true), bench.now);
+        route.report({ .address = "10.0.0.1", .port = 80 }, false, bench.now);
+        route.report({ .address = "10.0.0.1", .port = 80 }, false, bench.now);
+        relays.insert(route.choose(bench.peers, bench.now).relay);
+    }
+    CHECK(relays.size() >= 3);
+}
+
 TEST_CASE("a relay that fails is left for another one")
 {
     RouteBench bench;
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -31,9 +31,9 @@
                          [&](const StopOrder& stop) { return this->stop(stop); },
                          [&](const LookOrder& look) { return this->look(look); },
                          [&](const PaceOrder& pace) {
-                this->paces[pace.task] = pace.percent;
-                return OrderResult(OrderDone { this->clock });
-            } },
+                             this->paces[pace.task] = pace.percent;
+                             return OrderResult(OrderDone { this->clock });
+                         } },
             order);
     if (this->loseAnswers > 0) {
         --this->loseAnswers;
@@ -107,11 +107,10 @@
     LookAnswer answer { .clock = this->clock, .startedAt = this->startedAt };
     for (const auto& [name, task] : this->active) {
         const bool lasts = task.work >= lastingWork;
-        const auto percent = lasts ? wholePercent : wholePercent * task.worked.count() / std::max<std::int64_t>(task.work.count(), 1);
-        answer.active.push_back({ .task = name,
-            .attempt = task.attempt,
-            .percent = static_cast<int>(percent),
-            .load = this->latency() });
+        const auto percent
+            = lasts ? wholePercent : wholePercent * task.worked.count() / std::max<std::int64_t>(task.work.count(), 1);
+        answer.active.push_back(
+            { .task = name, .attempt = task.attempt, .percent = static_cast<int>(percent), .load = this->latency() });
     }
     answer.ended.assign(this->ended.begin(), this->ended.end());
     return answer;
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -63,7 +63,7 @@
                                                                      .address = "10.0.0.1",
                                                                      .port = 80,
                                                                      .rack = "rack-" + std::to_string(rack),
-                    .machine = "machine-" + number,
+                                                                     .machine = "machine-" + number,
                                                                      .capacity = serverCapacity },
                 1));
             this->putEntry(*this->servers.back());
@@ -238,7 +238,8 @@
         if (this->advisedServers.contains(server))
             answer.allowed.emplace_back(server, "ticket");
     }
-    this->answer(daemon, [done = call.done, answer]() { done(answer); }, Duration(50));
+    this->answer(
+        daemon, [done = call.done, answer]() { done(answer); }, Duration(50));
 }
 
 void SchedulerBench::requestUpkeep(
@@ -271,7 +272,8 @@
         this->upkeepEnds[server.entry.id] = this->time + Duration(2000);
         this->mostMachinesDown = std::max(this->mostMachinesDown, static_cast<int>(this->upkeepEnds.size()));
     }
-    this->answer(daemon, [done = call.done]() { done(UpkeepResult::Done); }, Duration(20));
+    this->answer(
+        daemon, [done = call.done]() { done(UpkeepResult::Done); }, Duration(20));
 }
 
 void SchedulerBench::endUpkeeps()
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -31,7 +31,8 @@
     int adviceCalls = 0;
     int mostMachinesDown = 0; ///< at once, by upkeep
 
-    /// Stores a job, as an entry host does after its client's call. Queues: "urgent", "ordinary", "background", "advised".
+    /// Stores a job, as an entry host does after its client's call. Queues: "urgent", "ordinary", "background",
+    /// "advised".
     void submit(const std::string& id, const std::string& queue,
         const std::vector<Scheduling::StepSpecification>& steps, const std::string& account = "mill");
     void cancel(const std::string& id);
@@ -41,8 +42,8 @@
         int occurrences, Scheduling::Duration delay, Scheduling::Duration interval);
 
     /// Stores a wave of upkeep of some servers' machines, as the operator does.
-    void requestUpkeep(std::int64_t wave, const std::vector<std::size_t>& servers, int maximumDown,
-        Scheduling::Duration duration);
+    void requestUpkeep(
+        std::int64_t wave, const std::vector<std::size_t>& servers, int maximumDown, Scheduling::Duration duration);
     std::optional<std::string> waveStatus(std::int64_t wave) const;
 
     /// Lets time pass, a tick at a time.
