--- a/src/libs/scheduling/advicecontroller.cpp
+++ b/src/libs/scheduling/advicecontroller.cpp
@@ -50,6 +50,7 @@
     std::ranges::sort(candidates, std::greater());
     candidates.resize(std::min(candidates.size(), serversPerQuestion));
     std::vector<std::string> servers;
+    servers.reserve(candidates.size());
     for (const auto& [free, id] : candidates)
         servers.push_back(id);
     return servers;
--- a/src/libs/scheduling/fleetjob.h
+++ b/src/libs/scheduling/fleetjob.h
@@ -103,7 +103,7 @@
     int step = 0;
     int index = 0;
 
-    auto operator<=>(const TaskName&) const = default;
+    auto operator<=>(const TaskName&) const = default; // NOLINT(modernize-use-nullptr): false alarm on <=>
 };
 
 /// "job.occurrence.step.index", as logs and backend servers write it.
--- a/src/libs/scheduling/statestore.h
+++ b/src/libs/scheduling/statestore.h
@@ -19,7 +19,7 @@
     std::string partition;
     std::string key;
 
-    auto operator<=>(const RowKey&) const = default;
+    auto operator<=>(const RowKey&) const = default; // NOLINT(modernize-use-nullptr): false alarm on <=>
 };
 
 struct Row {
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -4,8 +4,6 @@
 
 namespace WisteriaHill::Scheduling {
 
-using Utils::Event;
-
 namespace {
 
 constexpr std::size_t entriesPerTransaction = 90; ///< the store takes 100, expected rows included
--- a/tests/benchmarks/benchplanner.cpp
+++ b/tests/benchmarks/benchplanner.cpp
@@ -25,7 +25,7 @@
             .priority = priority,
             .stretchFactor = 3,
             .targetDuration = Duration(60'000) });
-    configuration.accounts.push_back({ .name = "a", .guaranteedAccelerators = servers * 4 });
+    configuration.accounts.push_back({ .name = "a", .guaranteedAccelerators = std::int64_t { 4 } * servers });
     for (int index = 0; index < servers; ++index) {
         BackendServer& server = board.servers["server-" + std::to_string(index)];
         server.address.id = "server-" + std::to_string(index);
