--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 #include "utils/eventcatalogue.h"
 #include "utils/eventlog.h"
 
+#include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -58,6 +59,10 @@
     try {
         App::FleetDaemon daemon(settings, path);
         daemon.run();
+        // Every answer is written by now. Destroying libwebsockets' context would wait for connections that servers
+        // keep open; the system closes them with the process.
+        std::cout.flush();
+        std::_Exit(exitOk);
     } catch (const std::runtime_error& error) {
         Utils::logStructured(Utils::Event::ListenFailed, { { "reason", error.what() } });
         return exitCannotRun;
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -97,10 +97,12 @@
 void Scheduler::release(std::function<void()> done)
 {
     this->leader.withdraw();
-    if (this->leader.isLeader())
-        this->writer.release(std::move(done));
-    else
+    if (!this->leader.isLeader()) {
         done();
+        return;
+    }
+    this->writer.release(std::move(done));
+    this->writer.flush(this->clock());
 }
 
 void Scheduler::elected(SteadyTime now)
--- /dev/null
+++ b/tests/scripts/fleet.sh
@@ -0,0 +1,103 @@
+#!/usr/bin/env bash
+# Three daemons and a stand-in of the platform as real processes on loopback: jobs are accepted and completed, also when
+# the scheduler is killed, a daemon is stopped, and bad input comes. Argument: the build directory.
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+build=${1:-build}
+base=18300
+work=$(mktemp -d)
+declare -A daemons
+failures=0
+
+fail() { echo "FAILED: $*"; failures=$((failures + 1)); }
+
+cleanup() {
+  for pid in "${daemons[@]}" "$standin"; do kill -KILL "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  [ "$failures" -eq 0 ] && rm -rf "$work" || echo "logs are in $work"
+}
+trap cleanup EXIT
+
+start_daemon() { # number
+  local port=$((base + 100 * $1))
+  cat >"$work/$1.json" <<SETTINGS
+{ // written by tests/scripts/fleet.sh
+  "fleet": { "node": "host-$1", "zone": "sawshed", "address": "127.0.0.1", "callers": "127.0.0.1:$port",
+    "readiness": "127.0.0.1:$((port + 1))", "relay": "127.0.0.1:$((port + 2))", "metrics": "127.0.0.1:$((port + 3))",
+    "heartbeatPort": $((port + 4)), "store": "127.0.0.1:$base",
+    "leases": { "maximum": "6s", "stopTime": "200ms" }, "stopBound": "6s" } }
+SETTINGS
+  "$build/src/app/wisteriahilld" --settings "$work/$1.json" >>"$work/$1.log" 2>&1 &
+  daemons[$1]=$!
+}
+
+call() { # method, daemon, path, body; prints status and body
+  curl -s -m 4 -X "$1" -H 'Host: mill.example' -H 'Authorization: Bearer mill-key' -H 'Content-Type: application/json' \
+    ${4:+--data "$4"} -w ' %{http_code}' "http://127.0.0.1:$((base + 100 * $2))$3"
+}
+
+wait_for() { # seconds, text, command...
+  local end=$((SECONDS + $1)) text=$2
+  shift 2
+  while [ "$SECONDS" -lt "$end" ]; do
+    [[ "$("$@")" == *"$text"* ]] && return 0
+    sleep 0.1
+  done
+  return 1
+}
+
+job='{"Spec":"round","Steps":[{"Count":3,"Cpu":1000,"MemMb":1000,"Gpu":2,"EstimateMs":900},{"Count":2,"Cpu":1000,"MemMb":1000,"Gpu":8,"EstimateMs":600,"After":[0],"Gang":true,"SameRack":true}]}'
+
+"$build/tests/fleetstandin" "$base" 8 >"$work/standin.log" 2>&1 &
+standin=$!
+for number in 1 2 3; do start_daemon "$number"; done
+for number in 1 2 3; do
+  wait_for 10 200 curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((base + 100 * number + 1))/-/readyz" \
+    || fail "daemon $number did not become ready"
+done
+
+for number in 1 2 3; do
+  answer=$(call POST "$number" "/score/000000000000000$number" "$job")
+  [[ "$answer" == *" 200" ]] || fail "job $number was not accepted: $answer"
+done
+for number in 1 2 3; do
+  wait_for 12 completed call GET 2 "/score/000000000000000$number" || fail "job $number was not completed"
+done
+
+# Bad input is refused with a reason and nothing of it is kept.
+[[ "$(call POST 1 /score/0000000000000009 '{"Spec":"x","Steps":[{"Count":-1}]}')" == *"Error"*" 400" ]] || fail "a bad body was taken"
+[[ "$(call GET 1 /score/0000000000000009)" == *" 410" ]] || fail "a refused job is known"
+[[ "$(call POST 1 /score/xyz "$job")" == *" 400" ]] || fail "a bad id was taken"
+[[ "$(call POST 1 /nowhere/0000000000000009 "$job")" == *" 404" ]] || fail "an unknown queue was taken"
+[[ "$(curl -s -m 4 -o /dev/null -w '%{http_code}' -X POST -H 'Host: mill.example' -H 'Authorization: Bearer stolen' \
+  --data "$job" "http://127.0.0.1:$((base + 100))/score/0000000000000009")" == 401 ]] || fail "an unknown key was taken"
+
+# The scheduler is killed while a job runs; another daemon takes over.
+answer=$(call POST 3 /cut/00000000000000aa "$job")
+[[ "$answer" == *" 200" ]] || fail "the job before the kill was not accepted: $answer"
+leader=""
+for number in 1 2 3; do
+  [[ "$(curl -s -m 2 "http://127.0.0.1:$((base + 100 * number + 3))/metrics")" == *"wisteriahill_leading 1"* ]] && leader=$number
+done
+[ -n "$leader" ] || fail "no daemon leads"
+kill -KILL "${daemons[$leader]}"
+other=$((leader % 3 + 1))
+wait_for 12 completed call GET "$other" /cut/00000000000000aa || fail "the job was not completed after the kill"
+[[ "$(curl -s -m 2 "http://127.0.0.1:$((base + 100 * other + 3))/v1/dump")" == *'"leader": "host-'* ]] || fail "the dump names no leader"
+
+# A graceful stop ends within its bound with status 0.
+third=$((other % 3 + 1)); [ "$third" -eq "$leader" ] && third=$((third % 3 + 1))
+kill -TERM "${daemons[$third]}"
+begin=$SECONDS
+wait "${daemons[$third]}"
+status=$?
+[ "$status" -eq 0 ] || fail "the stopped daemon ended with $status"
+[ $((SECONDS - begin)) -le 5 ] || fail "the stop took $((SECONDS - begin)) s"
+
+# What is left still serves, and a cancelled job is stopped.
+answer=$(call POST "$other" /score/00000000000000bb "${job//900/60000}")
+[[ "$answer" == *" 200" ]] || fail "the last daemon does not serve: $answer"
+wait_for 6 running call GET "$other" /score/00000000000000bb || fail "the last job does not run"
+[[ "$(call DELETE "$other" /score/00000000000000bb)" == *" 200" ]] || fail "the cancel was not accepted"
+wait_for 4 cancelled call GET "$other" /score/00000000000000bb || fail "the job is not shown as cancelled"
+[ "$failures" -eq 0 ]
