One list of HTTP statuses, one source of system randomness; counters only in the metrics

Found by reading the change again: each client of the platform listed statuses that utils has, two daemons drew their incarnation by the same code, and the intake counted what the metrics count by outcome.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -1,9 +1,9 @@
 #include "app/daemon.h"
 
 #include "utils/eventlog.h"
+#include "utils/randomsource.h"
 
 #include <chrono>
-#include <random>
 
 namespace WisteriaHill::App {
 
@@ -16,27 +16,20 @@
 constexpr Duration tickInterval { 20 };
 constexpr Duration exitCheckInterval { 20 };
 constexpr Duration lastRequestsTime { 200 };
-constexpr unsigned int randomBits = 32;
-
-std::uint64_t systemRandom()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << randomBits) | device();
-}
 
 /// The start time makes a repetition on a host without disks unlikely, the random bits make it improbable.
 Model::Incarnation newIncarnation()
 {
     const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
     const auto startedMs = std::chrono::duration_cast<Duration>(wallClock).count();
-    return (static_cast<std::uint64_t>(startedMs) << 20U) ^ (systemRandom() & 0xfffffU);
+    return (static_cast<std::uint64_t>(startedMs) << 20U) ^ (Utils::systemRandom() & 0xfffffU);
 }
 
 Controllers::CoreOptions coreOptions(const DaemonSettings& settings)
 {
     return { .identity
         = { .host = settings.host, .zone = settings.zone, .incarnation = newIncarnation(), .address = settings.peers },
-        .seed = systemRandom(),
+        .seed = Utils::systemRandom(),
         .seeds = settings.seeds,
         .bootstrapTeam = settings.bootstrapTeam,
         .bootstrapCredentialSha256 = settings.bootstrapCredentialSha256,
--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -5,10 +5,11 @@
 #include "platform/wirenames.h"
 #include "scheduling/boarddump.h"
 #include "utils/eventlog.h"
+#include "utils/httpstatus.h"
+#include "utils/randomsource.h"
 
 #include <algorithm>
 #include <chrono>
-#include <random>
 
 namespace WisteriaHill::App {
 
@@ -32,13 +33,6 @@
 constexpr Duration stopReserve { 1000 }; ///< left before the process would be killed
 constexpr Duration largestStagger { 400 };
 constexpr Duration largestRandomStagger { 100 };
-constexpr unsigned int randomBits = 32;
-
-std::uint64_t systemRandom()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << randomBits) | device();
-}
 
 Utils::SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
 
@@ -49,7 +43,7 @@
         .address = settings.address,
         .heartbeatPort = settings.heartbeatPort,
         .relayPort = settings.relay.port,
-        .incarnation = systemRandom() >> 1U };
+        .incarnation = Utils::systemRandom() >> 1U };
 }
 
 /// Hosts with more processor become candidates earlier; a random part tells equal hosts apart.
@@ -271,7 +265,6 @@
 
 void FleetDaemon::answerOperator(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request)
 {
-    constexpr int statusNotFound = 404;
     constexpr std::string_view jobsPath = "/v1/jobs/";
     constexpr std::string_view explainSuffix = "/explain";
     constexpr int indent = 2;
@@ -287,12 +280,12 @@
         const std::string job
             = request.path.substr(jobsPath.size(), request.path.size() - jobsPath.size() - explainSuffix.size());
         const Json explained = Scheduling::explainJob(this->scheduler, job, now);
-        response.status = explained.is_null() ? statusNotFound : response.status;
+        response.status = explained.is_null() ? Utils::HttpStatus::notFound : response.status;
         response.body = explained.is_null() ? Utils::toText({ { "error", "not known here; ask the leader" },
                             { "leader", std::as_const(this->scheduler).leadership().leaderNode() } })
                                             : Utils::toText(explained, indent);
     } else {
-        response.status = statusNotFound;
+        response.status = Utils::HttpStatus::notFound;
     }
     this->operators.respond(exchange, std::move(response));
 }
@@ -380,14 +373,11 @@
 
 void FleetDaemon::answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request)
 {
-    constexpr int statusOk = 200;
-    constexpr int statusNotFound = 404;
-    constexpr int statusUnavailable = 503;
     const bool asked = request.path == Platform::Wire::readyPath;
     this->readiness.respond(exchange,
-        { .status = !asked                   ? statusNotFound
-                : this->isReady(steadyNow()) ? statusOk
-                                             : statusUnavailable });
+        { .status = !asked                   ? Utils::HttpStatus::notFound
+                : this->isReady(steadyNow()) ? Utils::HttpStatus::ok
+                                             : Utils::HttpStatus::unavailable });
 }
 
 void FleetDaemon::reloadSettings()
--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -72,12 +72,10 @@
         };
     queue = this->configuration->findQueue(context.host, context.path);
     if (!queue) {
-        ++this->counts.unknownQueue;
         return CallerAnswer { .outcome = CallerOutcome::UnknownQueue, .reason = "no queue at this host and path" };
     }
     account = this->configuration->accountOfKey(context.key);
     if (!account && !queue->anonymous) {
-        ++this->counts.unauthorized;
         return CallerAnswer { .outcome = CallerOutcome::UnknownKey, .reason = "the key is not in force" };
     }
     return std::nullopt;
@@ -85,7 +83,6 @@
 
 void Intake::refuse(const std::string& id, const CallerAnswer& answer, const AnswerCaller& reply)
 {
-    ++this->counts.refused;
     this->effects.log(Event::RequestRefused,
         { { "job", id }, { "reason", answer.reason }, { "retryAfterMs", answer.retryAfter.count() },
             { "configuration", this->configuration ? this->configuration->version : 0 } });
@@ -133,7 +130,6 @@
     const auto* conflict = std::get_if<Conflict>(&result);
     if (std::holds_alternative<Committed>(result) || conflict) {
         // The id exists: an earlier sending of this submission, or the client's own earlier one.
-        ++this->counts.accepted;
         this->effects.log(Event::JobStored,
             { { "job", id }, { "queue", submission->record.pathPrefix }, { "account", submission->record.account },
                 { "sendings", submission->attempts }, { "known", conflict != nullptr },
@@ -152,7 +148,6 @@
         this->refuse(id, storeAway(CallerOutcome::NotAccepted), submission->answer);
         return;
     }
-    ++this->counts.uncertain;
     this->effects.log(Event::JobUncertain, { { "job", id }, { "sendings", submission->attempts } });
     submission->answer(storeAway(CallerOutcome::Uncertain));
 }
@@ -184,7 +179,6 @@
 void Intake::cancelAnswered(const std::shared_ptr<Lookup>& lookup, const CommitResult& result)
 {
     if (std::holds_alternative<Committed>(result)) {
-        ++this->counts.cancelled;
         this->effects.log(Event::CancelStored, { { "job", lookup->id }, { "rowVersion", lookup->version } });
         lookup->answer({ .outcome = CallerOutcome::Accepted });
     } else if (std::holds_alternative<Conflict>(result)) {
@@ -204,7 +198,6 @@
         answer(*refusal);
         return;
     }
-    ++this->counts.states;
     const auto ended = this->endedJobs.find(id);
     if (ended != this->endedJobs.end()) {
         answer({ .outcome = CallerOutcome::State, .state = ended->second });
--- a/src/libs/scheduling/intake.h
+++ b/src/libs/scheduling/intake.h
@@ -44,17 +44,6 @@
 
 using AnswerCaller = std::function<void(const CallerAnswer&)>;
 
-/// Counts for the metrics address.
-struct IntakeCounters {
-    std::uint64_t accepted = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t uncertain = 0;
-    std::uint64_t cancelled = 0;
-    std::uint64_t states = 0;
-    std::uint64_t unauthorized = 0;
-    std::uint64_t unknownQueue = 0;
-};
-
 /// Thread safety: none.
 class Intake {
 public:
@@ -84,8 +73,6 @@
     /// Reads the state of a job.
     void state(const CallerContext& context, const std::string& id, AnswerCaller answer);
 
-    const IntakeCounters& counters() const { return this->counts; }
-
 private:
     struct Submission;
     struct Lookup;
@@ -104,7 +91,6 @@
     std::function<bool()> storeFails;
     std::shared_ptr<const FleetConfiguration> configuration;
     std::unordered_map<std::string, JobState> endedJobs; ///< final states that were read; they never change
-    IntakeCounters counts;
 };
 
 /// The id of a job in a call's path behind its queue's prefix; nothing when it is not 16 hexadecimal digits.
--- a/src/libs/utils/randomsource.h
+++ b/src/libs/utils/randomsource.h
@@ -8,6 +8,14 @@
 
 namespace WisteriaHill::Utils {
 
+/// 64 bits from the operating system, for seeds and identities. Thread safety: may be called from any thread.
+inline std::uint64_t systemRandom()
+{
+    constexpr unsigned int bitsOfCall = 32;
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << bitsOfCall) | device();
+}
+
 /// Deterministic for a given seed. Thread safety: none.
 class RandomSource {
 public:
--- a/tests/standins/fleetstandin.cpp
+++ b/tests/standins/fleetstandin.cpp
@@ -9,6 +9,7 @@
 #include "support/fakeserver.h"
 #include "support/fakestore.h"
 #include "utils/base64.h"
+#include "utils/httpstatus.h"
 
 #include <chrono>
 #include <iostream>
@@ -21,14 +22,12 @@
 using Adapters::HttpExchangeId;
 using Adapters::HttpRequest;
 using Adapters::HttpResponse;
+namespace HttpStatus = Utils::HttpStatus;
 using Utils::Json;
 namespace Wire = Platform::Wire;
 
 constexpr const char* loopback = "127.0.0.1";
 constexpr Duration pollInterval { 10 };
-constexpr int statusConflict = 412;
-constexpr int statusServerConflict = 409;
-constexpr int statusNotFound = 404;
 constexpr int serversPerRack = 4;
 
 constexpr const char* configuration = R"({"Version":1,"Routes":[
@@ -112,7 +111,7 @@
                 nowMs() + std::stoll(argument(request, Wire::wait)) });
             this->answerWatches();
         } else {
-            this->server.respond(exchange, { .status = statusNotFound });
+            this->server.respond(exchange, { .status = HttpStatus::notFound });
         }
     }
 
@@ -131,7 +130,7 @@
         Json rows = Json::array();
         for (const Row& row : std::get<Conflict>(result).current)
             rows.push_back(toJson(row));
-        return { .status = statusConflict, .body = Json { { Wire::rows, rows } }.dump() };
+        return { .status = HttpStatus::preconditionFailed, .body = Json { { Wire::rows, rows } }.dump() };
     }
 
     HttpResponse page(const RowPage& page) const
@@ -214,7 +213,7 @@
         const auto row = this->store.store.find({ StoreTable::jobs, StoreTable::intakePartition, task.jobId });
         const std::optional<JobRecord> job = row ? decodeJob(*row) : std::nullopt;
         if (!job || job->specification.payload != json.at(Wire::payload).get<std::string>()) {
-            this->server.respond(exchange, { .status = statusNotFound }); // nobody asked for it
+            this->server.respond(exchange, { .status = HttpStatus::notFound }); // nobody asked for it
             return;
         }
         const StepSpecification& step = job->specification.steps.at(static_cast<std::size_t>(task.step));
@@ -231,7 +230,7 @@
     {
         if (const auto* refusal = std::get_if<OrderRefusal>(&result))
             this->server.respond(exchange,
-                { .status = statusServerConflict, .body = Json { { Wire::reason, refusalReason(*refusal) } }.dump() });
+                { .status = HttpStatus::conflict, .body = Json { { Wire::reason, refusalReason(*refusal) } }.dump() });
         else
             this->server.respond(exchange, { .body = Json { { Wire::clock, nowMs() } }.dump() });
     }
