Jobs that failed once go to servers that have just done well

Change: a job that has failed goes to servers on which a run ended well in the last 2.5 s, where they have room; its last attempt waits up to 3 s for one.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -129,6 +129,7 @@
     SteadyTime leaseEnd {}; ///< nothing runs past this without a further order
     std::map<TaskName, Resources> occupants; ///< current runs placed here, and runs being stopped
     std::set<std::string> failedJobs; ///< distinct jobs whose runs failed here since the last success
+    SteadyTime lastDoneAt {}; ///< when a run last ended well here
     SteadyTime avoidUntil {}; ///< not used for new runs before, unless nothing else fits
 
     /// Capacity left beside all occupants.
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -224,6 +224,7 @@
     if (ended.end == RunEnd::Done) {
         server.failedJobs.clear();
         server.avoidUntil = {};
+        server.lastDoneAt = now;
         if (specification.gang)
             this->finishGang(job, occurrence, ended.task.step, now);
         else if (!specification.longRunning)
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -15,6 +15,11 @@
 /// When more servers than this share are avoided, they are used last instead of not at all.
 constexpr double largestAvoidedShare = 0.3;
 
+/// A server on which a run ended well this recently is trusted with a job that has failed elsewhere: servers that fail
+/// everything are always free, and would use up the attempts of a job one after the other.
+constexpr Duration provenTime { 2500 };
+/// A job's last attempt waits this long for such a server.
+constexpr Duration lastAttemptPatience { 3000 };
 /// Searches for servers to clear in one pass; each looks at every run of a service.
 constexpr int clearingsPerPass = 8;
 
@@ -82,7 +87,33 @@
             continue;
         candidates.push_back(index);
     }
-    return candidates;
+    return unit.job->failedOn.empty() ? candidates : provenAmong(pass, unit, candidates);
+}
+
+std::vector<std::size_t> Planner::provenAmong(
+    const PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates)
+{
+    const Resources need = countedNeed(*unit.specification);
+    std::vector<std::size_t> others;
+    std::vector<std::size_t> proven;
+    std::size_t roomy = 0;
+    for (const std::size_t index : candidates) {
+        if (unit.job->failedOn.contains(pass.servers[index].id))
+            continue;
+        others.push_back(index);
+        if (pass.time() - pass.entries[index]->lastDoneAt > provenTime)
+            continue;
+        proven.push_back(index);
+        roomy += pass.servers[index].free.holds(need) ? 1 : 0;
+    }
+    int failures = 0;
+    for (const Task& task : unit.state->tasks)
+        failures = std::max(failures, task.failures);
+    const bool lastAttempt = failures + 1 >= unit.queue->maximumAttempts;
+    const Task& first = unit.state->tasks[static_cast<std::size_t>(unit.waiting.front())];
+    if (roomy >= unit.waiting.size() || (lastAttempt && pass.time() - first.waitingSince < lastAttemptPatience))
+        return proven;
+    return others.empty() ? candidates : others;
 }
 
 void Planner::countTasksOfStep(PlanningPass& pass, const WaitingUnit& unit, const Plan& plan)
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -78,6 +78,8 @@
 
     void expireClearings(const Board& board, SteadyTime now);
     std::vector<std::size_t> candidatesFor(const PlanningPass& pass, const WaitingUnit& unit) const;
+    static std::vector<std::size_t> provenAmong(
+        const PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates);
     static void countTasksOfStep(PlanningPass& pass, const WaitingUnit& unit, const Plan& plan);
     void placeUnit(PlanningPass& pass, const WaitingUnit& unit, Plan& plan);
     bool placeTasksOf(PlanningPass& pass, const WaitingUnit& unit, bool anyRack, Plan& plan);
--- a/tests/auto/scheduling/tst_scheduler_faults.cpp
+++ b/tests/auto/scheduling/tst_scheduler_faults.cpp
@@ -136,6 +136,31 @@
         CHECK(bench.runUntil("job-" + std::to_string(index), JobState::Completed, 8s));
 }
 
+TEST_CASE("a job that failed once goes to servers that have just done well, not to the next failing one")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    // Four servers fail everything; the others have work that ends well all the time.
+    for (std::size_t index = 0; index < 4; ++index) {
+        bench.server(index).entry.draining = true;
+        bench.putEntry(bench.server(index));
+    }
+    bench.run(1s);
+    for (int index = 0; index < 12; ++index)
+        bench.submit("steady-" + std::to_string(index), "background", { makeStep(8, 1, 800ms) });
+    bench.run(1500ms);
+    for (std::size_t index = 0; index < 4; ++index) {
+        bench.server(index).entry.draining = false;
+        bench.server(index).health = ServerHealth::FailsAll;
+        bench.putEntry(bench.server(index));
+    }
+    bench.run(500ms);
+    for (int index = 0; index < 4; ++index)
+        bench.submit("job-" + std::to_string(index), "ordinary", { makeStep(1, 8, 500ms) });
+    for (int index = 0; index < 4; ++index)
+        CHECK(bench.runUntil("job-" + std::to_string(index), JobState::Completed, 6s));
+}
+
 TEST_CASE("a run that stands still is started elsewhere")
 {
     SchedulerBench bench({});
