A job that waits for a proven server keeps no other from starting; reads at takeover pause between tries

Cause, found by reading the change again: work that failed to be placed is remembered as a shape that cannot fit in this pass, also when only its own restriction to proven servers kept it out, so everything of its size waited; and a new scheduler repeated refused reads of its tables without a pause.

--- a/src/libs/scheduling/advicecontroller.h
+++ b/src/libs/scheduling/advicecontroller.h
@@ -20,7 +20,11 @@
     void setClock(std::function<SteadyTime()> handler) { this->clock = std::move(handler); }
 
     /// Forgets an open call, when a term begins.
-    void begin() { ++this->generation, this->callOpen = false; }
+    void begin()
+    {
+        ++this->generation;
+        this->callOpen = false;
+    }
 
     /// Asks for the most urgent step that waits for tickets; one call at a time, as the service handles them in turn.
     void tick(const std::function<bool(const BackendServer&)>& usable, SteadyTime now);
--- a/src/libs/scheduling/fleetjob.cpp
+++ b/src/libs/scheduling/fleetjob.cpp
@@ -47,4 +47,36 @@
     return "unknown";
 }
 
+std::vector<std::string> describeSteps(const JobSpecification& job)
+{
+    std::vector<std::string> steps;
+    for (const StepSpecification& step : job.steps) {
+        std::string traits;
+        if (step.gang)
+            traits += " gang";
+        if (step.sameRack)
+            traits += " sameRack";
+        if (!step.dataRack.empty())
+            traits += " dataRack=" + step.dataRack;
+        if (!step.requiredLabel.empty())
+            traits += " label=" + step.requiredLabel;
+        if (step.maximumPerServer > 0)
+            traits += " perServer=" + std::to_string(step.maximumPerServer);
+        if (step.savesProgress)
+            traits += " saves";
+        if (step.duplicatesAllowed)
+            traits += " duplicates";
+        if (step.longRunning)
+            traits += " longRunning missing=" + std::to_string(step.maximumMissing);
+        if (step.fillsIdleCapacity)
+            traits += " fills";
+        if (step.latencyTarget.count() > 0)
+            traits += " target=" + std::to_string(step.latencyTarget.count());
+        steps.push_back(std::to_string(step.taskCount) + " x " + std::to_string(step.perTask.milliCores) + " mc "
+            + std::to_string(step.perTask.memoryMb) + " MB " + std::to_string(step.perTask.accelerators) + " acc "
+            + std::to_string(step.estimate.count()) + " ms" + traits);
+    }
+    return steps;
+}
+
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/fleetjob.h
+++ b/src/libs/scheduling/fleetjob.h
@@ -112,6 +112,9 @@
 /// Reads what formatTaskName wrote; false when malformed.
 bool parseTaskName(const std::string& text, TaskName& name);
 
+/// Each step of a job in short, for logs.
+std::vector<std::string> describeSteps(const JobSpecification& job);
+
 /// Lower-case name of a state.
 std::string jobStateName(JobState state);
 
--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -9,7 +9,7 @@
 
 namespace WisteriaHill::Scheduling {
 
-enum class LeadershipRole { Follower, Candidate, Leader };
+enum class LeadershipRole { Follower, Leader };
 
 struct LeadershipOptions {
     std::string node;
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -168,8 +168,8 @@
     if (!this->mustFail(unit, shape)) {
         if (this->placeTasksOf(pass, unit, anyRack, plan))
             return;
-        const bool unconstrained
-            = step.requiredLabel.empty() && step.dataRack.empty() && step.maximumPerServer == 0 && !unit.queue->advice;
+        const bool unconstrained = step.requiredLabel.empty() && step.dataRack.empty() && step.maximumPerServer == 0
+            && !unit.queue->advice && unit.job->failedOn.empty();
         if (unconstrained)
             this->failedShapes.push_back(shape);
     }
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Duration storeTimeout { 1500 };
-constexpr Duration loadRetryPause { 150 };
+constexpr Duration readRetryPause { 100 };
 /// Bounds how long a connection that went silent hides new jobs.
 constexpr Duration jobFeedWait { 1000 };
 constexpr Duration feedRetryPause { 150 };
@@ -25,39 +25,6 @@
 constexpr Duration stallTime { 4500 };
 constexpr Duration stallAvoidance { 8000 };
 
-/// The steps of a job in short, for logs.
-Utils::Json describeSteps(const JobSpecification& job)
-{
-    Utils::Json steps = Utils::Json::array();
-    for (const StepSpecification& step : job.steps) {
-        std::string traits;
-        if (step.gang)
-            traits += " gang";
-        if (step.sameRack)
-            traits += " sameRack";
-        if (!step.dataRack.empty())
-            traits += " dataRack=" + step.dataRack;
-        if (!step.requiredLabel.empty())
-            traits += " label=" + step.requiredLabel;
-        if (step.maximumPerServer > 0)
-            traits += " perServer=" + std::to_string(step.maximumPerServer);
-        if (step.savesProgress)
-            traits += " saves";
-        if (step.duplicatesAllowed)
-            traits += " duplicates";
-        if (step.longRunning)
-            traits += " longRunning missing=" + std::to_string(step.maximumMissing);
-        if (step.fillsIdleCapacity)
-            traits += " fills";
-        if (step.latencyTarget.count() > 0)
-            traits += " target=" + std::to_string(step.latencyTarget.count());
-        steps.push_back(std::to_string(step.taskCount) + " x " + std::to_string(step.perTask.milliCores) + " mc "
-            + std::to_string(step.perTask.memoryMb) + " MB " + std::to_string(step.perTask.accelerators) + " acc "
-            + std::to_string(step.estimate.count()) + " ms" + traits);
-    }
-    return steps;
-}
-
 } // namespace
 
 Scheduler::Scheduler(SchedulerOptions givenOptions, ServerEntryDecoder decodeServer,
@@ -123,37 +90,47 @@
 void Scheduler::load(SteadyTime)
 {
     ++this->loadGeneration;
-    this->readTable(this->options.serverTable, "", "", {}, 0);
-    this->readTable(StoreTable::jobs, StoreTable::intakePartition, "", {}, 0);
-    this->readTable(StoreTable::states, StoreTable::schedulerPartition, "", {}, 0);
-    this->readTable(StoreTable::progress, StoreTable::schedulerPartition, "", {}, 0);
+    this->failedReads.clear();
+    this->readTable({ .table = this->options.serverTable });
+    this->readTable({ .table = StoreTable::jobs, .partition = StoreTable::intakePartition });
+    this->readTable({ .table = StoreTable::states, .partition = StoreTable::schedulerPartition });
+    this->readTable({ .table = StoreTable::progress, .partition = StoreTable::schedulerPartition });
 }
 
-void Scheduler::readTable(const std::string& table, const std::string& partition, const std::string& from,
-    std::vector<Row> collected, RowVersion position)
+void Scheduler::readTable(TableRead read)
 {
-    this->effects.push(ReadCall { .range = { .table = table, .partition = partition, .from = from },
+    const RowRange range { .table = read.table, .partition = read.partition, .from = read.from };
+    this->effects.push(ReadCall { .range = range,
         .timeout = storeTimeout,
-        .done = [this, table, partition, from, collected = std::move(collected), position,
-                    generation = this->loadGeneration](const ReadResult& result) mutable {
+        .done = [this, read = std::move(read), generation = this->loadGeneration](const ReadResult& result) mutable {
             if (generation != this->loadGeneration || !this->leader.isLeader())
                 return;
             const auto* page = std::get_if<RowPage>(&result);
             if (!page) {
-                this->readTable(table, partition, from, std::move(collected), position);
+                this->failedReads.push_back(std::move(read));
+                this->nextReadRetry = this->clock() + readRetryPause;
                 return;
             }
-            // Changes after the first page are read again from the feed.
-            if (position == 0)
-                position = page->version;
-            collected.insert(collected.end(), page->rows.begin(), page->rows.end());
-            if (page->more && !page->rows.empty())
-                this->readTable(table, partition, page->rows.back().key.key + '\x01', std::move(collected), position);
-            else
-                this->tableLoaded(table, std::move(collected), position, this->clock());
+            if (read.position == 0)
+                read.position = page->version;
+            read.collected.insert(read.collected.end(), page->rows.begin(), page->rows.end());
+            if (page->more && !page->rows.empty()) {
+                read.from = page->rows.back().key.key + '\x01';
+                this->readTable(std::move(read));
+            } else {
+                this->tableLoaded(read.table, std::move(read.collected), read.position, this->clock());
+            }
         } });
 }
 
+void Scheduler::retryReads(SteadyTime now)
+{
+    if (now < this->nextReadRetry || !this->leader.isLeader())
+        return;
+    for (TableRead& read : std::exchange(this->failedReads, {}))
+        this->readTable(std::move(read));
+}
+
 void Scheduler::tableLoaded(const std::string& table, std::vector<Row> rows, RowVersion position, SteadyTime now)
 {
     this->feeds[table].position = position;
@@ -323,7 +300,7 @@
         this->effects.log(Event::HistoryLost, { { "table", table }, { "position", feed.position } });
         feed.open = true; // until the table is read
         const bool intake = table == StoreTable::jobs;
-        this->readTable(table, intake ? StoreTable::intakePartition : "", "", {}, 0);
+        this->readTable({ .table = table, .partition = intake ? StoreTable::intakePartition : "" });
         return;
     }
     const auto* page = std::get_if<RowPage>(&result);
@@ -344,6 +321,7 @@
 void Scheduler::tick(SteadyTime now, WallTime wallNow)
 {
     this->leader.tick(now);
+    this->retryReads(now);
     if (!this->isActive() || !this->board.configuration)
         return;
     this->watch(StoreTable::jobs, this->feeds.at(StoreTable::jobs), jobFeedWait, now);
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -36,7 +36,6 @@
 /// What the leader tells the other daemons.
 struct FleetSummary {
     std::map<std::string, std::int64_t> pending; ///< jobs without a started task, by "host path"
-    std::int64_t waitingAccelerators = 0; ///< of tasks that could start now, were there room
 };
 
 struct SchedulerOptions {
@@ -87,10 +86,19 @@
         SteadyTime nextCall {};
     };
 
+    /// A table that is being read, page after page.
+    struct TableRead {
+        std::string table;
+        std::string partition;
+        std::string from;
+        std::vector<Row> collected;
+        RowVersion position = 0; ///< of the first page; later changes come from the feed
+    };
+
     void elected(SteadyTime now);
     void load(SteadyTime now);
-    void readTable(const std::string& table, const std::string& partition, const std::string& from,
-        std::vector<Row> collected, RowVersion position);
+    void readTable(TableRead read);
+    void retryReads(SteadyTime now);
     void tableLoaded(const std::string& table, std::vector<Row> rows, RowVersion position, SteadyTime now);
     void finishLoad(SteadyTime now);
     void watch(const std::string& table, TableFeed& feed, Duration wait, SteadyTime now);
@@ -122,6 +130,8 @@
     UpkeepController upkeep;
     bool loaded = false;
     std::uint64_t loadGeneration = 0;
+    std::vector<TableRead> failedReads; ///< to be sent again
+    SteadyTime nextReadRetry {};
     std::map<std::string, std::vector<Row>> loadedRows;
     std::map<std::string, TableFeed> feeds;
     SteadyTime nextHousekeeping {};
--- a/src/libs/scheduling/statewriter.h
+++ b/src/libs/scheduling/statewriter.h
@@ -60,9 +60,6 @@
     /// Removes the rows of a job that nobody may ask for any more.
     void removeJob(const Job& job);
 
-    /// When the last transaction succeeded.
-    SteadyTime lastStoredAt() const { return this->storedAt; }
-
 private:
     struct Batch {
         std::uint64_t generation = 0;
--- a/tests/auto/scheduling/tst_scheduler_faults.cpp
+++ b/tests/auto/scheduling/tst_scheduler_faults.cpp
@@ -161,6 +161,38 @@
         CHECK(bench.runUntil("job-" + std::to_string(index), JobState::Completed, 6s));
 }
 
+TEST_CASE("a job whose last attempt waits for a proven server keeps no other job from starting")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).health = ServerHealth::FailsAll;
+    bench.submit("failing", "ordinary", { makeStep(1, 1, 20s) });
+    bench.run(300ms); // has failed twice by now, and no server has done well
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).health = ServerHealth::Sound;
+    bench.submit("other", "background", { makeStep(2, 2, 500ms) });
+    CHECK(bench.runUntilActive("other", 2, 500ms));
+}
+
+TEST_CASE("a leader that reads its rows during an outage does not flood the store")
+{
+    SchedulerBench bench({ .daemons = 2 });
+    bench.run(2s);
+    const std::size_t first = bench.leader();
+    bench.submit("job", "ordinary", { makeStep(1, 1, 6s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    bench.killDaemon(first);
+    for (int round = 0; round < 300 && !bench.isElected(1 - first); ++round)
+        bench.run(10ms);
+    bench.store.down = true;
+    const int before = bench.storeReads;
+    bench.run(1s);
+    CHECK(bench.storeReads - before <= 60); // four tables, ten times a second, and a little more
+    bench.store.down = false;
+    CHECK(bench.runUntil("job", JobState::Completed, 8s));
+}
+
 TEST_CASE("a run that stands still is started elsewhere")
 {
     SchedulerBench bench({});
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -210,6 +210,7 @@
                 index, [done = std::move(commit->done), result]() { done(result); },
                 lost ? commit->timeout : networkDelay);
         } else if (auto* read = std::get_if<ReadCall>(&effect)) {
+            ++this->storeReads;
             const ReadResult result = this->store.read(read->range);
             this->answer(
                 index, [done = std::move(read->done), result]() { done(result); },
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -28,6 +28,7 @@
     FakeStore store;
 
     std::set<std::string> advisedServers; ///< that the placement advice allows for every step
+    int storeReads = 0; ///< by all daemons, refused ones too
     int adviceCalls = 0;
     int mostMachinesDown = 0; ///< at once, by upkeep
 
@@ -74,6 +75,10 @@
 
     /// Index of the daemon that leads; daemons.size() when none does.
     std::size_t leader() const;
+    bool isElected(std::size_t index) const
+    {
+        return this->daemons.at(index)->alive && this->daemons.at(index)->scheduler->leadership().isLeader();
+    }
     void killDaemon(std::size_t index);
     void startDaemon(std::size_t index);
     void pauseDaemon(std::size_t index) { this->daemons.at(index)->paused = true; }
