Racks are held ready also while most of a service is idle, as the last choice of ordinary work

Change: racks are held at any load; while most of the service is idle ordinary work may use them when nothing else fits.

--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -15,21 +15,24 @@
     return server.free.holds(need) && (step.maximumPerServer == 0 || server.tasksOfStep < step.maximumPerServer);
 }
 
-/// Lower is better: avoided servers last, then the fewest accelerators left, then the least memory left.
-auto fitRank(const PlacementServer& server)
+/// Lower is better: avoided servers last, servers held ready before them, then the fewest accelerators left, then the
+/// least memory left.
+auto fitRank(const PlacementServer& server, bool prefersOthers)
 {
-    return std::tuple(server.lastChoice, server.free.accelerators, server.free.memoryMb, server.free.milliCores);
+    return std::tuple(server.lastChoice, server.heldReady && prefersOthers, server.free.accelerators,
+        server.free.memoryMb, server.free.milliCores);
 }
 
 /// Places up to `count` tasks among the candidates, best fit first.
 Choice placeAmong(std::vector<PlacementServer>& servers, const std::vector<std::size_t>& candidates,
-    const StepSpecification& step, int count)
+    const StepSpecification& step, int count, bool prefersOthers)
 {
     const Resources need = countedNeed(step);
     Choice choice(static_cast<std::size_t>(count));
     for (std::optional<std::size_t>& chosen : choice) {
         for (const std::size_t index : candidates) {
-            if (fits(servers[index], step, need) && (!chosen || fitRank(servers[index]) < fitRank(servers[*chosen])))
+            if (fits(servers[index], step, need)
+                && (!chosen || fitRank(servers[index], prefersOthers) < fitRank(servers[*chosen], prefersOthers)))
                 chosen = index;
         }
         if (!chosen)
@@ -116,7 +119,7 @@
     }
     const auto none = [&]() { return Choice(static_cast<std::size_t>(request.taskCount)); };
     const auto place = [&](const std::vector<std::size_t>& among) {
-        Choice choice = placeAmong(servers, among, step, request.taskCount);
+        Choice choice = placeAmong(servers, among, step, request.taskCount, request.prefersOthers);
         if (!request.allOrNone || isComplete(choice))
             return choice;
         undo(servers, step, choice);
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -28,6 +28,7 @@
     bool allOrNone = false; ///< place every task or none
     bool anyRack = false; ///< ignore rack preferences
     bool mayUseHeldReady = true;
+    bool prefersOthers = false; ///< uses servers that are held ready only when nothing else fits
 };
 
 /// Index into the servers for each task, chosen among `candidates`; an unset entry could not be placed. Servers' free
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -37,12 +37,6 @@
         + memoryPerAccelerator(server.capacity) * (server.capacity.accelerators - server.free.accelerators);
 }
 
-/// Work that can be stopped without loss, and urgent work, may use servers that are held ready.
-bool mayUseHeldReady(const WaitingUnit& unit)
-{
-    return unit.urgency != Urgency::Ordinary || unit.specification->savesProgress;
-}
-
 } // namespace
 
 Plan Planner::plan(const Board& board, const PlanningPass::Usable& usable, SteadyTime now)
@@ -133,6 +127,12 @@
     }
 }
 
+bool Planner::mayUseHeldReady(const WaitingUnit& unit) const
+{
+    return unit.urgency != Urgency::Ordinary || unit.specification->savesProgress
+        || this->reserve.loadOf(unit.queue->service).mostlyIdle();
+}
+
 bool Planner::ownsClearing(const WaitingUnit& unit) const
 {
     return std::ranges::any_of(
@@ -145,7 +145,7 @@
         .need = countedNeed(*unit.specification),
         .count = unit.specification->gang ? static_cast<int>(unit.waiting.size()) : 1,
         .inOneRack = unit.specification->gang && unit.specification->sameRack && !anyRack,
-        .mayUseHeldReady = mayUseHeldReady(unit) };
+        .mayUseHeldReady = this->mayUseHeldReady(unit) };
 }
 
 bool Planner::mustFail(const WaitingUnit& unit, const FailedShape& shape) const
@@ -187,7 +187,8 @@
             .taskCount = static_cast<int>(unit.waiting.size()),
             .allOrNone = step.gang,
             .anyRack = anyRack,
-            .mayUseHeldReady = mayUseHeldReady(unit) });
+            .mayUseHeldReady = this->mayUseHeldReady(unit),
+            .prefersOthers = unit.urgency == Urgency::Ordinary });
     std::size_t placed = 0;
     for (std::size_t index = 0; index < choice.size(); ++index) {
         if (!choice[index])
@@ -226,7 +227,7 @@
     std::map<std::string, std::vector<std::pair<std::int64_t, std::size_t>>> racks;
     for (const std::size_t index : this->candidatesFor(pass, unit)) {
         const PlacementServer& server = pass.servers[index];
-        if (server.capacity.holds(need) && (!server.heldReady || mayUseHeldReady(unit)))
+        if (server.capacity.holds(need) && (!server.heldReady || this->mayUseHeldReady(unit)))
             racks[unit.specification->sameRack ? server.rack : std::string()].emplace_back(
                 occupiedBefore(server, need), index);
     }
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -88,6 +88,8 @@
     static ClearingChoice cheapestClearing(
         PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates);
     void claimServers(const PlanningPass& pass, const WaitingUnit& unit);
+    /// Work that can be stopped without loss, urgent work, and any work while most of the service is idle.
+    bool mayUseHeldReady(const WaitingUnit& unit) const;
     bool ownsClearing(const WaitingUnit& unit) const;
     FailedShape shapeOf(const WaitingUnit& unit, bool anyRack) const;
     bool mustFail(const WaitingUnit& unit, const FailedShape& shape) const;
--- a/src/libs/scheduling/urgentreserve.cpp
+++ b/src/libs/scheduling/urgentreserve.cpp
@@ -53,8 +53,6 @@
         racksByService[pass.entries[index]->service][pass.servers[index].rack].push_back(index);
     for (const auto& [service, racks] : racksByService) {
         const ServiceLoad& measured = this->load[service];
-        if (measured.mostlyIdle())
-            continue; // there is room for everyone
         const double wanted
             = std::min(this->peaks[service] * readyMargin, largestReadyShare * static_cast<double>(measured.capacity));
         double held = 0;
--- a/src/libs/scheduling/urgentreserve.h
+++ b/src/libs/scheduling/urgentreserve.h
@@ -19,7 +19,8 @@
 
 /// Answers bursts of urgent gangs on a busy service: without a reserve each of them stops running work, which starts
 /// again where the next one needs room. Whole racks are held ready for about the recent peak of urgent work; ordinary
-/// work goes there only if it can be stopped without loss. Thread safety: none.
+/// work goes there only if it can be stopped without loss, or last while most of the service is idle. Thread safety:
+/// none.
 class UrgentReserve {
 public:
     void reset() { this->peaks.clear(); }
@@ -27,7 +28,12 @@
     /// Measures the load and marks the servers of the pass that are held ready.
     void apply(PlanningPass& pass, const std::vector<WaitingUnit>& units);
 
-    const ServiceLoad& loadOf(const std::string& service) { return this->load[service]; }
+    /// Of the last pass; all zero when it saw nothing of the service.
+    ServiceLoad loadOf(const std::string& service) const
+    {
+        const auto found = this->load.find(service);
+        return found == this->load.end() ? ServiceLoad {} : found->second;
+    }
 
 private:
     void measure(const PlanningPass& pass, const std::vector<WaitingUnit>& units);
--- a/tests/auto/scheduling/tst_scheduler_load.cpp
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -95,6 +95,34 @@
     CHECK(started); // within 6 s: four times the length of the work that stands in its way
 }
 
+TEST_CASE("on a half idle service ordinary work leaves a rack to urgent gangs, which start at once")
+{
+    SchedulerBench bench({ .racks = 2, .serversPerRack = 4 });
+    bench.run(2s);
+    StepSpecification gang = gangStep(3, 8, 1000ms);
+    gang.sameRack = true;
+    bench.submit("urgent-0", "urgent", { gang });
+    bench.run(1500ms);
+    for (int index = 0; index < 3; ++index) // half of the accelerators of one rack
+        bench.submit("ordinary-" + std::to_string(index), "ordinary", { makeStep(5, 1, 20s) });
+    bench.run(300ms);
+    bench.submit("urgent-1", "urgent", { gang });
+    CHECK(bench.runUntilActive("urgent-1", 3, 200ms)); // nothing had to be stopped for it
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("work for a service without a usable server waits")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 1 });
+    bench.server(0).reachable = false;
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 500ms) });
+    bench.run(1s);
+    CHECK(bench.startsOf("job") == 0);
+    bench.server(0).reachable = true;
+    CHECK(bench.runUntil("job", JobState::Completed, 3s));
+}
+
 TEST_CASE("a gang that no rack can hold does not wait for one")
 {
     SchedulerBench bench({ .racks = 2, .serversPerRack = 3 });
