--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -188,7 +188,8 @@
             .allOrNone = step.gang,
             .anyRack = anyRack,
             .mayUseHeldReady = this->mayUseHeldReady(unit),
-            .prefersOthers = unit.urgency == Urgency::Ordinary });
+            .prefersOthers
+            = unit.urgency == Urgency::Ordinary && this->reserve.loadOf(unit.queue->service).mostlyIdle() });
     std::size_t placed = 0;
     for (std::size_t index = 0; index < choice.size(); ++index) {
         if (!choice[index])
