--- a/src/libs/scheduling/boarddump.cpp
+++ b/src/libs/scheduling/boarddump.cpp
@@ -66,7 +66,7 @@
 std::string waitReason(const Scheduler& scheduler, const Job& job, const Step& step, const StepSpecification& wanted)
 {
     const Board& board = scheduler.state();
-    const Queue* queue = board.configuration ? board.configuration->queueOf(job.record) : nullptr;
+    const Queue* queue = job.queue;
     if (!queue)
         return "its queue is not in the configuration in force";
     if (!step.ready)
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -226,9 +226,9 @@
         server.avoidUntil = {};
         server.lastDoneAt = now;
         if (specification.gang)
-            this->finishGang(job, occurrence, ended.task.step, now);
+            this->finishGang(job, occurrence, ended.task.step);
         else if (!specification.longRunning)
-            this->finishTask(job, occurrence, ended.task.step, *task, now);
+            this->finishTask(job, occurrence, ended.task.step, *task);
         else
             this->requeue(ended.task, step, *task, now);
         server.occupants.erase(ended.task);
@@ -263,7 +263,7 @@
     }
 }
 
-void JobTracker::finishTask(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime)
+void JobTracker::finishTask(Job& job, Occurrence& occurrence, int step, Task& task)
 {
     Step& done = stepAt(occurrence, step);
     task.phase = TaskPhase::Done;
@@ -274,7 +274,7 @@
     job.begun = true;
 }
 
-void JobTracker::finishGang(Job& job, Occurrence& occurrence, int step, SteadyTime)
+void JobTracker::finishGang(Job& job, Occurrence& occurrence, int step)
 {
     Step& gang = stepAt(occurrence, step);
     // The other members' room stays taken until their servers list the ends.
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -62,8 +62,8 @@
 
 private:
     Occurrence& createOccurrence(Job& job, int index, SteadyTime now);
-    void finishTask(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime now);
-    void finishGang(Job& job, Occurrence& occurrence, int step, SteadyTime now);
+    void finishTask(Job& job, Occurrence& occurrence, int step, Task& task);
+    void finishGang(Job& job, Occurrence& occurrence, int step);
     void countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now);
     void judgeServer(BackendServer& server, Job& job, SteadyTime now);
     void requeue(const TaskName& name, Step& step, Task& task, SteadyTime now);
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -52,7 +52,7 @@
         server.nextLookAt = now;
         server.lookSoon = true;
         // A predecessor may have renewed the lease until just now.
-        server.leaseEnd = now + this->options.maximumLease * leaseClockPercent / 100 + leaseSlack;
+        this->extendLease(server, now);
     }
 }
 
