--- /dev/null
+++ b/tests/auto/soak/tst_promises.cpp
@@ -0,0 +1,196 @@
+// The soak's check notices each kind of broken promise, and finds nothing in a history without one.
+
+#include "soak/history.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill::Soak;
+
+namespace {
+
+constexpr const char* job = "00000000000000aa";
+constexpr const char* firstTask = "00000000000000aa.0.0.0";
+constexpr const char* secondStepTask = "00000000000000aa.0.1.0";
+constexpr Moment healed = 20'000;
+constexpr Moment finished = 60'000;
+
+Run doneRun(const std::string& task, Moment started, Moment ended)
+{
+    return { .server = "i-1",
+        .task = task,
+        .attempt = 1,
+        .started = started,
+        .ended = ended,
+        .how = "done",
+        .acknowledged = true };
+}
+
+Call submitted(int status) { return { .kind = CallKind::Submit, .sent = 1000, .over = 1010, .status = status }; }
+
+Call shown(const std::string& state, Moment moment)
+{
+    return { .kind = CallKind::State, .sent = moment, .over = moment + 5, .status = 200, .state = state };
+}
+
+Call cancelledAt(Moment moment)
+{
+    return { .kind = CallKind::Cancel, .sent = moment, .over = moment + 5, .status = 200 };
+}
+
+/// A job of two steps that was accepted, run and shown as completed.
+History soundHistory()
+{
+    History history { .runs = { doneRun(firstTask, 1100, 2000), doneRun(secondStepTask, 2100, 3000) },
+        .healed = healed,
+        .finished = finished };
+    history.jobs[job] = { .steps = { {}, { .afterPrevious = true } },
+        .calls = { submitted(200), shown("running", 1500), shown("completed", 4000) } };
+    return history;
+}
+
+void checkFinds(const History& history, const std::string& part)
+{
+    const std::vector<std::string> broken = brokenPromises(history);
+    REQUIRE(!broken.empty());
+    CHECK_THAT(broken.front(), Catch::Contains(part));
+}
+
+} // namespace
+
+TEST_CASE("a history without a broken promise has no findings") { CHECK(brokenPromises(soundHistory()).empty()); }
+
+TEST_CASE("a task that runs twice at once is noticed")
+{
+    History history = soundHistory();
+    history.runs.push_back({ .server = "i-2", .task = firstTask, .attempt = 2, .started = 1500, .ended = 1900 });
+    checkFinds(history, "still ran");
+}
+
+TEST_CASE("a start after an end that was acknowledged is noticed")
+{
+    History history = soundHistory();
+    history.runs.push_back({ .server = "i-2", .task = firstTask, .attempt = 2, .started = 2500, .ended = 2900 });
+    checkFinds(history, "was done");
+}
+
+TEST_CASE("a run after an end that a server lost is no second run")
+{
+    History history = soundHistory();
+    history.runs.front().acknowledged = false;
+    history.runs.push_back(doneRun(firstTask, 2010, 2050));
+    CHECK(brokenPromises(history).empty());
+}
+
+TEST_CASE("a step that starts too early is noticed")
+{
+    History history = soundHistory();
+    history.runs.back().started = 1900;
+    checkFinds(history, "before the step that it waits for");
+}
+
+TEST_CASE("a start that nobody asked for is noticed")
+{
+    History history = soundHistory();
+    history.runs.push_back(doneRun("00000000000000bb.0.0.0", 1000, 1100));
+    checkFinds(history, "nobody asked for it");
+}
+
+TEST_CASE("a refused job that runs is noticed")
+{
+    History history = soundHistory();
+    history.jobs[job].calls = { submitted(503), submitted(429) };
+    checkFinds(history, "every attempt to submit it was refused");
+}
+
+TEST_CASE("a refusal after a call without an answer leaves the job undecided")
+{
+    History history = soundHistory();
+    history.jobs[job].calls = { submitted(0), submitted(503) };
+    CHECK(brokenPromises(history).empty());
+}
+
+TEST_CASE("states that are not true are noticed")
+{
+    History history = soundHistory();
+    SECTION("completed too early")
+    {
+        history.jobs[job].calls.back() = shown("completed", 2500);
+        checkFinds(history, "shown as completed before step 1 was done");
+    }
+    SECTION("failed without cause")
+    {
+        history.jobs[job].calls.back() = shown("failed", 4000);
+        checkFinds(history, "failed without cause");
+    }
+    SECTION("cancelled by nobody")
+    {
+        history.jobs[job].calls.back() = shown("cancelled", 4000);
+        checkFinds(history, "nobody cancelled it");
+    }
+    SECTION("another state after the last one")
+    {
+        history.jobs[job].calls.push_back(shown("running", 5000));
+        checkFinds(history, "shown as running after completed");
+    }
+}
+
+TEST_CASE("an accepted job that is unknown or does not end is noticed")
+{
+    History history = soundHistory();
+    SECTION("unknown")
+    {
+        history.jobs[job].calls.push_back({ .kind = CallKind::State, .sent = 9000, .over = 9005, .status = 410 });
+        checkFinds(history, "unknown to daemon 0");
+    }
+    SECTION("not ended")
+    {
+        history.jobs[job].calls.pop_back();
+        checkFinds(history, "not ended");
+    }
+}
+
+TEST_CASE("work for a cancelled job is noticed")
+{
+    History history = soundHistory();
+    history.jobs[job].calls = { submitted(200), cancelledAt(1500), shown("cancelled", 2000) };
+    SECTION("a late start")
+    {
+        history.runs.push_back({ .server = "i-2",
+            .task = "00000000000000aa.0.0.1",
+            .attempt = 1,
+            .started = healed + 4000,
+            .ended = healed + 4500 });
+        checkFinds(history, "started after the job was cancelled");
+    }
+    SECTION("a run that goes on")
+    {
+        history.runs.push_back({ .server = "i-2", .task = "00000000000000aa.0.0.1", .attempt = 1, .started = 1200 });
+        checkFinds(history, "runs on");
+    }
+}
+
+TEST_CASE("bad ends of processes are noticed")
+{
+    History history = soundHistory();
+    SECTION("by itself")
+    {
+        history.unexpectedEnds = { "daemon 1" };
+        checkFinds(history, "ended by itself");
+    }
+    SECTION("a graceful stop with a status")
+    {
+        history.stops = { { .asked = 5000, .gone = 6000, .status = 1 } };
+        checkFinds(history, "ended with status 1");
+    }
+    SECTION("a graceful stop that is late")
+    {
+        history.stops = { { .asked = 5000, .gone = 12'000, .status = 0 } };
+        checkFinds(history, "took 7000 ms");
+    }
+    SECTION("a graceful stop that cuts off a call")
+    {
+        history.stops = { { .asked = 5000, .gone = 6000, .status = 0, .calm = true } };
+        history.jobs[job].calls.push_back({ .kind = CallKind::State, .sent = 4900, .over = 5900, .broken = true });
+        checkFinds(history, "cut off a call");
+    }
+}
--- a/tests/scripts/fleet.sh
+++ b/tests/scripts/fleet.sh
@@ -7,12 +7,13 @@
 base=18300
 work=$(mktemp -d)
 declare -A daemons
+standins=()
 failures=0
 
 fail() { echo "FAILED: $*"; failures=$((failures + 1)); }
 
 cleanup() {
-  for pid in "${daemons[@]}" "$standin"; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in "${daemons[@]}" "${standins[@]}"; do kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
   [ "$failures" -eq 0 ] && rm -rf "$work" || echo "logs are in $work"
 }
@@ -46,10 +47,17 @@
   return 1
 }
 
-job='{"Spec":"round","Steps":[{"Count":3,"Cpu":1000,"MemMb":1000,"Gpu":2,"EstimateMs":900},{"Count":2,"Cpu":1000,"MemMb":1000,"Gpu":8,"EstimateMs":600,"After":[0],"Gang":true,"SameRack":true}]}'
+needs() { # milliseconds of the first step; the payload that the stand-ins of servers read
+  echo "{\\\"needs\\\":[[1000,1000,2,$1],[1000,1000,8,600]]}"
+}
+job='{"Spec":"'$(needs 900)'","Steps":[{"Count":3,"Cpu":1000,"MemMb":1000,"Gpu":2,"EstimateMs":900},{"Count":2,"Cpu":1000,"MemMb":1000,"Gpu":8,"EstimateMs":600,"After":[0],"Gang":true,"SameRack":true}]}'
 
-"$build/tests/fleetstandin" "$base" 8 >"$work/standin.log" 2>&1 &
-standin=$!
+"$build/tests/storestandin" "$base" >"$work/store.log" 2>&1 &
+standins+=($!)
+for number in 1 2 3 4 5 6 7 8; do
+  "$build/tests/serverstandin" "$((base + number))" "$number" "$base" >"$work/server-$number.log" 2>&1 &
+  standins+=($!)
+done
 for number in 1 2 3; do start_daemon "$number"; done
 for number in 1 2 3; do
   wait_for 10 200 curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((base + 100 * number + 1))/-/readyz" \
--- /dev/null
+++ b/tests/soak/callers.cpp
@@ -0,0 +1,191 @@
+#include "soak/callers.h"
+
+#include "utils/checkedjson.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iomanip>
+#include <sstream>
+
+namespace WisteriaHill::Soak {
+
+namespace asio = boost::asio;
+using Utils::Json;
+
+namespace {
+
+constexpr const char* accountKey = "mill-key";
+constexpr int shortestPause = 80; ///< ms between two jobs
+constexpr int longestPause = 350;
+constexpr Moment pollInterval = 350; ///< ms between two questions about a state
+constexpr Moment retryInterval = 300; ///< ms after a refusal or a call without an answer
+constexpr int cancelledPercent = 15;
+constexpr int repeatedPercent = 10; ///< submitted again after they were accepted
+constexpr int givenUpPercent = 50; ///< of the refused
+constexpr int urgentPercent = 25;
+constexpr int milliCores = 1000; ///< of each task
+constexpr int megabytes = 1000;
+constexpr int wholeServer = 8; ///< accelerators
+
+bool isSuccess(int status) { return status >= 200 && status < 300; }
+
+bool isRefusal(int status)
+{
+    constexpr int tooManyRequests = 429;
+    constexpr int unavailable = 503;
+    return status == tooManyRequests || status == unavailable;
+}
+
+std::string bodyOf(const std::vector<PlannedStep>& steps)
+{
+    Json needs = Json::array();
+    Json described = Json::array();
+    for (const PlannedStep& step : steps) {
+        needs.push_back({ milliCores, megabytes, step.accelerators, step.milliseconds });
+        Json json { { "Count", step.tasks }, { "Cpu", milliCores }, { "MemMb", megabytes },
+            { "Gpu", step.accelerators }, { "EstimateMs", step.milliseconds } };
+        if (step.gang)
+            json["Gang"] = true;
+        if (step.afterPrevious)
+            json["After"] = { described.size() - 1 };
+        described.push_back(json);
+    }
+    return Json { { "Spec", Json { { "needs", needs } }.dump() }, { "Steps", described } }.dump();
+}
+
+} // namespace
+
+struct Callers::Caller {
+    std::string id;
+    std::string queue;
+    std::string body;
+    int daemon = 0;
+    std::unique_ptr<HttpConnection> connection;
+};
+
+Callers::Callers(asio::io_context& context, Fleet& fleet, History& history, std::uint64_t seed)
+    : context(context)
+    , fleet(fleet)
+    , history(history)
+    , engine(seed)
+{
+}
+
+void Callers::start() { asio::co_spawn(this->context, this->submitJobs(), asio::detached); }
+
+int Callers::random(int lowest, int highest)
+{
+    return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
+}
+
+asio::awaitable<void> Callers::wait(Moment milliseconds)
+{
+    asio::steady_timer timer(this->context, std::chrono::milliseconds(milliseconds));
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::vector<PlannedStep> Callers::randomSteps()
+{
+    constexpr int kinds = 3;
+    switch (this->random(1, kinds)) {
+    case 1:
+        return {
+            { .tasks = this->random(1, 4), .accelerators = this->random(0, 2), .milliseconds = this->random(100, 1500) }
+        };
+    case 2:
+        return { { .tasks = this->random(1, 3), .accelerators = 1, .milliseconds = this->random(100, 800) },
+            { .tasks = this->random(1, 2),
+                .afterPrevious = true,
+                .accelerators = 2,
+                .milliseconds = this->random(100, 800) } };
+    default:
+        return { { .tasks = this->random(2, 3),
+            .gang = true,
+            .accelerators = wholeServer / this->random(1, 2),
+            .milliseconds = this->random(200, 1000) } };
+    }
+}
+
+asio::awaitable<void> Callers::submitJobs()
+{
+    while (this->submitting) {
+        auto caller = std::make_shared<Caller>();
+        std::ostringstream id;
+        id << std::hex << std::setw(16) << std::setfill('0') << this->engine();
+        caller->id = id.str();
+        caller->queue = this->random(1, 100) <= urgentPercent ? "/cut/" : "/score/";
+        const std::vector<PlannedStep> steps = this->randomSteps();
+        caller->body = bodyOf(steps);
+        this->history.jobs[caller->id].steps = steps;
+        ++this->open;
+        asio::co_spawn(this->context, this->followJob(caller), asio::detached);
+        co_await this->wait(this->random(shortestPause, longestPause));
+    }
+}
+
+asio::awaitable<Call> Callers::call(std::shared_ptr<Caller> caller, CallKind kind)
+{
+    if (!caller->connection || !caller->connection->isOpen()) {
+        caller->daemon = this->random(0, this->fleet.daemonCount() - 1);
+        caller->connection = std::make_unique<HttpConnection>(this->context, this->fleet.callersPort(caller->daemon));
+    }
+    HttpQuestion question { .path = caller->queue + caller->id, .key = accountKey };
+    if (kind == CallKind::Submit) {
+        question.method = "POST";
+        question.body = caller->body;
+    } else if (kind == CallKind::Cancel) {
+        question.method = "DELETE";
+    }
+    Call made { .kind = kind, .daemon = caller->daemon, .sent = now() };
+    const HttpAnswer answer = co_await caller->connection->call(question);
+    made.over = now();
+    made.status = answer.status;
+    made.broken = answer.broken;
+    const Json body = Json::parse(answer.body, nullptr, false);
+    if (kind == CallKind::State && body.is_object() && body.contains("State"))
+        made.state = body.at("State").get<std::string>();
+    this->history.jobs.at(caller->id).calls.push_back(made);
+    co_return made;
+}
+
+asio::awaitable<bool> Callers::submit(std::shared_ptr<Caller> caller)
+{
+    bool undecided = false; ///< an earlier attempt may have been taken
+    for (;;) {
+        const Call made = co_await this->call(caller, CallKind::Submit);
+        if (isSuccess(made.status))
+            co_return true;
+        undecided = undecided || !isRefusal(made.status);
+        if (!undecided && this->random(1, 100) <= givenUpPercent)
+            co_return false;
+        co_await this->wait(retryInterval);
+    }
+}
+
+asio::awaitable<void> Callers::followJob(std::shared_ptr<Caller> caller)
+{
+    const bool cancels = this->random(1, 100) <= cancelledPercent;
+    const bool repeats = this->random(1, 100) <= repeatedPercent;
+    if (co_await this->submit(caller)) {
+        if (repeats) {
+            co_await this->wait(this->random(0, 2000));
+            co_await this->call(caller, CallKind::Submit);
+        }
+        if (cancels) {
+            co_await this->wait(this->random(0, 1000));
+            while (!isSuccess((co_await this->call(caller, CallKind::Cancel)).status))
+                co_await this->wait(retryInterval);
+        }
+        for (;;) {
+            const Call asked = co_await this->call(caller, CallKind::State);
+            if (asked.state == "completed" || asked.state == "failed" || asked.state == "cancelled")
+                break;
+            co_await this->wait(pollInterval);
+        }
+    }
+    --this->open;
+}
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,170 @@
+#include "soak/faults.h"
+
+#include "soak/httpconnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+namespace WisteriaHill::Soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int shortestGap = 150; ///< ms between the beginnings of two faults
+constexpr int longestGap = 1400;
+constexpr int shortestFault = 200; ///< ms
+constexpr int longestFault = 4000;
+constexpr int longestDelay = 400; ///< ms a piece, of a slow link
+constexpr int repeatPercent = 20; ///< faults that come again at once
+
+HttpQuestion postOf(const std::string& path, const std::string& body)
+{
+    return { .method = "POST", .path = path, .body = body };
+}
+
+} // namespace
+
+FaultInjector::FaultInjector(asio::io_context& context, Fleet& fleet, const std::string& logPath, std::uint64_t seed)
+    : context(context)
+    , fleet(fleet)
+    , log(logPath)
+    , engine(seed)
+{
+}
+
+void FaultInjector::start(Moment end) { asio::co_spawn(this->context, this->run(end), asio::detached); }
+
+int FaultInjector::random(int lowest, int highest)
+{
+    return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
+}
+
+asio::awaitable<void> FaultInjector::run(Moment end)
+{
+    asio::steady_timer timer(this->context);
+    while (now() < end) {
+        const Fault fault = this->randomFault();
+        const int times = this->random(1, 100) <= repeatPercent ? 2 : 1;
+        for (int time = 0; time < times; ++time) {
+            ++this->active;
+            asio::co_spawn(
+                this->context, this->inject(fault, this->random(shortestFault, longestFault)), asio::detached);
+            timer.expires_after(std::chrono::milliseconds(this->random(shortestGap, longestGap)));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+    this->finished = true;
+}
+
+asio::awaitable<void> FaultInjector::inject(Fault fault, Moment length)
+{
+    this->log << now() << " " << fault.name << " for " << length << " ms" << std::endl;
+    fault.begin();
+    asio::steady_timer timer(this->context, std::chrono::milliseconds(length));
+    co_await timer.async_wait(asio::use_awaitable);
+    if (fault.end) {
+        fault.end();
+        this->log << now() << " " << fault.name << " ended" << std::endl;
+    }
+    --this->active;
+}
+
+asio::awaitable<void> FaultInjector::tellStandIn(std::uint16_t port, std::string path, std::string body)
+{
+    HttpConnection connection(this->context, port);
+    const HttpQuestion question = postOf(path, body);
+    co_await connection.call(question);
+}
+
+FaultInjector::Fault FaultInjector::randomFault()
+{
+    constexpr int kinds = 5;
+    const int kind = this->random(1, kinds);
+    return kind <= 2 ? this->processFault() : kind <= 4 ? this->linkFault() : this->standInFault();
+}
+
+FaultInjector::Fault FaultInjector::processFault()
+{
+    const int daemon = this->random(0, this->fleet.daemonCount() - 1);
+    const int server = this->random(0, this->fleet.serverCount() - 1);
+    const std::string ofDaemon = " daemon " + std::to_string(daemon);
+    const std::string ofServer = " server " + std::to_string(server);
+    constexpr int kinds = 7;
+    switch (this->random(1, kinds)) {
+    case 1:
+        return { "kill" + ofDaemon, [=, this]() { this->fleet.signalDaemon(daemon, SIGKILL); }, {} };
+    case 2:
+        return { "stop" + ofDaemon, [=, this]() { this->fleet.stopDaemon(daemon, false); }, {} };
+    case 3:
+        return { "reload" + ofDaemon, [=, this]() { this->fleet.signalDaemon(daemon, SIGHUP); }, {} };
+    case 4:
+        return { "pause" + ofDaemon, [=, this]() { this->fleet.signalDaemon(daemon, SIGSTOP); },
+            [=, this]() { this->fleet.signalDaemon(daemon, SIGCONT); } };
+    case 5:
+        return { "kill" + ofServer, [=, this]() { this->fleet.signalServer(server, SIGKILL); }, {} };
+    case 6:
+        return { "pause" + ofServer, [=, this]() { this->fleet.signalServer(server, SIGSTOP); },
+            [=, this]() { this->fleet.signalServer(server, SIGCONT); } };
+    default:
+        return { "pause store", [this]() { this->fleet.signalStore(SIGSTOP); },
+            [this]() { this->fleet.signalStore(SIGCONT); } };
+    }
+}
+
+FaultInjector::Fault FaultInjector::linkFault()
+{
+    constexpr int links = 3;
+    constexpr int kinds = 7;
+    const int link = this->random(1, links);
+    const int number = this->random(0, (link == 1 ? this->fleet.serverCount() : this->fleet.daemonCount()) - 1);
+    Proxy* proxy = link == 1 ? &this->fleet.serverLink(number)
+        : link == 2          ? &this->fleet.storeLink(number)
+                             : &this->fleet.callersLink(number);
+    const std::string name = (link == 1          ? " link to server "
+                                     : link == 2 ? " store link of daemon "
+                                                 : " callers of daemon ")
+        + std::to_string(number);
+    const auto faulty = [proxy](const char* what, const std::string& name, const LinkFault& fault) -> Fault {
+        return { what + name, [proxy, fault]() { proxy->setFault(fault); }, [proxy]() { proxy->setFault({}); } };
+    };
+    switch (this->random(1, kinds)) {
+    case 1:
+        return faulty("refuse", name, { .refuse = true });
+    case 2:
+        return faulty("cut to target:", name, { .silentToTarget = true });
+    case 3:
+        return faulty("cut to client:", name, { .silentToClient = true });
+    case 4:
+        return faulty("cut both ways:", name, { .silentToTarget = true, .silentToClient = true });
+    case 5:
+        return faulty("delay", name, { .delay = std::chrono::milliseconds(this->random(1, longestDelay)) });
+    case 6:
+        return { "reset" + name, [proxy]() { proxy->resetConnections(); }, {} };
+    default:
+        return { "silence open connections:" + name, [proxy]() { proxy->silenceOpenConnections(); }, {} };
+    }
+}
+
+FaultInjector::Fault FaultInjector::standInFault()
+{
+    const auto tell = [this](std::uint16_t port, const std::string& path, const std::string& body) {
+        asio::co_spawn(this->context, this->tellStandIn(port, path, body), asio::detached);
+    };
+    constexpr int kinds = 3;
+    const int kind = this->random(1, kinds);
+    if (kind == 1) {
+        const std::uint16_t port = this->fleet.storePort();
+        return { "store forgets its history", [=]() { tell(port, "/stand-in/forget", ""); }, {} };
+    }
+    const int server = this->random(0, this->fleet.serverCount() - 1);
+    const std::uint16_t port = this->fleet.serverPort(server);
+    const std::string health = kind == 2 ? "fails" : "stands";
+    return { "server " + std::to_string(server) + " " + health, [=]() { tell(port, "/stand-in/health", health); },
+        [=]() { tell(port, "/stand-in/health", "sound"); } };
+}
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/soak/faults.h
@@ -0,0 +1,47 @@
+/// Random faults of a soak, one after the other and overlapping.
+#pragma once
+
+#include "soak/fleet.h"
+
+#include <fstream>
+#include <functional>
+#include <random>
+
+namespace WisteriaHill::Soak {
+
+/// Thread safety: none; all on the context's thread.
+class FaultInjector {
+public:
+    FaultInjector(boost::asio::io_context& context, Fleet& fleet, const std::string& logPath, std::uint64_t seed);
+
+    /// Begins faults until `end`; returns at once.
+    void start(Moment end);
+
+    /// True when every fault that was begun has ended and no further one begins.
+    bool isHealed() const { return this->finished && this->active == 0; }
+
+private:
+    struct Fault {
+        std::string name;
+        std::function<void()> begin;
+        std::function<void()> end; ///< may be empty
+    };
+
+    boost::asio::awaitable<void> run(Moment end);
+    boost::asio::awaitable<void> inject(Fault fault, Moment length);
+    boost::asio::awaitable<void> tellStandIn(std::uint16_t port, std::string path, std::string body);
+    Fault randomFault();
+    Fault processFault();
+    Fault linkFault();
+    Fault standInFault();
+    int random(int lowest, int highest);
+
+    boost::asio::io_context& context;
+    Fleet& fleet;
+    std::ofstream log;
+    std::mt19937_64 engine;
+    int active = 0;
+    bool finished = false;
+};
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/soak/fleet.h
@@ -0,0 +1,96 @@
+/// The processes of a soak: a store, backend servers and daemons, with proxies between them.
+#pragma once
+
+#include <utility> // boost/asio/awaitable.hpp needs it
+
+#include "soak/childprocess.h"
+#include "soak/history.h"
+#include "soak/proxy.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::Soak {
+
+struct FleetOptions {
+    std::string buildDirectory;
+    std::string workDirectory; ///< settings and output of the processes
+    std::uint16_t firstPort = 0;
+    int daemons = 3;
+    int servers = 6;
+};
+
+/// The machine's steady clock.
+Moment now();
+
+/// Starts all processes at once. Thread safety: none; all on the context's thread.
+class Fleet {
+public:
+    Fleet(boost::asio::io_context& context, FleetOptions options);
+
+    /// Takes note of ended processes and starts them again after a short delay, as the platform does.
+    void tick();
+
+    /// Ended processes stay down from here on.
+    void stopRestarting() { this->restarting = false; }
+
+    /// Sends a signal; an end that follows from it is expected.
+    void signalDaemon(int daemon, int number);
+    void signalServer(int server, int number);
+    void signalStore(int number) { this->store.signal(number); }
+
+    /// Asks a daemon to stop gracefully; the stop is recorded when it has ended.
+    void stopDaemon(int daemon, bool calm);
+
+    bool isDaemonRunning(int daemon) const { return this->daemons.at(daemon).process->isRunning(); }
+    bool isAnyDaemonRunning() const;
+
+    Proxy& callersLink(int daemon) { return *this->daemons.at(daemon).callersLink; }
+    Proxy& storeLink(int daemon) { return *this->daemons.at(daemon).storeLink; }
+    Proxy& serverLink(int server) { return *this->servers.at(server).link; }
+
+    std::uint16_t callersPort(int daemon) const;
+    std::uint16_t readinessPort(int daemon) const;
+    std::uint16_t metricsPort(int daemon) const;
+    std::uint16_t storePort() const { return this->options.firstPort; }
+    std::uint16_t serverPort(int server) const;
+    int daemonCount() const { return this->options.daemons; }
+    int serverCount() const { return this->options.servers; }
+
+    /// What the servers and this have recorded so far.
+    void readHistory(History& history) const;
+
+private:
+    struct Daemon {
+        std::unique_ptr<ChildProcess> process;
+        std::unique_ptr<Proxy> callersLink;
+        std::unique_ptr<Proxy> storeLink;
+        bool endExpected = false;
+        Moment startAt = 0; ///< when it is to be started again; zero while it runs
+        std::vector<PlannedStop> openStops; ///< one at most
+    };
+
+    struct Server {
+        std::unique_ptr<ChildProcess> process;
+        std::unique_ptr<Proxy> link;
+        Moment startAt = 0;
+        std::vector<Moment> kills;
+    };
+
+    std::uint16_t daemonPort(int daemon, int offset) const;
+    std::string logPath(const std::string& name) const;
+    void writeSettings(int daemon) const;
+    void tickDaemon(int number, Daemon& daemon);
+    void readRuns(int server, History& history) const;
+
+    FleetOptions options;
+    ChildProcess store;
+    std::vector<Daemon> daemons;
+    std::vector<Server> servers;
+    std::vector<PlannedStop> stops;
+    std::vector<std::string> unexpectedEnds;
+    bool restarting = true;
+};
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/soak/history.cpp
@@ -0,0 +1,228 @@
+#include "soak/history.h"
+
+#include <algorithm>
+#include <set>
+
+namespace WisteriaHill::Soak {
+
+namespace {
+
+constexpr Moment visibleAfter = 3000; ///< ms after its acceptance every daemon knows a job
+constexpr Moment cancelBound = 3000; ///< ms after the answer to a cancel nothing new starts
+constexpr Moment stopBound = 6000; ///< ms that a graceful stop may take
+constexpr Moment connectionLoss = 200; ///< ms; a call that breaks sooner met a connection that was closing
+constexpr int maximumAttempts = 3; ///< in the stand-in's configuration
+constexpr int firstRefusal = 400; ///< status
+constexpr int badGateway = 502;
+constexpr int gatewayTimeout = 504;
+constexpr int jobUnknown = 410;
+
+bool isSuccess(int status) { return status >= 200 && status < 300; }
+
+/// True when the answer says for certain that the job was not taken.
+bool isRefusal(int status) { return status >= firstRefusal && status != badGateway && status != gatewayTimeout; }
+
+std::string jobOf(const std::string& task) { return task.substr(0, task.find('.')); }
+
+std::size_t stepOf(const std::string& task)
+{
+    const std::size_t afterJob = task.find('.') + 1;
+    return std::stoul(task.substr(task.find('.', afterJob) + 1));
+}
+
+std::string taskName(const std::string& job, std::size_t step, int index)
+{
+    return job + ".0." + std::to_string(step) + "." + std::to_string(index);
+}
+
+/// Checks one history; each method appends what it finds.
+class PromiseCheck {
+public:
+    explicit PromiseCheck(const History& history)
+        : history(history)
+    {
+        for (const Run& run : history.runs)
+            this->runsByTask[run.task].push_back(&run);
+        for (auto& [task, runs] : this->runsByTask)
+            std::ranges::sort(runs, {}, [](const Run* run) { return run->started; });
+    }
+
+    std::vector<std::string> findings()
+    {
+        for (const auto& [task, runs] : this->runsByTask)
+            this->checkRuns(task, runs);
+        for (const auto& [id, job] : this->history.jobs)
+            this->checkJob(id, job);
+        for (const PlannedStop& stop : this->history.stops)
+            this->checkStop(stop);
+        for (const std::string& end : this->history.unexpectedEnds)
+            this->found.push_back("a process ended by itself: " + end);
+        return this->found;
+    }
+
+private:
+    Moment endOf(const Run& run) const { return run.ended ? run.ended : this->history.finished; }
+
+    void checkRuns(const std::string& task, const std::vector<const Run*>& runs)
+    {
+        const auto job = this->history.jobs.find(jobOf(task));
+        if (job == this->history.jobs.end()) {
+            this->found.push_back(task + ": started, and nobody asked for it");
+            return;
+        }
+        for (std::size_t later = 1; later < runs.size(); ++later) {
+            for (std::size_t earlier = 0; earlier < later; ++earlier)
+                this->checkPair(*runs[earlier], *runs[later]);
+        }
+        const std::size_t step = stepOf(task);
+        if (step == 0 || !job->second.steps.at(step).afterPrevious)
+            return;
+        for (const Run* run : runs) {
+            if (!this->stepDoneBy(job->first, job->second, step - 1, run->started))
+                this->found.push_back(task + ": started before the step that it waits for was done");
+        }
+    }
+
+    void checkPair(const Run& first, const Run& second)
+    {
+        const std::string both = second.task + ": attempt " + std::to_string(second.attempt) + " on " + second.server
+            + " started at " + std::to_string(second.started) + ", attempt " + std::to_string(first.attempt) + " on "
+            + first.server;
+        if (second.started < this->endOf(first))
+            this->found.push_back(both + " still ran");
+        else if (first.how == "done" && first.acknowledged)
+            this->found.push_back(both + " was done");
+    }
+
+    /// One end of a gang counts for all of its members.
+    bool stepDoneBy(const std::string& id, const JobHistory& job, std::size_t step, Moment moment) const
+    {
+        int done = 0;
+        for (int index = 0; index < job.steps.at(step).tasks; ++index) {
+            const auto runs = this->runsByTask.find(taskName(id, step, index));
+            if (runs != this->runsByTask.end())
+                done += std::ranges::any_of(
+                            runs->second, [&](const Run* run) { return run->how == "done" && run->ended <= moment; })
+                    ? 1
+                    : 0;
+        }
+        return job.steps.at(step).gang ? done > 0 : done == job.steps.at(step).tasks;
+    }
+
+    bool failedOftenEnough(const std::string& id, Moment moment) const
+    {
+        return std::ranges::any_of(this->runsByTask, [&](const auto& entry) {
+            const auto failed = std::ranges::count_if(
+                entry.second, [&](const Run* run) { return run->how == "failed" && run->ended <= moment; });
+            return jobOf(entry.first) == id && failed >= maximumAttempts;
+        });
+    }
+
+    void checkJob(const std::string& id, const JobHistory& job)
+    {
+        Moment accepted = 0;
+        Moment cancelSent = 0;
+        Moment cancelAnswered = 0;
+        bool allRefused = true;
+        std::string finalState;
+        for (const Call& call : job.calls) {
+            if (call.kind == CallKind::Submit) {
+                allRefused = allRefused && isRefusal(call.status);
+                if (isSuccess(call.status) && !accepted)
+                    accepted = call.over;
+            } else if (call.kind == CallKind::Cancel) {
+                cancelSent = cancelSent ? std::min(cancelSent, call.sent) : call.sent;
+                if (isSuccess(call.status) && !cancelAnswered)
+                    cancelAnswered = call.over;
+            }
+        }
+        for (const Call& call : job.calls) {
+            if (call.kind != CallKind::State)
+                continue;
+            if (call.status == jobUnknown && accepted && call.sent > accepted + visibleAfter)
+                this->found.push_back(id + ": unknown to daemon " + std::to_string(call.daemon)
+                    + " although it was accepted at " + std::to_string(accepted));
+            if (call.state.empty())
+                continue;
+            this->checkState(id, job, call, cancelSent);
+            const bool isFinal = call.state == "completed" || call.state == "failed" || call.state == "cancelled";
+            if (!finalState.empty() && call.sent > this->finalShown[id] && call.state != finalState)
+                this->found.push_back(id + ": shown as " + call.state + " after " + finalState);
+            if (isFinal && finalState.empty()) {
+                finalState = call.state;
+                this->finalShown[id] = call.over;
+            }
+        }
+        this->checkOutcome(id, accepted, allRefused, finalState);
+        if (cancelAnswered)
+            this->checkCancelled(id, cancelAnswered);
+    }
+
+    void checkState(const std::string& id, const JobHistory& job, const Call& call, Moment cancelSent)
+    {
+        if (call.state == "completed") {
+            for (std::size_t step = 0; step < job.steps.size(); ++step) {
+                if (!this->stepDoneBy(id, job, step, call.over))
+                    this->found.push_back(
+                        id + ": shown as completed before step " + std::to_string(step) + " was done");
+            }
+        }
+        if (call.state == "failed" && !this->failedOftenEnough(id, call.over))
+            this->found.push_back(id + ": shown as failed without cause");
+        if (call.state == "cancelled" && (!cancelSent || cancelSent > call.over))
+            this->found.push_back(id + ": shown as cancelled, and nobody cancelled it");
+    }
+
+    void checkOutcome(const std::string& id, Moment accepted, bool allRefused, const std::string& finalState)
+    {
+        const bool ran
+            = std::ranges::any_of(this->runsByTask, [&](const auto& entry) { return jobOf(entry.first) == id; });
+        if (allRefused && ran)
+            this->found.push_back(id + ": ran although every attempt to submit it was refused");
+        if (accepted && finalState.empty())
+            this->found.push_back(id + ": accepted, and not ended when the soak was over");
+    }
+
+    void checkCancelled(const std::string& id, Moment answered)
+    {
+        const Moment bound = std::max(answered, this->history.healed) + cancelBound;
+        for (const Run& run : this->history.runs) {
+            if (jobOf(run.task) != id)
+                continue;
+            if (run.started > bound)
+                this->found.push_back(run.task + ": started after the job was cancelled");
+            if (!run.ended && this->history.finished > bound)
+                this->found.push_back(run.task + ": runs on after the job was cancelled");
+        }
+    }
+
+    void checkStop(const PlannedStop& stop)
+    {
+        const std::string name = "daemon " + std::to_string(stop.daemon);
+        if (stop.status != 0)
+            this->found.push_back(name + ": a graceful stop ended with status " + std::to_string(stop.status));
+        if (stop.gone - stop.asked > stopBound)
+            this->found.push_back(name + ": a graceful stop took " + std::to_string(stop.gone - stop.asked) + " ms");
+        if (!stop.calm)
+            return;
+        for (const auto& [id, job] : this->history.jobs) {
+            for (const Call& call : job.calls) {
+                const bool during = call.daemon == stop.daemon && call.sent < stop.gone && call.over >= stop.asked;
+                if (during && call.broken && call.over - call.sent > connectionLoss)
+                    this->found.push_back(id + ": a graceful stop of " + name + " cut off a call after "
+                        + std::to_string(call.over - call.sent) + " ms");
+            }
+        }
+    }
+
+    const History& history;
+    std::map<std::string, std::vector<const Run*>> runsByTask;
+    std::map<std::string, Moment> finalShown;
+    std::vector<std::string> found;
+};
+
+} // namespace
+
+std::vector<std::string> brokenPromises(const History& history) { return PromiseCheck(history).findings(); }
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/soak/history.h
@@ -0,0 +1,74 @@
+/// What callers and backend servers saw during a soak, and the promises that are checked against it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace WisteriaHill::Soak {
+
+/// Milliseconds on the machine's steady clock, shared by all processes of a soak.
+using Moment = std::int64_t;
+
+/// One run of one task, as its server recorded it.
+struct Run {
+    std::string server;
+    std::string task; ///< job.occurrence.step.index
+    int attempt = 0;
+    Moment started = 0;
+    Moment ended = 0; ///< zero while it runs; the kill of a server ends its runs
+    std::string how; ///< of the end; empty after a kill
+    bool acknowledged = false; ///< a daemon has taken note of the end
+};
+
+/// A step of a job that a caller asked for.
+struct PlannedStep {
+    int tasks = 1;
+    bool gang = false;
+    bool afterPrevious = false;
+    int accelerators = 0;
+    int milliseconds = 0; ///< work of a task
+};
+
+enum class CallKind { Submit, State, Cancel };
+
+/// One call and its answer.
+struct Call {
+    CallKind kind = CallKind::State;
+    int daemon = 0;
+    Moment sent = 0;
+    Moment over = 0; ///< answered, broken or given up
+    int status = 0; ///< zero when there was no whole answer
+    bool broken = false; ///< the connection ended before the answer
+    std::string state; ///< the job's, when it was answered
+};
+
+/// A job and all calls about it, in the order of their ends.
+struct JobHistory {
+    std::vector<PlannedStep> steps;
+    std::vector<Call> calls;
+};
+
+/// A stop that was asked for by SIGTERM.
+struct PlannedStop {
+    int daemon = 0;
+    Moment asked = 0;
+    Moment gone = 0;
+    int status = -1; ///< exit status; negative after a signal
+    bool calm = false; ///< nothing else was wrong from the contact time before it to its end
+};
+
+struct History {
+    std::vector<Run> runs;
+    std::map<std::string, JobHistory> jobs;
+    std::vector<PlannedStop> stops;
+    std::vector<std::string> unexpectedEnds; ///< of processes that nobody ended
+    Moment healed = 0; ///< nothing was wrong from here on
+    Moment finished = 0;
+};
+
+/// One line for each promise that was broken; empty when all were kept.
+std::vector<std::string> brokenPromises(const History& history);
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/soak/httpconnection.h
@@ -0,0 +1,50 @@
+/// An HTTP client connection that is kept for further calls.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace WisteriaHill::Soak {
+
+struct HttpAnswer {
+    int status = 0; ///< zero when there was no whole answer
+    bool broken = false; ///< the connection ended after the call was sent
+    std::string body;
+};
+
+struct HttpQuestion {
+    std::string method = "GET";
+    std::string path;
+    std::string host = "mill.example";
+    std::string key; ///< of the client account; empty for none
+    std::string body;
+    std::chrono::milliseconds timeout { 3000 };
+};
+
+/// One call at a time. Thread safety: none.
+class HttpConnection {
+public:
+    HttpConnection(boost::asio::io_context& context, std::uint16_t port)
+        : context(context)
+        , port(port)
+    {
+    }
+
+    /// Connects when it must. The connection must outlive the call.
+    boost::asio::awaitable<HttpAnswer> call(HttpQuestion question);
+
+    /// False once the peer has ended it or a call has failed.
+    bool isOpen() const { return this->stream.has_value(); }
+
+private:
+    boost::asio::io_context& context;
+    std::uint16_t port;
+    std::optional<boost::beast::tcp_stream> stream;
+};
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,222 @@
+// Randomized soak of the real programs on one machine: faults come from outside the processes, and the users' promises
+// are checked from what callers and backend servers saw.
+
+#include "soak/callers.h"
+#include "soak/faults.h"
+#include "utils/base64.h"
+#include "utils/checkedjson.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace {
+
+using namespace WisteriaHill;
+using namespace Soak;
+namespace asio = boost::asio;
+using Utils::Json;
+
+constexpr const char* usage = R"(Soaks a fleet of real processes in random faults.
+
+Usage:
+  soak --seed=N --build=DIR --work=DIR [--seconds=N] [--port=N] [--daemons=N] [--servers=N]
+
+Options:
+  --seed=N      what the faults and the load are drawn from
+  --build=DIR   where the programs were built
+  --work=DIR    settings and output of the processes; must exist and be empty
+  --seconds=N   how long faults come [default: 15]
+  --port=N      first of 200 ports on loopback [default: 19000]
+  --daemons=N   [default: 3]
+  --servers=N   [default: 6]
+)";
+
+constexpr Moment tickInterval = 10; ///< ms
+constexpr Moment startBound = 15'000; ///< ms until every daemon must be ready
+constexpr Moment contactTime = 3000; ///< ms without a fault until bounds hold
+constexpr Moment settleBound = 40'000; ///< ms until every job must have ended
+constexpr Moment configurationBound = 2000; ///< ms until a change must be in force
+constexpr Moment stopBound = 7000; ///< ms; a stop may take 6 s
+constexpr int ok = 200;
+constexpr int unauthorised = 401;
+
+HttpQuestion questionFor(const std::string& path, const std::string& key = {}) { return { .path = path, .key = key }; }
+
+HttpQuestion writeOf(const Json& row)
+{
+    return { .method = "POST", .path = "/-/rows-tx", .body = Json { { "Write", Json::array({ row }) } }.dump() };
+}
+
+class Soaker {
+public:
+    Soaker(asio::io_context& context, const FleetOptions& options, std::uint64_t seed, Moment faultTime)
+        : context(context)
+        , fleet(context, options)
+        , callers(context, this->fleet, this->history, seed)
+        , faults(context, this->fleet, options.workDirectory + "/faults.log", seed + 1)
+        , faultTime(faultTime)
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        asio::co_spawn(this->context, this->tick(), asio::detached);
+        for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
+            co_await this->waitUntilReady(daemon);
+        this->callers.start();
+        this->faults.start(now() + this->faultTime);
+        while (!this->faults.isHealed())
+            co_await this->wait(tickInterval);
+        co_await this->wait(contactTime);
+        this->history.healed = now();
+        co_await this->changeConfiguration();
+        for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
+            co_await this->replace(daemon);
+        this->callers.stopSubmitting();
+        const Moment begin = now();
+        while (this->callers.openJobs() > 0 && now() < begin + settleBound)
+            co_await this->wait(tickInterval);
+        co_await this->stopAll();
+        this->history.finished = now();
+        this->fleet.readHistory(this->history);
+        for (const std::string& broken : brokenPromises(this->history))
+            this->findings.push_back(broken);
+        this->over = true;
+        this->context.stop();
+    }
+
+    /// Prints what was found; true when nothing was.
+    bool report() const
+    {
+        std::size_t calls = 0;
+        for (const auto& [id, job] : this->history.jobs)
+            calls += job.calls.size();
+        std::cout << this->history.jobs.size() << " jobs, " << calls << " calls, " << this->history.runs.size()
+                  << " runs, " << this->history.stops.size() << " graceful stops\n";
+        for (const std::string& finding : this->findings)
+            std::cout << "BROKEN " << finding << "\n";
+        return this->over && this->findings.empty();
+    }
+
+private:
+    asio::awaitable<void> wait(Moment milliseconds)
+    {
+        asio::steady_timer timer(this->context, std::chrono::milliseconds(milliseconds));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    asio::awaitable<void> tick()
+    {
+        for (;;) {
+            this->fleet.tick();
+            co_await this->wait(tickInterval);
+        }
+    }
+
+    asio::awaitable<void> waitUntilReady(int daemon)
+    {
+        const Moment begin = now();
+        for (;;) {
+            HttpConnection connection(this->context, this->fleet.readinessPort(daemon));
+            if ((co_await connection.call(questionFor("/-/readyz"))).status == ok)
+                co_return;
+            if (now() > begin + startBound) {
+                this->findings.push_back("daemon " + std::to_string(daemon) + " did not become ready");
+                co_return;
+            }
+            co_await this->wait(tickInterval);
+        }
+    }
+
+    /// Stops a daemon gracefully and waits until its successor serves.
+    asio::awaitable<void> replace(int daemon)
+    {
+        this->fleet.stopDaemon(daemon, true);
+        const Moment begin = now();
+        while (this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
+            co_await this->wait(tickInterval);
+        while (!this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
+            co_await this->wait(tickInterval);
+        co_await this->waitUntilReady(daemon);
+    }
+
+    asio::awaitable<void> stopAll()
+    {
+        this->fleet.stopRestarting();
+        for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
+            this->fleet.stopDaemon(daemon, true);
+        const Moment begin = now();
+        while (this->fleet.isAnyDaemonRunning() && now() < begin + stopBound)
+            co_await this->wait(tickInterval);
+        if (this->fleet.isAnyDaemonRunning())
+            this->findings.push_back("a daemon did not stop");
+    }
+
+    /// Adds one key of the account; every daemon must take it within the bound, and refuse one that never was.
+    asio::awaitable<void> changeConfiguration()
+    {
+        HttpConnection store(this->context, this->fleet.storePort());
+        const HttpAnswer read
+            = co_await store.call(questionFor("/-/rows-get?Table=op&part=&StartKey=config&To=&Limit=1"));
+        Json row = Json::parse(read.body).at("rows").at(0);
+        Json document = Json::parse(*Utils::fromBase64(row.at("Value").get<std::string>()));
+        document["Version"] = document.at("Version").get<int>() + 1;
+        document["Tenants"][0]["ApiKeys"].push_back("added-key");
+        row["Value"] = Utils::toBase64(document.dump());
+        row.erase("Ver");
+        const HttpAnswer written = co_await store.call(writeOf(row));
+        if (written.status != ok) {
+            this->findings.push_back("the store did not take the configuration");
+            co_return;
+        }
+        co_await this->wait(configurationBound);
+        for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon) {
+            HttpConnection connection(this->context, this->fleet.callersPort(daemon));
+            const HttpAnswer added = co_await connection.call(questionFor("/score/0000000000000000", "added-key"));
+            const HttpAnswer unknown = co_await connection.call(questionFor("/score/0000000000000000", "stolen"));
+            if (added.status == unauthorised || added.status == 0)
+                this->findings.push_back("daemon " + std::to_string(daemon) + ": the new key is not in force");
+            if (unknown.status != unauthorised)
+                this->findings.push_back("daemon " + std::to_string(daemon) + ": takes an unknown key");
+        }
+    }
+
+    asio::io_context& context;
+    Fleet fleet;
+    History history;
+    Callers callers;
+    FaultInjector faults;
+    Moment faultTime;
+    std::vector<std::string> findings;
+    bool over = false;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
+    const auto number = [&arguments](const char* name) { return std::stoll(arguments.at(name).asString()); };
+    constexpr Moment msPerSecond = 1000;
+    asio::io_context context;
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context](const auto&, int) { context.stop(); });
+    Soaker soaker(context,
+        { .buildDirectory = arguments.at("--build").asString(),
+            .workDirectory = arguments.at("--work").asString(),
+            .firstPort = static_cast<std::uint16_t>(number("--port")),
+            .daemons = static_cast<int>(number("--daemons")),
+            .servers = static_cast<int>(number("--servers")) },
+        static_cast<std::uint64_t>(number("--seed")), number("--seconds") * msPerSecond);
+    asio::co_spawn(context, soaker.run(), [](const std::exception_ptr& error) {
+        if (error)
+            std::rethrow_exception(error);
+    });
+    context.run();
+    return soaker.report() ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/proxy.h
@@ -0,0 +1,51 @@
+/// A TCP proxy on loopback whose connections can be delayed, reset, silenced or refused.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
+#include <list>
+#include <memory>
+
+namespace WisteriaHill::Soak {
+
+/// What is wrong with a link.
+struct LinkFault {
+    bool refuse = false; ///< new connections are reset
+    bool silentToTarget = false; ///< bytes are held until this ends
+    bool silentToClient = false;
+    std::chrono::milliseconds delay { 0 }; ///< of each piece that is passed on
+};
+
+/// Thread safety: none; all on the context's thread, and the context must outlive the proxy.
+class Proxy {
+public:
+    /// Listens at once; throws boost::system::system_error when the port is taken.
+    Proxy(boost::asio::io_context& context, std::uint16_t port, std::uint16_t targetPort);
+
+    void setFault(const LinkFault& fault) { this->fault = fault; }
+    bool isFaulty() const;
+
+    /// Ends each open connection with a reset.
+    void resetConnections();
+
+    /// Open connections pass nothing any more; new ones work.
+    void silenceOpenConnections();
+
+private:
+    struct Session;
+
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> connect(std::shared_ptr<Session> session);
+    boost::asio::awaitable<void> pump(std::shared_ptr<Session> session, bool toTarget);
+
+    boost::asio::io_context& context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::ip::tcp::endpoint target;
+    LinkFault fault;
+    std::list<std::weak_ptr<Session>> sessions;
+};
+
+} // namespace WisteriaHill::Soak
--- /dev/null
+++ b/tests/standins/serverstandin.cpp
@@ -0,0 +1,255 @@
+// Stand-in of one backend server of the users as a process, on 127.0.0.1. It registers itself in the store, carries out
+// orders, and writes one line of JSON for each start, end and acknowledged end, with the time on the machine's steady
+// clock.
+//
+// The payload of a job says what its tasks need: {"needs": [[millicores, megabytes, accelerators, milliseconds], ...]},
+// one entry a step. POST /stand-in/health takes "sound", "fails" or "stands".
+
+#include "adapters/httpclient.h"
+#include "adapters/httpserver.h"
+#include "platform/wirenames.h"
+#include "support/fakeserver.h"
+#include "utils/base64.h"
+#include "utils/checkedjson.h"
+#include "utils/httpstatus.h"
+
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <vector>
+
+namespace {
+
+using namespace WisteriaHill;
+using namespace Scheduling;
+using Adapters::HttpExchangeId;
+using Adapters::HttpRequest;
+using Adapters::HttpResponse;
+using TestSupport::RunEvent;
+using TestSupport::ServerHealth;
+namespace HttpStatus = Utils::HttpStatus;
+using Utils::Json;
+namespace Wire = Platform::Wire;
+
+constexpr const char* loopback = "127.0.0.1";
+constexpr const char* healthPath = "/stand-in/health";
+constexpr Duration pollInterval { 10 };
+constexpr Duration heartbeatInterval { 500 };
+constexpr Duration heartbeatTimeout { 400 }; ///< below the interval, so that one call is open at a time
+constexpr int serversPerRack = 4;
+constexpr Resources capacity { .milliCores = 32'000, .memoryMb = 64'000, .accelerators = 8 };
+
+struct Options {
+    std::uint16_t port = 0;
+    int number = 0;
+    std::uint16_t storePort = 0;
+    std::uint16_t announcedPort = 0; ///< where daemons call it
+};
+
+std::int64_t nowMs()
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+std::int64_t wallNowMs()
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+const char* refusalReason(OrderRefusal refusal)
+{
+    switch (refusal) {
+    case OrderRefusal::Fenced:
+        return "fence";
+    case OrderRefusal::Outdated:
+        return "old";
+    case OrderRefusal::LeaseOver:
+        return "late";
+    default:
+        return "room";
+    }
+}
+
+const char* eventName(RunEvent::Kind kind)
+{
+    switch (kind) {
+    case RunEvent::Kind::Started:
+        return "started";
+    case RunEvent::Kind::Ended:
+        return "ended";
+    case RunEvent::Kind::Acknowledged:
+        return "acknowledged";
+    }
+    return "";
+}
+
+class ServerService {
+public:
+    ServerService(Adapters::EventLoop& loop, const Options& options)
+        : options(options)
+        , backend(
+              { .id = "i-" + std::to_string(options.number), .service = "scoring", .capacity = capacity }, wallNowMs())
+        , store(loop)
+        , server(loop, { .address = loopback, .port = options.port },
+              [this](HttpExchangeId exchange, const HttpRequest& request) { this->handle(exchange, request); })
+    {
+        this->backend.onRunEvent = [this](const RunEvent& event) { this->record(event); };
+        this->sendHeartbeat();
+        loop.every(pollInterval, [this]() { this->advance(); });
+        loop.every(heartbeatInterval, [this]() { this->sendHeartbeat(); });
+    }
+
+private:
+    struct WaitingLook {
+        HttpExchangeId exchange = 0;
+        LookOrder order;
+        std::int64_t until = 0;
+    };
+
+    void handle(HttpExchangeId exchange, const HttpRequest& request)
+    {
+        this->advance();
+        if (request.path == healthPath) {
+            this->backend.health = request.body == "fails" ? ServerHealth::FailsAll
+                : request.body == "stands"                 ? ServerHealth::StandsStill
+                                                           : ServerHealth::Sound;
+            this->server.respond(exchange, {});
+            return;
+        }
+        const Json json = Json::parse(request.body);
+        if (request.path == Wire::lookPath) {
+            LookOrder order { .token = json.at(Wire::token), .acknowledged = json.at(Wire::acknowledged) };
+            if (json.contains(Wire::leaseEnd))
+                order.leaseEnd = ServerTime(json.at(Wire::leaseEnd).get<std::int64_t>());
+            this->looks.push_back({ exchange, order, nowMs() + json.value(Wire::wait, std::int64_t { 0 }) });
+            this->answerLooks();
+            return;
+        }
+        TaskName task;
+        parseTaskName(json.at(Wire::task), task);
+        if (request.path == Wire::stopPath) {
+            const StopOrder order { .task = task, .attempt = json.at(Wire::attempt), .token = json.at(Wire::token) };
+            this->respond(exchange, this->backend.handle(order, {}, {}));
+            return;
+        }
+        const Json needs = Json::parse(json.at(Wire::payload).get<std::string>())
+                               .at("needs")
+                               .at(static_cast<std::size_t>(task.step));
+        const StartOrder order { .task = task,
+            .attempt = json.at(Wire::attempt),
+            .leaseEnd = ServerTime(json.at(Wire::leaseEnd).get<std::int64_t>()),
+            .token = json.at(Wire::token) };
+        this->respond(exchange,
+            this->backend.handle(order,
+                { .milliCores = needs.at(0), .memoryMb = needs.at(1), .accelerators = needs.at(2) },
+                Duration(needs.at(3).get<std::int64_t>())));
+    }
+
+    void respond(HttpExchangeId exchange, const OrderResult& result)
+    {
+        if (const auto* refusal = std::get_if<OrderRefusal>(&result))
+            this->server.respond(exchange,
+                { .status = HttpStatus::conflict, .body = Json { { Wire::reason, refusalReason(*refusal) } }.dump() });
+        else
+            this->server.respond(exchange, { .body = Json { { Wire::clock, this->clock } }.dump() });
+    }
+
+    void answerLooks()
+    {
+        std::erase_if(this->looks, [&](const WaitingLook& look) {
+            if (!this->backend.hasEndAfter(look.order.acknowledged) && nowMs() < look.until)
+                return false;
+            const OrderResult result = this->backend.handle(look.order, {}, {});
+            if (const auto* answer = std::get_if<LookAnswer>(&result))
+                this->server.respond(look.exchange, { .body = encodeLook(*answer).dump() });
+            else
+                this->respond(look.exchange, result);
+            return true;
+        });
+    }
+
+    static Json encodeLook(const LookAnswer& answer)
+    {
+        Json json { { Wire::clock, answer.clock.count() }, { Wire::born, answer.startedAt },
+            { Wire::active, Json::array() }, { Wire::finished, Json::array() } };
+        for (const ActiveRun& run : answer.active)
+            json[Wire::active].push_back(
+                { formatTaskName(run.task), run.attempt, run.checkpoint, run.percent, run.load });
+        for (const EndedRun& run : answer.ended)
+            json[Wire::finished].push_back(
+                { run.number, formatTaskName(run.task), run.attempt, runEndName(run.end), run.checkpoint });
+        return json;
+    }
+
+    /// Lets the time since the last call pass in small steps: after a pause, leases have lapsed when they should have.
+    void advance()
+    {
+        while (this->advancedTo < nowMs()) {
+            const auto step = std::min<std::int64_t>(pollInterval.count(), nowMs() - this->advancedTo);
+            this->advancedTo += step;
+            this->clock += step;
+            this->backend.advance(Duration(step));
+        }
+        this->answerLooks();
+    }
+
+    void record(const RunEvent& event) const
+    {
+        Json line { { "at", this->advancedTo }, { "event", eventName(event.kind) },
+            { "server", this->backend.entry.id }, { "life", this->backend.startedAt },
+            { "task", formatTaskName(event.task) }, { "attempt", event.attempt } };
+        if (event.kind != RunEvent::Kind::Started)
+            line["how"] = runEndName(event.end);
+        std::cout << line.dump() << std::endl; // a kill must lose no line
+    }
+
+    void sendHeartbeat()
+    {
+        const std::string rack = "r1-" + std::to_string(this->options.number / serversPerRack);
+        const Json entry { { Wire::service, "scoring" },
+            { Wire::address, std::string(loopback) + ":" + std::to_string(this->options.announcedPort) },
+            { Wire::zone, "sawshed" }, { Wire::state, Wire::stateReady },
+            { Wire::capacity,
+                { { Wire::cpu, capacity.milliCores }, { Wire::memory, capacity.memoryMb },
+                    { Wire::accelerators, capacity.accelerators } } },
+            { Wire::labels, { "a", rack } }, { Wire::born, this->backend.startedAt } };
+        const Json row { { Wire::table, Wire::serverTable }, { Wire::part, "" }, { Wire::key, this->backend.entry.id },
+            { Wire::value, Utils::toBase64(entry.dump()) } };
+        this->store.send({ .address = loopback,
+                             .port = this->options.storePort,
+                             .method = "POST",
+                             .path = Wire::transactionPath,
+                             .body = Json { { Wire::write, { row } } }.dump(),
+                             .timeout = heartbeatTimeout },
+            [](const Adapters::HttpCallResult&) {}); // the next heartbeat follows
+    }
+
+    Options options;
+    std::int64_t advancedTo = nowMs();
+    std::int64_t clock = 0; ///< ms since the start
+    TestSupport::FakeServer backend;
+    std::vector<WaitingLook> looks;
+    Adapters::HttpClient store;
+    Adapters::HttpServer server;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc < 4 || argc > 5) {
+        std::cerr << "usage: serverstandin PORT NUMBER STORE-PORT [ANNOUNCED-PORT]\n";
+        return 2;
+    }
+    const auto port = [argv](int index) { return static_cast<std::uint16_t>(std::stoi(argv[index])); };
+    Adapters::EventLoop loop;
+    const ServerService server(loop,
+        { .port = port(1),
+            .number = std::stoi(argv[2]),
+            .storePort = port(3),
+            .announcedPort = port(argc == 5 ? 4 : 1) });
+    loop.onTerminationSignal([&loop]() { loop.stop(); });
+    loop.run();
+    std::cout.flush();
+    std::_Exit(0);
+}
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -65,9 +65,16 @@
     this->needs[order.task] = need;
     for (auto& [name, task] : this->active)
         task.leaseEnd = std::max(task.leaseEnd, std::min(order.leaseEnd, this->clock + maximumLease));
+    this->report({ .kind = RunEvent::Kind::Started, .task = order.task, .attempt = order.attempt });
     return OrderDone { this->clock };
 }
 
+void FakeServer::report(const RunEvent& event) const
+{
+    if (this->onRunEvent)
+        this->onRunEvent(event);
+}
+
 OrderResult FakeServer::stop(const StopOrder& order)
 {
     if (order.token < this->highestToken)
@@ -103,7 +110,13 @@
         for (auto& [name, task] : this->active)
             task.leaseEnd = std::max(task.leaseEnd, std::min(*order.leaseEnd, this->clock + maximumLease));
     }
-    std::erase_if(this->ended, [&](const EndedRun& run) { return run.number <= order.acknowledged; });
+    std::erase_if(this->ended, [&](const EndedRun& run) {
+        if (run.number > order.acknowledged)
+            return false;
+        this->report(
+            { .kind = RunEvent::Kind::Acknowledged, .task = run.task, .attempt = run.attempt, .end = run.end });
+        return true;
+    });
     LookAnswer answer { .clock = this->clock, .startedAt = this->startedAt };
     for (const auto& [name, task] : this->active) {
         const bool lasts = task.work >= lastingWork;
@@ -123,8 +136,10 @@
         this->done.insert(task);
     this->ended.push_back({ .number = ++this->lastNumber, .task = task, .attempt = attempt, .end = how });
     this->closedAttempts[task] = attempt;
-    this->active.erase(task);
-    this->needs.erase(task);
+    const TaskName ended = task; // may refer to the entry that goes
+    this->active.erase(ended);
+    this->needs.erase(ended);
+    this->report({ .kind = RunEvent::Kind::Ended, .task = ended, .attempt = attempt, .end = how });
 }
 
 void FakeServer::releaseDelayedOrders()
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -4,6 +4,7 @@
 #include "scheduling/scheduler.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -14,6 +15,16 @@
 /// How the server treats what it runs.
 enum class ServerHealth { Sound, FailsAll, StandsStill };
 
+/// What happened to a run on a server, for checks from outside.
+struct RunEvent {
+    enum class Kind { Started, Ended, Acknowledged };
+
+    Kind kind = Kind::Started;
+    Scheduling::TaskName task;
+    int attempt = 0;
+    Scheduling::RunEnd end = Scheduling::RunEnd::Done; ///< of an ended or acknowledged run
+};
+
 /// Thread safety: none.
 class FakeServer {
 public:
@@ -43,6 +54,7 @@
     int loseAnswers = 0; ///< so many orders are carried out without an answer
     int delayOrders = 0; ///< so many starts get no answer and are carried out later
     std::map<Scheduling::TaskName, ActiveTask> active;
+    std::function<void(const RunEvent&)> onRunEvent; ///< may be empty
     std::set<Scheduling::TaskName> done; ///< tasks that ended well here and whose end was not lost in a restart
 
     /// Carries out an order; `work` is how long the task of a start takes.
@@ -76,6 +88,7 @@
     Scheduling::OrderResult look(const Scheduling::LookOrder& order);
     int latency() const;
     void end(const Scheduling::TaskName& task, Scheduling::RunEnd how);
+    void report(const RunEvent& event) const;
 
     Scheduling::ServerTime clock { 0 };
     Scheduling::FencingToken highestToken = 0;
