A success that a cut-off server reports late counts

Cause: a run that was given up after its lease, and that was done on a server no daemon could reach, was ignored when the server came back. Its task ran again from the start, and the caller waited for the rerun. Ruled out: the server's end list (complete), lost log lines (RunEnded is never among the dropped ones), a count of running tasks that is off (debug lines in a trial). Test: 'a task that was done on a server that was cut off is done when the server comes back', failed before.

--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -203,9 +203,11 @@
 {
     Task* task = this->board.findTask(ended.task);
     if (!task || !task->run || task->run->attempt != ended.attempt || task->run->server != server.address.id) {
-        // A run of an earlier attempt or of a gang that is done: only its room matters.
+        // A run of an earlier attempt or of a gang that is done: only its room and a success matter.
         if (!task || !task->run || task->run->server != server.address.id)
             server.occupants.erase(ended.task);
+        if (task && ended.end == RunEnd::Done)
+            this->takeLateSuccess(server, ended, *task, now);
         return;
     }
     Job& job = this->board.jobs.at(ended.task.jobId);
@@ -246,6 +248,27 @@
     this->updateJob(job, now);
 }
 
+void JobTracker::takeLateSuccess(BackendServer& server, const EndedRun& ended, Task& task, SteadyTime now)
+{
+    Job& job = this->board.jobs.at(ended.task.jobId);
+    const StepSpecification& specification = specificationOf(job, ended.task.step);
+    if (job.ended() || task.phase == TaskPhase::Done || specification.longRunning || ended.attempt > task.attempts)
+        return;
+    this->effects.log(Event::RunEnded,
+        { { "task", formatTaskName(ended.task) }, { "attempt", ended.attempt }, { "server", server.address.id },
+            { "incarnation", server.incarnation }, { "end", runEndName(ended.end) }, { "number", ended.number },
+            { "givenUpBefore", true }, { "newestAttempt", task.attempts } });
+    this->markDirty(ended.task);
+    // A run of a newer attempt is no task's any more; the next look at its server finds and stops it.
+    Occurrence& occurrence = job.occurrences.at(ended.task.occurrence);
+    if (specification.gang)
+        this->finishGang(job, occurrence, ended.task.step);
+    else
+        this->finishTask(job, occurrence, ended.task.step, task);
+    this->updateReadiness(job, occurrence, now);
+    this->updateJob(job, now);
+}
+
 void JobTracker::judgeServer(BackendServer& server, Job& job, SteadyTime now)
 {
     job.failedOn.insert(server.address.id);
@@ -266,11 +289,11 @@
 void JobTracker::finishTask(Job& job, Occurrence& occurrence, int step, Task& task)
 {
     Step& done = stepAt(occurrence, step);
+    done.running -= task.run ? 1 : 0;
+    ++done.done;
     task.phase = TaskPhase::Done;
     task.run.reset();
     task.checkpoint.clear();
-    ++done.done;
-    --done.running;
     job.begun = true;
 }
 
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -65,6 +65,8 @@
     void finishTask(Job& job, Occurrence& occurrence, int step, Task& task);
     void finishGang(Job& job, Occurrence& occurrence, int step);
     void countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now);
+    /// Takes over that a run which was given up was done all the same, on a server that could not be reached.
+    void takeLateSuccess(BackendServer& server, const EndedRun& ended, Task& task, SteadyTime now);
     void judgeServer(BackendServer& server, Job& job, SteadyTime now);
     void requeue(const TaskName& name, Step& step, Task& task, SteadyTime now);
     void stopGang(const TaskName& name, const std::string& reason, SteadyTime now);
--- a/tests/auto/scheduling/tst_scheduler_faults.cpp
+++ b/tests/auto/scheduling/tst_scheduler_faults.cpp
@@ -39,6 +39,35 @@
     CHECK(bench.violations().empty());
 }
 
+TEST_CASE("a task that was done on a server that was cut off is done when the server comes back")
+{
+    const int tasks = GENERATE(1, 2);
+    SchedulerBench bench({});
+    bench.run(2s);
+    StepSpecification first = makeStep(tasks, 1, 3s);
+    first.gang = tasks > 1;
+    StepSpecification second = makeStep(1, 1, 500ms);
+    second.prerequisites = { 0 };
+    bench.submit("job", "ordinary", { first, second });
+    REQUIRE(bench.runUntilActive("job", tasks, 1s));
+    FakeServer& cut = bench.serverRunning("job");
+    cut.reachable = false;
+    bench.removeEntry(cut);
+    bench.run(5s);
+    REQUIRE(cut.active.empty()); // its runs are done, and no daemon knows
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).health = ServerHealth::StandsStill;
+    bench.run(3s);
+    REQUIRE(bench.startsOf("job") == 2 * tasks);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).health = ServerHealth::Sound;
+    cut.reachable = true;
+    bench.putEntry(cut);
+    CHECK(bench.runUntil("job", JobState::Completed, 2s));
+    bench.run(1s);
+    CHECK(bench.activeTasks("job") == 0);
+}
+
 TEST_CASE("another daemon takes over from a killed leader within two seconds and adopts its runs")
 {
     SchedulerBench bench({ .daemons = 3 });
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -99,8 +99,11 @@
 
 void Fleet::signalDaemon(int daemon, int number)
 {
-    this->daemons.at(daemon).endExpected = this->daemons.at(daemon).endExpected || number == SIGKILL;
-    this->daemons.at(daemon).process->signal(number);
+    Daemon& signalled = this->daemons.at(daemon);
+    if (!signalled.process->isRunning())
+        return;
+    signalled.endExpected = signalled.endExpected || number == SIGKILL;
+    signalled.process->signal(number);
 }
 
 void Fleet::signalServer(int server, int number)
