The product's own interface for jobs on the fleet's engine

Cause: /v1/jobs, gangs by shape and wisteriahillctl worked with the landed engine only; on the users' platform a daemon answered dump and explain alone. FleetApi answers POST, GET and DELETE of /v1/jobs on the metrics address; scheduling/gangjobs turns a shape into one gang of a queue. What the platform can't promise (attached jobs, jobs that must never start again) is refused with the reason. The tool prints the status of a fleet.

--- /dev/null
+++ b/src/app/fleetapi.cpp
@@ -0,0 +1,195 @@
+#include "app/fleetapi.h"
+
+#include "scheduling/boarddump.h"
+#include "scheduling/gangjobs.h"
+#include "utils/httpstatus.h"
+#include "utils/randomsource.h"
+
+#include <chrono>
+
+namespace WisteriaHill::App {
+
+using Adapters::HttpExchangeId;
+using Adapters::HttpRequest;
+using Adapters::HttpResponse;
+using Scheduling::CallerAnswer;
+using Scheduling::CallerContext;
+using Scheduling::CallerOutcome;
+using Utils::Json;
+namespace HeaderName = Adapters::HeaderName;
+namespace HttpStatus = Utils::HttpStatus;
+
+namespace {
+
+constexpr const char* jobsPath = "/v1/jobs";
+constexpr std::string_view explainSuffix = "/explain";
+constexpr std::string_view credentialScheme = "Bearer ";
+constexpr int indent = 2;
+constexpr std::int64_t msPerSecond = 1000;
+
+std::string credentialOf(const HttpRequest& request)
+{
+    const std::string authorization = request.header(HeaderName::authorization);
+    return authorization.starts_with(credentialScheme) ? authorization.substr(credentialScheme.size()) : std::string();
+}
+
+/// A call as one to the queue; the id follows the queue's prefix.
+CallerContext contextFor(const Scheduling::Queue& queue, const std::string& id, const HttpRequest& request)
+{
+    return { .host = queue.host, .path = queue.pathPrefix + id, .key = credentialOf(request) };
+}
+
+int statusOf(CallerOutcome outcome)
+{
+    switch (outcome) {
+    case CallerOutcome::Accepted:
+        return HttpStatus::accepted;
+    case CallerOutcome::State:
+    case CallerOutcome::Pending:
+        return HttpStatus::ok;
+    case CallerOutcome::NotAccepted:
+    case CallerOutcome::NotReady:
+        return HttpStatus::unavailable;
+    case CallerOutcome::Uncertain:
+        return HttpStatus::timeout;
+    case CallerOutcome::UnknownQueue:
+    case CallerOutcome::UnknownJob:
+        return HttpStatus::notFound;
+    case CallerOutcome::UnknownKey:
+        return HttpStatus::unauthorised;
+    case CallerOutcome::Malformed:
+        return HttpStatus::badRequest;
+    }
+    return HttpStatus::failed;
+}
+
+} // namespace
+
+FleetApi::FleetApi(Adapters::EventLoop& loop, const std::string& address, std::uint16_t port,
+    const Scheduling::Scheduler& scheduler, Handlers handlers)
+    : scheduler(scheduler)
+    , handlers(std::move(handlers))
+    , server(loop, { .address = address, .port = port },
+          [this](HttpExchangeId exchange, const HttpRequest& request) { this->handle(exchange, request); })
+{
+}
+
+void FleetApi::respond(HttpExchangeId exchange, int status, const Json& body, Adapters::HttpHeaders headers)
+{
+    this->server.respond(
+        exchange, { .status = status, .headers = std::move(headers), .body = Utils::toText(body, indent) + '\n' });
+}
+
+void FleetApi::handle(HttpExchangeId exchange, const HttpRequest& request)
+{
+    const std::string jobPrefix = std::string(jobsPath) + '/';
+    if (request.path == "/metrics" && request.method == "GET") {
+        this->server.respond(
+            exchange, { .contentType = "text/plain; version=0.0.4", .body = this->handlers.metrics() });
+    } else if (request.path == "/v1/dump" && request.method == "GET") {
+        this->respond(
+            exchange, HttpStatus::ok, Scheduling::dumpScheduler(this->scheduler, std::chrono::steady_clock::now()));
+    } else if (request.path == jobsPath && request.method == "POST") {
+        this->submitJob(exchange, request);
+    } else if (request.path.starts_with(jobPrefix) && request.path.ends_with(explainSuffix)
+        && request.path.size() > jobPrefix.size() + explainSuffix.size() && request.method == "GET") {
+        this->explainJob(exchange,
+            request.path.substr(jobPrefix.size(), request.path.size() - jobPrefix.size() - explainSuffix.size()));
+    } else if (request.path.starts_with(jobPrefix) && (request.method == "GET" || request.method == "DELETE")) {
+        this->aboutJob(exchange, request, request.path.substr(jobPrefix.size()));
+    } else {
+        this->respond(exchange, HttpStatus::notFound, { { "reason", "no such resource" } });
+    }
+}
+
+const Scheduling::ClientAccount* FleetApi::authenticate(HttpExchangeId exchange, const HttpRequest& request)
+{
+    const Scheduling::FleetConfiguration* configuration = this->handlers.configuration();
+    if (!configuration) {
+        this->respondTo(exchange, "",
+            { .outcome = CallerOutcome::NotReady,
+                .retryAfter = Utils::Duration(msPerSecond),
+                .reason = "this entry host has no configuration yet" });
+        return nullptr;
+    }
+    const Scheduling::ClientAccount* account = configuration->accountOfKey(credentialOf(request));
+    if (!account)
+        this->respondTo(exchange, "",
+            { .outcome = CallerOutcome::UnknownKey, .reason = "the credential belongs to no client account" });
+    return account;
+}
+
+void FleetApi::respondTo(HttpExchangeId exchange, const std::string& id, const CallerAnswer& answer)
+{
+    Json body = Json::object();
+    Adapters::HttpHeaders headers;
+    if (!id.empty())
+        body["id"] = id;
+    if (answer.outcome == CallerOutcome::State)
+        body["state"] = Model::jobStateName(Scheduling::ownJobState(answer.state));
+    if (!answer.reason.empty())
+        body["reason"] = answer.reason;
+    if (answer.outcome == CallerOutcome::Uncertain)
+        headers[HeaderName::outcome] = "unknown";
+    else if (statusOf(answer.outcome) >= HttpStatus::badRequest)
+        headers[HeaderName::outcome] = "notRun";
+    if (answer.retryAfter.count() > 0)
+        headers[HeaderName::retryAfter] = std::to_string((answer.retryAfter.count() + msPerSecond - 1) / msPerSecond);
+    this->respond(exchange, statusOf(answer.outcome), body, std::move(headers));
+}
+
+void FleetApi::submitJob(HttpExchangeId exchange, const HttpRequest& request)
+{
+    const Scheduling::ClientAccount* account = this->authenticate(exchange, request);
+    if (!account)
+        return;
+    Utils::JsonFaults faults;
+    const std::optional<Json> document = Utils::parseJsonText(request.body, faults);
+    Model::JobSpecification wanted;
+    if (document)
+        wanted = Model::jobSpecificationFromJson(*document, faults);
+    if (!faults.empty()) {
+        this->respondTo(exchange, "", { .outcome = CallerOutcome::Malformed, .reason = Utils::formatFaults(faults) });
+        return;
+    }
+    auto made = Scheduling::makeGangJob(wanted, *account, *this->handlers.configuration(), Utils::systemRandom());
+    if (const auto* fault = std::get_if<Scheduling::GangJobFault>(&made)) {
+        this->respond(exchange, HttpStatus::unprocessable, { { "reason", fault->reason } },
+            { { HeaderName::outcome, "notRun" } });
+        return;
+    }
+    auto& job = std::get<Scheduling::GangJob>(made);
+    this->handlers.submit(contextFor(*job.queue, job.id, request), job.id, std::move(job.specification),
+        [this, exchange, id = job.id](const CallerAnswer& answer) { this->respondTo(exchange, id, answer); });
+}
+
+void FleetApi::aboutJob(HttpExchangeId exchange, const HttpRequest& request, const std::string& id)
+{
+    if (!this->authenticate(exchange, request))
+        return;
+    const std::vector<Scheduling::Queue>& queues = this->handlers.configuration()->queues;
+    if (queues.empty() || !Scheduling::jobIdInPath(queues.front().pathPrefix + id, queues.front())) {
+        this->respondTo(exchange, id, { .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
+        return;
+    }
+    // Jobs are found by their ids alone; any queue admits the call.
+    const CallerContext context = contextFor(queues.front(), id, request);
+    const auto answer = [this, exchange, id](const CallerAnswer& given) { this->respondTo(exchange, id, given); };
+    if (request.method == "DELETE")
+        this->handlers.cancel(context, id, answer);
+    else
+        this->handlers.state(context, id, answer);
+}
+
+void FleetApi::explainJob(HttpExchangeId exchange, const std::string& id)
+{
+    const Json explained = Scheduling::explainJob(this->scheduler, id, std::chrono::steady_clock::now());
+    if (!explained.is_null()) {
+        this->respond(exchange, HttpStatus::ok, explained);
+        return;
+    }
+    this->respond(exchange, HttpStatus::notFound,
+        { { "error", "not known here; ask the leader" }, { "leader", this->scheduler.leadership().leaderNode() } });
+}
+
+} // namespace WisteriaHill::App
--- /dev/null
+++ b/src/app/fleetapi.h
@@ -0,0 +1,51 @@
+/// The product's own HTTP interface on a daemon of the fleet: jobs by shape, explanations, the state dump and metrics
+/// (docs/API.md).
+#pragma once
+
+#include "adapters/httpserver.h"
+#include "scheduling/intake.h"
+#include "scheduling/scheduler.h"
+#include "utils/checkedjson.h"
+
+#include <functional>
+#include <string>
+
+namespace WisteriaHill::App {
+
+/// Thread safety: none; all on the loop's thread.
+class FleetApi {
+public:
+    /// What the daemon does for this interface.
+    struct Handlers {
+        std::function<void(const Scheduling::CallerContext&, const std::string& id, Scheduling::JobSpecification,
+            Scheduling::AnswerCaller)>
+            submit;
+        std::function<void(const Scheduling::CallerContext&, const std::string& id, Scheduling::AnswerCaller)> cancel;
+        std::function<void(const Scheduling::CallerContext&, const std::string& id, Scheduling::AnswerCaller)> state;
+        std::function<const Scheduling::FleetConfiguration*()> configuration; ///< null before the first one
+        std::function<std::string()> metrics;
+    };
+
+    /// Listens at once; throws std::runtime_error when the address can't be listened on. `loop` and `scheduler` must
+    /// outlive this.
+    FleetApi(Adapters::EventLoop& loop, const std::string& address, std::uint16_t port,
+        const Scheduling::Scheduler& scheduler, Handlers handlers);
+
+private:
+    void handle(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    void submitJob(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    void aboutJob(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request, const std::string& id);
+    void explainJob(Adapters::HttpExchangeId exchange, const std::string& id);
+    /// The account whose key the request carries; null after the request was answered.
+    const Scheduling::ClientAccount* authenticate(
+        Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    void respond(
+        Adapters::HttpExchangeId exchange, int status, const Utils::Json& body, Adapters::HttpHeaders headers = {});
+    void respondTo(Adapters::HttpExchangeId exchange, const std::string& id, const Scheduling::CallerAnswer& answer);
+
+    const Scheduling::Scheduler& scheduler;
+    Handlers handlers;
+    Adapters::HttpServer server;
+};
+
+} // namespace WisteriaHill::App
--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -3,7 +3,6 @@
 #include "app/daemonsettings.h"
 #include "platform/documents.h"
 #include "platform/wirenames.h"
-#include "scheduling/boarddump.h"
 #include "utils/eventlog.h"
 #include "utils/httpstatus.h"
 #include "utils/randomsource.h"
@@ -104,23 +103,13 @@
     , heartbeats(this->loop, { .address = this->settings.address, .port = this->settings.heartbeatPort },
           [this](const std::string& bytes) { this->heartbeatReceived(bytes); })
     , callers(this->loop, this->settings.callers.address, this->settings.callers.port,
-          { .submit =
-                  [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
-                      Scheduling::AnswerCaller answer) {
-                      this->intake.submit(context, id, std::move(job), this->storeClock.at(steadyNow()),
-                          this->measured("submit", std::move(answer)));
-                      this->runEffects();
-                  },
-              .cancel =
-                  [this](const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer) {
-                      this->intake.cancel(context, id, this->measured("cancel", std::move(answer)));
-                      this->runEffects();
-                  },
-              .state =
-                  [this](const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer) {
-                      this->intake.state(context, id, this->measured("state", std::move(answer)));
-                      this->runEffects();
-                  },
+          { .submit
+              = [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
+                    Scheduling::AnswerCaller answer) { this->submit(context, id, std::move(job), std::move(answer)); },
+              .cancel = [this](const CallerContext& context, const std::string& id,
+                            Scheduling::AnswerCaller answer) { this->cancel(context, id, std::move(answer)); },
+              .state = [this](const CallerContext& context, const std::string& id,
+                           Scheduling::AnswerCaller answer) { this->readState(context, id, std::move(answer)); },
               .pending =
                   [this](const CallerContext& context, const Scheduling::AnswerCaller& answer) {
                       this->answerPending(context, this->measured("pending", answer));
@@ -139,10 +128,16 @@
                   this->relay.respond(exchange, std::move(response));
               });
           })
-    , operators(this->loop, { .address = this->settings.metrics.address, .port = this->settings.metrics.port },
-          [this](Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request) {
-              this->answerOperator(exchange, request);
-          })
+    , operators(this->loop, this->settings.metrics.address, this->settings.metrics.port, this->scheduler,
+          { .submit
+              = [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
+                    Scheduling::AnswerCaller answer) { this->submit(context, id, std::move(job), std::move(answer)); },
+              .cancel = [this](const CallerContext& context, const std::string& id,
+                            Scheduling::AnswerCaller answer) { this->cancel(context, id, std::move(answer)); },
+              .state = [this](const CallerContext& context, const std::string& id,
+                           Scheduling::AnswerCaller answer) { this->readState(context, id, std::move(answer)); },
+              .configuration = [this]() { return this->configuration.inForce().get(); },
+              .metrics = [this]() { return this->metrics.text(this->gauges(steadyNow())); } })
 {
     this->configuration.onApplied([this](const std::shared_ptr<const Scheduling::FleetConfiguration>& inForce) {
         this->intake.setConfiguration(inForce);
@@ -263,31 +258,24 @@
         .heartbeatBytesReceived = this->heartbeats.bytesReceived() };
 }
 
-void FleetDaemon::answerOperator(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request)
+void FleetDaemon::submit(const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
+    Scheduling::AnswerCaller answer)
 {
-    constexpr std::string_view jobsPath = "/v1/jobs/";
-    constexpr std::string_view explainSuffix = "/explain";
-    constexpr int indent = 2;
-    const SteadyTime now = steadyNow();
-    Adapters::HttpResponse response;
-    if (request.path == "/metrics") {
-        response.contentType = "text/plain; version=0.0.4";
-        response.body = this->metrics.text(this->gauges(now));
-    } else if (request.path == "/v1/dump") {
-        response.body = Utils::toText(Scheduling::dumpScheduler(this->scheduler, now), indent);
-    } else if (request.path.starts_with(jobsPath) && request.path.ends_with(explainSuffix)
-        && request.path.size() > jobsPath.size() + explainSuffix.size()) {
-        const std::string job
-            = request.path.substr(jobsPath.size(), request.path.size() - jobsPath.size() - explainSuffix.size());
-        const Json explained = Scheduling::explainJob(this->scheduler, job, now);
-        response.status = explained.is_null() ? Utils::HttpStatus::notFound : response.status;
-        response.body = explained.is_null() ? Utils::toText({ { "error", "not known here; ask the leader" },
-                            { "leader", std::as_const(this->scheduler).leadership().leaderNode() } })
-                                            : Utils::toText(explained, indent);
-    } else {
-        response.status = Utils::HttpStatus::notFound;
-    }
-    this->operators.respond(exchange, std::move(response));
+    this->intake.submit(
+        context, id, std::move(job), this->storeClock.at(steadyNow()), this->measured("submit", std::move(answer)));
+    this->runEffects();
+}
+
+void FleetDaemon::cancel(const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer)
+{
+    this->intake.cancel(context, id, this->measured("cancel", std::move(answer)));
+    this->runEffects();
+}
+
+void FleetDaemon::readState(const CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer)
+{
+    this->intake.state(context, id, this->measured("state", std::move(answer)));
+    this->runEffects();
 }
 
 Scheduling::PeerHeartbeat FleetDaemon::ownHeartbeat(SteadyTime now) const
--- a/src/app/fleetdaemon.h
+++ b/src/app/fleetdaemon.h
@@ -4,6 +4,7 @@
 #include "adapters/datagramlink.h"
 #include "adapters/eventloop.h"
 #include "adapters/httpserver.h"
+#include "app/fleetapi.h"
 #include "app/fleetmetrics.h"
 #include "app/fleetsettings.h"
 #include "platform/callerapi.h"
@@ -44,7 +45,10 @@
     void heartbeatReceived(const std::string& bytes);
     void answerPending(const Scheduling::CallerContext& context, const Scheduling::AnswerCaller& answer);
     void answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
-    void answerOperator(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    void submit(const Scheduling::CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
+        Scheduling::AnswerCaller answer);
+    void cancel(const Scheduling::CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer);
+    void readState(const Scheduling::CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer);
     FleetGauges gauges(SteadyTime now) const;
     /// The answer, with its latency recorded under `kind` when it is given.
     Scheduling::AnswerCaller measured(const char* kind, Scheduling::AnswerCaller answer);
@@ -73,7 +77,7 @@
     Platform::CallerApi callers;
     Adapters::HttpServer readiness;
     Adapters::HttpServer relay;
-    Adapters::HttpServer operators;
+    FleetApi operators;
     SteadyTime nextHeartbeat {};
     SteadyTime stopBegan {};
     bool stopping = false;
--- a/src/tools/wisteriahillctl/commands.cpp
+++ b/src/tools/wisteriahillctl/commands.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <random>
 #include <sstream>
 
@@ -104,6 +105,12 @@
 
 std::string textOf(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
 
+/// A member as text; "-" where a daemon does not say.
+std::string memberText(const Json& object, const char* name)
+{
+    return object.contains(name) ? textOf(object.at(name)) : "-";
+}
+
 std::vector<TableLine> hostLines(const Json& hosts)
 {
     std::vector<TableLine> lines { { "HOST", "REVISION", "LIVE" } };
@@ -137,8 +144,9 @@
     }
     printTable(std::cout,
         { { "JOB", "STATE", "ATTEMPT", "SERVERS", "REASON" },
-            { textOf(job.at("id")), textOf(job.at("state")), textOf(job.at("attempt")),
-                std::to_string(job.at("placement").size()), textOf(job.at("reason")) } });
+            { textOf(job.at("id")), textOf(job.at("state")), memberText(job, "attempt"),
+                job.contains("placement") ? std::to_string(job.at("placement").size()) : "-",
+                memberText(job, "reason") } });
 }
 
 bool isFinalState(const std::string& state)
@@ -307,6 +315,26 @@
     return callAndPrint(context, { .method = "POST", .path = "/v1/servers/" + server + action });
 }
 
+/// Prints the dump of a daemon of the fleet in short.
+void printFleetStatus(const Json& dump)
+{
+    std::cout << "leader " << textOf(dump.at("leader")) << (dump.at("leading").get<bool>() ? " (this daemon)" : "")
+              << ", term " << dump.at("term") << ", configuration " << dump.at("configuration") << "\n\n";
+    std::vector<TableLine> servers { { "SERVER", "RACK", "PRESENT", "DRAINING", "RUNS", "FREE ACCELERATORS" } };
+    for (const Json& server : dump.at("servers"))
+        servers.push_back({ textOf(server.at("id")), textOf(server.at("rack")), textOf(server.at("present")),
+            textOf(server.at("draining")), textOf(server.at("runs")), textOf(server.at("free").at("accelerators")) });
+    printTable(std::cout, servers);
+    std::map<std::string, int> states;
+    for (const Json& job : dump.at("jobs"))
+        ++states[job.at("state").get<std::string>()];
+    std::vector<TableLine> jobs { { "JOBS", "COUNT" } };
+    for (const auto& [state, count] : states)
+        jobs.push_back({ state, std::to_string(count) });
+    std::cout << '\n';
+    printTable(std::cout, jobs);
+}
+
 ExitStatus dumpState(CommandContext context) { return callAndPrint(context, { .path = "/v1/dump" }); }
 
 ExitStatus showStatus(CommandContext context)
@@ -319,6 +347,10 @@
         std::cout << dump->dump() << '\n';
         return status;
     }
+    if (dump->contains("leader")) {
+        printFleetStatus(*dump);
+        return status;
+    }
     std::cout << "host " << textOf(dump->at("host")) << " in " << textOf(dump->at("zone")) << ", phase "
               << textOf(dump->at("phase")) << ", revision " << dump->at("revision") << ", table service "
               << (dump->at("tableAvailable").get<bool>() ? "available" : "away") << "\n\n";
--- a/tests/auto/soak/tst_promises.cpp
+++ b/tests/auto/soak/tst_promises.cpp
@@ -187,6 +187,13 @@
         history.stops = { { .asked = 5000, .gone = 12'000, .status = 0 } };
         checkFinds(history, "took 7000 ms");
     }
+    SECTION("a graceful stop that is late after a pause")
+    {
+        history.stops = { { .asked = 5000, .resumed = 7000, .gone = 12'900, .status = 0 } };
+        CHECK(brokenPromises(history).empty());
+        history.stops.front().gone = 13'100;
+        checkFinds(history, "took 6100 ms");
+    }
     SECTION("a graceful stop that cuts off a call")
     {
         history.stops = { { .asked = 5000, .gone = 6000, .status = 0, .calm = true } };
--- a/tests/scripts/fleet.sh
+++ b/tests/scripts/fleet.sh
@@ -80,6 +80,29 @@
 [[ "$(curl -s -m 4 -o /dev/null -w '%{http_code}' -X POST -H 'Host: mill.example' -H 'Authorization: Bearer stolen' \
   --data "$job" "http://127.0.0.1:$((base + 100))/score/0000000000000009")" == 401 ]] || fail "an unknown key was taken"
 
+# The product's own interface: a gang by shape, through the tool.
+ctl() { # daemon, arguments...
+  local number=$1
+  shift
+  WISTERIAHILL_CREDENTIAL=mill-key "$build/src/tools/wisteriahillctl/wisteriahillctl" \
+    --host "127.0.0.1:$((base + 100 * number + 3))" "$@" 2>&1
+}
+gang='{"shape":{"servers":2,"acceleratorsPerServer":8},"payload":"{\"needs\":[[0,0,8,'
+submitted=$(ctl 1 job submit - <<<"${gang}700]]}\",\"idempotencyKey\":\"round-7\"}")
+gang_id=$(grep -oE '[0-9a-f]{16}' <<<"$submitted" | head -1)
+[ -n "$gang_id" ] || fail "the gang was not accepted: $submitted"
+[[ "$(ctl 3 job submit - <<<"${gang}700]]}\",\"idempotencyKey\":\"round-7\"}")" == *"$gang_id"* ]] || fail "the same key made another job"
+[[ "$(ctl 2 job watch "$gang_id" --bound 12s)" == *finished* ]] || fail "the gang was not finished"
+[[ "$(ctl 2 job submit - <<<"${gang}700]]}\",\"attached\":true}")" == *"not supported"* ]] || fail "an attached job was taken"
+[[ "$(ctl 2 job submit - <<<'{"shape":{}}')" == *acceleratorsPerServer* ]] || fail "a shape without accelerators was taken"
+[[ "$(ctl 2 job show 0123456789abcdef)" == *"no such job"* ]] || fail "an unknown job is known"
+[[ "$(ctl 1 status)" == *"leader host-"* ]] || fail "the status names no leader"
+for number in 1 2 3; do explained=$(ctl "$number" job explain "$gang_id"); [[ "$explained" == *'"steps"'* ]] && break; done
+[[ "$explained" == *'"steps"'* ]] || fail "no daemon explains the gang: $explained"
+long_id=$(ctl 1 job submit - <<<"${gang}60000]]}\"}" | grep -oE '[0-9a-f]{16}' | head -1)
+ctl 2 job cancel "$long_id" >/dev/null || fail "the gang was not cancelled"
+[[ "$(ctl 3 job watch "$long_id" --bound 6s)" == *cancelled* ]] || fail "the gang is not shown as cancelled"
+
 # The scheduler is killed while a job runs; another daemon takes over.
 answer=$(call POST 3 /cut/00000000000000aa "$job")
 [[ "$answer" == *" 200" ]] || fail "the job before the kill was not accepted: $answer"
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -103,6 +103,8 @@
     if (!signalled.process->isRunning())
         return;
     signalled.endExpected = signalled.endExpected || number == SIGKILL;
+    if (number == SIGCONT && !signalled.openStops.empty())
+        signalled.openStops.front().resumed = now();
     signalled.process->signal(number);
 }
 
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -54,6 +54,7 @@
 struct PlannedStop {
     int daemon = 0;
     Moment asked = 0;
+    Moment resumed = 0; ///< end of the last pause while it stopped; a paused process can do nothing
     Moment gone = 0;
     int status = -1; ///< exit status; negative after a signal
     bool calm = false; ///< nothing else was wrong from the contact time before it to its end
