--- a/src/app/fleetapi.cpp
+++ b/src/app/fleetapi.cpp
@@ -11,7 +11,6 @@
 
 using Adapters::HttpExchangeId;
 using Adapters::HttpRequest;
-using Adapters::HttpResponse;
 using Scheduling::CallerAnswer;
 using Scheduling::CallerContext;
 using Scheduling::CallerOutcome;
--- a/src/libs/controllers/jobcontroller.cpp
+++ b/src/libs/controllers/jobcontroller.cpp
@@ -1,11 +1,9 @@
 #include "controllers/jobcontroller.h"
 
 #include "controllers/documentanswers.h"
-#include "utils/digest.h"
 #include "utils/httpstatus.h"
 
 #include <algorithm>
-#include <sstream>
 #include <tuple>
 
 namespace WisteriaHill::Controllers {
@@ -20,9 +18,7 @@
 using Utils::Json;
 
 constexpr Duration planInterval { 50 };
-constexpr Duration submissionBound { 5000 };
 constexpr Duration commitBound { 3000 };
-constexpr Duration tableRetryAfter { 2000 };
 constexpr Duration notReadyRetryAfter { 1000 };
 constexpr Duration firstBackoff { 100 };
 constexpr Duration afterFailureBackoff { 1000 };
@@ -30,16 +26,8 @@
 constexpr std::size_t mostFinalsKept = 500;
 constexpr std::size_t mostFailedServers = 3;
 constexpr std::uint32_t mostTaskFailures = 10;
-constexpr std::size_t keyDigestLength = 24;
 constexpr const char* stoppingReason = "this entry host stops; ask another one";
 
-std::string hexadecimal(std::uint64_t number)
-{
-    std::ostringstream text;
-    text << std::hex << number;
-    return std::move(text).str();
-}
-
 } // namespace
 
 JobController::JobController(Model::Blackboard& blackboard, Outbox& outbox, TableWriter& writer, LeaseGateway& gateway,
@@ -70,242 +58,6 @@
     return found == this->blackboard.jobs.end() ? nullptr : &found->second;
 }
 
-std::optional<std::string> JobController::refusalOf(const Model::JobSpecification& specification) const
-{
-    const Model::Configuration& configuration = *this->blackboard.configuration;
-    const Model::AvailabilityZone* zone = this->blackboard.ownZone();
-    if (!zone)
-        return "the availability zone of this entry host is not in the inventory";
-    const auto account = configuration.accounts.find(specification.account);
-    if (account == configuration.accounts.end())
-        return "the client account does not exist";
-    const std::uint32_t quota = account->second.acceleratorQuota;
-    if (specification.guarantee.empty() && quota > 0 && specification.shape.accelerators() > quota)
-        return "the shape is larger than the client account's quota of " + std::to_string(quota) + " accelerators";
-    if (!specification.guarantee.empty()) {
-        const auto guarantee = configuration.guarantees.find(specification.guarantee);
-        if (guarantee == configuration.guarantees.end() || guarantee->second.account != specification.account)
-            return "the client account has no guarantee " + specification.guarantee.value();
-        if (guarantee->second.zone != zone->id)
-            return "the guarantee is in availability zone " + guarantee->second.zone.value();
-        const Model::GangShape& guaranteed = guarantee->second.shape;
-        if (specification.shape.servers > guaranteed.servers
-            || specification.shape.acceleratorsPerServer > guaranteed.acceleratorsPerServer)
-            return "the shape is larger than the guaranteed one";
-    }
-    const std::string impossible = impossibility(*zone, specification.shape);
-    return impossible.empty() ? std::nullopt : std::optional(impossible);
-}
-
-JobRecord JobController::newRecord(Model::JobSpecification specification)
-{
-    JobRecord record { .zone = this->blackboard.self.zone,
-        .owner = this->blackboard.self.host,
-        .ownerIncarnation = this->blackboard.self.incarnation,
-        .reason = "waits for its first placement" };
-    if (specification.idempotencyKey.empty()) {
-        record.id = JobId(this->blackboard.self.host.value() + "-" + hexadecimal(this->blackboard.self.incarnation)
-            + "-" + std::to_string(++this->lastNumber));
-    } else {
-        const std::string digest
-            = Utils::sha256Hex(specification.account.value() + "\n" + specification.idempotencyKey);
-        record.id = JobId("key-" + digest.substr(0, keyDigestLength));
-    }
-    record.specification = std::move(specification);
-    return record;
-}
-
-void JobController::submit(CallerId caller, Model::JobSpecification specification, SteadyTime now)
-{
-    if (this->released || this->blackboard.phase != Model::HostPhase::Ready) {
-        refuseDocument(this->outbox, caller, Utils::HttpStatus::unavailable, "this entry host takes no jobs now",
-            notReadyRetryAfter);
-        return;
-    }
-    if (const std::optional<std::string> refusal = this->refusalOf(specification)) {
-        this->outbox.log(Event::JobRejected, specification.account.value() + ": " + *refusal);
-        refuseDocument(this->outbox, caller, Utils::HttpStatus::unprocessable, *refusal);
-        return;
-    }
-    const bool attached = specification.attached;
-    // A row without a live session would have no one to take it over.
-    const bool durablePossible = this->writer.available() && this->sessions.holds(now);
-    if (!attached && !durablePossible) {
-        refuseDocument(this->outbox, caller, Utils::HttpStatus::unavailable,
-            "the table service that keeps jobs is away", tableRetryAfter);
-        return;
-    }
-    JobEntry entry { .record = this->newRecord(std::move(specification)), .queuedSince = now };
-    entry.note(now, "accepted");
-    const JobId id = entry.record.id;
-    if (!attached) {
-        this->insertRow(caller, std::move(entry), now);
-        return;
-    }
-    if (this->blackboard.jobs.contains(id)) {
-        refuseDocument(this->outbox, caller, Utils::HttpStatus::conflict, "a job with this idempotencyKey is known");
-        return;
-    }
-    entry.attachedCaller = caller;
-    this->outbox.log(Event::JobAccepted, id.value() + " attached");
-    this->blackboard.jobs.emplace(id, std::move(entry));
-    this->nextPlan = now;
-}
-
-void JobController::insertRow(CallerId caller, JobEntry entry, SteadyTime now)
-{
-    const JobId id = entry.record.id;
-    if (this->submissions.contains(id)) {
-        refuseDocument(
-            this->outbox, caller, Utils::HttpStatus::conflict, "the same job is being submitted", notReadyRetryAfter);
-        return;
-    }
-    entry.record.nonce = this->random.bits();
-    RowChange change { .key = Model::jobRowKey(entry.record.zone, id),
-        .value = Utils::toText(Model::jobToJson(entry.record)),
-        .priority = WritePriority::Job };
-    Submission& submission = this->submissions[id];
-    submission = { .caller = caller, .entry = std::move(entry), .deadline = now + submissionBound };
-    submission.write = this->writer.write(
-        std::move(change), [this, id](const RowOutcome& outcome, SteadyTime at) { this->onInserted(id, outcome, at); },
-        now);
-}
-
-void JobController::onInserted(const JobId& job, const RowOutcome& outcome, SteadyTime now)
-{
-    auto node = this->submissions.extract(job);
-    if (node.empty())
-        return;
-    Submission& submission = node.mapped();
-    if (const auto* written = std::get_if<RowWritten>(&outcome)) {
-        submission.entry.version = written->version;
-        submission.entry.queuedSince = now;
-        this->outbox.log(Event::JobAccepted, job.value());
-        if (submission.caller != 0)
-            answerDocument(
-                this->outbox, submission.caller, Utils::HttpStatus::accepted, publicJob(submission.entry.record));
-        JobEntry& entry = this->blackboard.jobs.insert_or_assign(job, std::move(submission.entry)).first->second;
-        if (this->released)
-            this->releaseEntry(entry, now);
-        this->nextPlan = now;
-        return;
-    }
-    if (submission.caller == 0)
-        return;
-    const std::optional<JobRecord> existing = Model::jobFromText(std::get<RowConflict>(outcome).current.value);
-    const bool same = existing && existing->specification.payload == submission.entry.record.specification.payload
-        && existing->specification.shape == submission.entry.record.specification.shape;
-    if (same)
-        answerDocument(this->outbox, submission.caller, Utils::HttpStatus::ok, publicJob(*existing));
-    else
-        refuseDocument(this->outbox, submission.caller, Utils::HttpStatus::unprocessable,
-            "the idempotencyKey belongs to another job");
-}
-
-void JobController::expireSubmissions(SteadyTime now)
-{
-    for (auto entry = this->submissions.begin(); entry != this->submissions.end();) {
-        Submission& submission = entry->second;
-        if (now < submission.deadline || submission.caller == 0) {
-            ++entry;
-            continue;
-        }
-        if (this->writer.cancel(submission.write)) {
-            refuseDocument(this->outbox, submission.caller, Utils::HttpStatus::unavailable,
-                "the table service that keeps jobs is away", tableRetryAfter);
-            entry = this->submissions.erase(entry);
-            continue;
-        }
-        answerDocument(this->outbox, submission.caller, Utils::HttpStatus::timeout,
-            { { "outcome", "unknown" }, { "id", entry->first },
-                { "reason", "the table service gave no answer; ask for the job by its id" } },
-            tableRetryAfter);
-        submission.caller = 0;
-        ++entry;
-    }
-}
-
-void JobController::persist(JobEntry& entry, SteadyTime now)
-{
-    if (entry.record.specification.attached)
-        return;
-    if (entry.writing) {
-        entry.rewrite = true;
-        return;
-    }
-    entry.writing = true;
-    entry.rewrite = false;
-    entry.record.nonce = this->random.bits();
-    RowChange change { .key = Model::jobRowKey(entry.record.zone, entry.record.id),
-        .expected = entry.version,
-        .value = Utils::toText(Model::jobToJson(entry.record)),
-        .priority = WritePriority::Job };
-    this->writer.write(
-        std::move(change),
-        [this, job = entry.record.id](
-            const RowOutcome& outcome, SteadyTime at) { this->onPersisted(job, outcome, at); },
-        now);
-}
-
-void JobController::onPersisted(const JobId& job, const RowOutcome& outcome, SteadyTime now)
-{
-    JobEntry* entry = this->find(job);
-    if (!entry)
-        return;
-    entry->writing = false;
-    if (const auto* conflict = std::get_if<RowConflict>(&outcome)) {
-        this->onRowChanged(*entry, conflict->current, now);
-        return;
-    }
-    entry->version = std::get<RowWritten>(outcome).version;
-    if (entry->rewrite) {
-        this->persist(*entry, now);
-        return;
-    }
-    if (entry->record.owner.empty()) {
-        this->lose(job);
-        return;
-    }
-    if (entry->record.state == JobState::Starting)
-        this->startAttempt(*entry, now);
-}
-
-void JobController::startAttempt(JobEntry& entry, SteadyTime now)
-{
-    if (std::exchange(entry.startSent, true))
-        return;
-    entry.mayHaveRun = true;
-    this->gangs.start(entry.record.id, now);
-}
-
-void JobController::onRowChanged(JobEntry& entry, const Model::TableRow& row, SteadyTime now)
-{
-    const JobId job = entry.record.id;
-    const std::optional<JobRecord> current = Model::jobFromText(row.value);
-    const bool stillOwned = current && current->owner == this->blackboard.self.host
-        && current->ownerIncarnation == this->blackboard.self.incarnation;
-    if (!stillOwned) {
-        this->outbox.log(Event::JobLost, job.value());
-        this->lose(job);
-        return;
-    }
-    entry.version = row.version;
-    entry.rewrite = false;
-    const bool newlyCancelled = current->cancelRequested && !entry.record.cancelRequested;
-    entry.record.cancelRequested = current->cancelRequested;
-    if (newlyCancelled && !Model::isFinal(entry.record.state)) {
-        this->cancelEntry(entry, now);
-        return;
-    }
-    this->persist(entry, now);
-}
-
-void JobController::lose(const JobId& job)
-{
-    this->gangs.forget(job);
-    this->blackboard.jobs.erase(job);
-}
-
 void JobController::tick(SteadyTime now)
 {
     if (!this->blackboard.configuration)
@@ -672,87 +424,6 @@
     answerDocument(this->outbox, caller, Utils::HttpStatus::accepted, publicJob(entry->record));
 }
 
-void JobController::takeOver(const LapsedSession& session, SteadyTime now)
-{
-    if (this->released || !this->sessions.holds(now))
-        return;
-    this->takeover.scan(session, {});
-}
-
-void JobController::onTakenOver(const JobRecord& record, Model::RowVersion version, SteadyTime now)
-{
-    this->outbox.log(Event::JobTakenOver, record.id.value());
-    JobEntry entry { .record = record, .version = version, .queuedSince = now };
-    entry.note(now, "taken over from a daemon that is gone");
-    this->resume(this->blackboard.jobs.emplace(record.id, std::move(entry)).first->second, now);
-}
-
-void JobController::resume(JobEntry& entry, SteadyTime now)
-{
-    const bool attemptCommitted = entry.record.state != JobState::Queued && !entry.record.placement.empty();
-    if (!attemptCommitted) {
-        entry.record.state = JobState::Queued;
-        if (entry.record.cancelRequested)
-            this->cancelEntry(entry, now);
-        return;
-    }
-    entry.record.state = JobState::Starting;
-    entry.mayHaveRun = true;
-    entry.startSent = true;
-    entry.runningSince = now;
-    GangAttempt attempt { .terms = this->termsOf(entry),
-        .plan = { .members = entry.record.placement },
-        .payload = entry.record.specification.payload,
-        .resumeFrom = entry.record.checkpointed };
-    this->gangs.adopt(std::move(attempt), now);
-    if (entry.record.cancelRequested)
-        this->cancelEntry(entry, now);
-}
-
-void JobController::release(SteadyTime now)
-{
-    if (std::exchange(this->released, true))
-        return;
-    for (auto& [id, entry] : this->blackboard.jobs)
-        this->releaseEntry(entry, now);
-}
-
-void JobController::releaseEntry(JobEntry& entry, SteadyTime now)
-{
-    if (Model::isFinal(entry.record.state))
-        return;
-    if (entry.record.specification.attached) {
-        if (entry.record.state == JobState::Queued)
-            this->finish(entry, JobState::Failed, stoppingReason, now);
-        return;
-    }
-    entry.note(now, "let go by a graceful stop");
-    const bool unstarted
-        = entry.record.state == JobState::Reserving || (entry.record.state == JobState::Starting && !entry.startSent);
-    if (unstarted)
-        entry.record.state = JobState::Queued;
-    entry.record.owner = Model::EntryHostId();
-    entry.record.ownerIncarnation = 0;
-    this->persist(entry, now);
-}
-
-void JobController::giveUp(SteadyTime now)
-{
-    for (auto& [id, entry] : this->blackboard.jobs) {
-        if (!entry.record.specification.attached || Model::isFinal(entry.record.state))
-            continue;
-        entry.record.reason = stoppingReason;
-        this->answerAttached(entry);
-        this->gangs.stop(id, stoppingReason, now);
-    }
-    for (auto& [id, submission] : this->submissions) {
-        if (submission.caller != 0)
-            answerDocument(this->outbox, submission.caller, Utils::HttpStatus::timeout,
-                { { "outcome", "unknown" }, { "id", id }, { "reason", stoppingReason } }, notReadyRetryAfter);
-        submission.caller = 0;
-    }
-}
-
 std::size_t JobController::unfinished() const
 {
     const auto open = std::ranges::count_if(
--- /dev/null
+++ b/src/libs/controllers/jobhandover.cpp
@@ -0,0 +1,103 @@
+#include "controllers/jobcontroller.h"
+
+#include "controllers/documentanswers.h"
+#include "utils/httpstatus.h"
+
+// Jobs that pass from one daemon to another.
+
+namespace WisteriaHill::Controllers {
+
+namespace {
+
+using Model::JobEntry;
+using Model::JobRecord;
+using Model::JobState;
+using Utils::Event;
+
+constexpr Duration notReadyRetryAfter { 1000 };
+constexpr const char* stoppingReason = "this entry host stops; ask another one";
+
+} // namespace
+
+void JobController::takeOver(const LapsedSession& session, SteadyTime now)
+{
+    if (this->released || !this->sessions.holds(now))
+        return;
+    this->takeover.scan(session, {});
+}
+
+void JobController::onTakenOver(const JobRecord& record, Model::RowVersion version, SteadyTime now)
+{
+    this->outbox.log(Event::JobTakenOver, record.id.value());
+    JobEntry entry { .record = record, .version = version, .queuedSince = now };
+    entry.note(now, "taken over from a daemon that is gone");
+    this->resume(this->blackboard.jobs.emplace(record.id, std::move(entry)).first->second, now);
+}
+
+void JobController::resume(JobEntry& entry, SteadyTime now)
+{
+    const bool attemptCommitted = entry.record.state != JobState::Queued && !entry.record.placement.empty();
+    if (!attemptCommitted) {
+        entry.record.state = JobState::Queued;
+        if (entry.record.cancelRequested)
+            this->cancelEntry(entry, now);
+        return;
+    }
+    entry.record.state = JobState::Starting;
+    entry.mayHaveRun = true;
+    entry.startSent = true;
+    entry.runningSince = now;
+    GangAttempt attempt { .terms = this->termsOf(entry),
+        .plan = { .members = entry.record.placement },
+        .payload = entry.record.specification.payload,
+        .resumeFrom = entry.record.checkpointed };
+    this->gangs.adopt(std::move(attempt), now);
+    if (entry.record.cancelRequested)
+        this->cancelEntry(entry, now);
+}
+
+void JobController::release(SteadyTime now)
+{
+    if (std::exchange(this->released, true))
+        return;
+    for (auto& [id, entry] : this->blackboard.jobs)
+        this->releaseEntry(entry, now);
+}
+
+void JobController::releaseEntry(JobEntry& entry, SteadyTime now)
+{
+    if (Model::isFinal(entry.record.state))
+        return;
+    if (entry.record.specification.attached) {
+        if (entry.record.state == JobState::Queued)
+            this->finish(entry, JobState::Failed, stoppingReason, now);
+        return;
+    }
+    entry.note(now, "let go by a graceful stop");
+    const bool unstarted
+        = entry.record.state == JobState::Reserving || (entry.record.state == JobState::Starting && !entry.startSent);
+    if (unstarted)
+        entry.record.state = JobState::Queued;
+    entry.record.owner = Model::EntryHostId();
+    entry.record.ownerIncarnation = 0;
+    this->persist(entry, now);
+}
+
+void JobController::giveUp(SteadyTime now)
+{
+    for (auto& [id, entry] : this->blackboard.jobs) {
+        if (!entry.record.specification.attached || Model::isFinal(entry.record.state))
+            continue;
+        entry.record.reason = stoppingReason;
+        this->answerAttached(entry);
+        this->gangs.stop(id, stoppingReason, now);
+    }
+    for (auto& [id, submission] : this->submissions) {
+        if (submission.caller != 0)
+            answerDocument(this->outbox, submission.caller, Utils::HttpStatus::timeout,
+                { { "outcome", "unknown" }, { "id", id }, { "reason", stoppingReason } }, notReadyRetryAfter);
+        submission.caller = 0;
+    }
+}
+
+} // namespace WisteriaHill::Controllers
--- a/src/libs/controllers/leasegateway.cpp
+++ b/src/libs/controllers/leasegateway.cpp
@@ -86,4 +86,15 @@
         done(answer->report, now);
 }
 
+std::string outcomeText(const LeaseOutcome& outcome)
+{
+    if (const auto* refusal = std::get_if<Model::LeaseRefusal>(&outcome))
+        return std::string(Model::leaseRefusalName(*refusal));
+    if (const auto* error = std::get_if<Model::BackendError>(&outcome))
+        return std::string(Model::backendErrorName(*error));
+    return std::string(Model::leaseStateName(std::get<Model::LeaseGranted>(outcome).state));
+}
+
+bool isRefused(const LeaseOutcome& outcome) { return std::holds_alternative<Model::LeaseRefusal>(outcome); }
+
 } // namespace WisteriaHill::Controllers
--- a/src/libs/controllers/leasegateway.h
+++ b/src/libs/controllers/leasegateway.h
@@ -59,4 +59,10 @@
     std::map<Model::BackendServerId, PendingBatch> pending;
 };
 
+/// The outcome in a few words, for reasons and logs.
+std::string outcomeText(const LeaseOutcome& outcome);
+
+/// True when the server has refused the operation, so that it had no effect.
+bool isRefused(const LeaseOutcome& outcome);
+
 } // namespace WisteriaHill::Controllers
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -2,10 +2,7 @@
 
 #include "utils/checkedjson.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <iomanip>
 #include <sstream>
 
@@ -73,17 +70,20 @@
 {
 }
 
-void Callers::start() { asio::co_spawn(this->context, this->submitJobs(), asio::detached); }
+void Callers::start()
+{
+    asio::spawn(this->context, [this](const asio::yield_context& yield) { this->submitJobs(yield); });
+}
 
 int Callers::random(int lowest, int highest)
 {
     return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
 }
 
-asio::awaitable<void> Callers::wait(Moment milliseconds)
+void Callers::wait(Moment milliseconds, const boost::asio::yield_context& yield)
 {
     asio::steady_timer timer(this->context, std::chrono::milliseconds(milliseconds));
-    co_await timer.async_wait(asio::use_awaitable);
+    timer.async_wait(yield);
 }
 
 std::vector<PlannedStep> Callers::randomSteps()
@@ -108,7 +108,7 @@
     }
 }
 
-asio::awaitable<void> Callers::submitJobs()
+void Callers::submitJobs(const boost::asio::yield_context& yield)
 {
     while (this->submitting) {
         auto caller = std::make_shared<Caller>();
@@ -120,12 +120,13 @@
         caller->body = bodyOf(steps);
         this->history.jobs[caller->id].steps = steps;
         ++this->open;
-        asio::co_spawn(this->context, this->followJob(caller), asio::detached);
-        co_await this->wait(this->random(shortestPause, longestPause));
+        asio::spawn(
+            this->context, [this, caller](const asio::yield_context& yield) { this->followJob(caller, yield); });
+        this->wait(this->random(shortestPause, longestPause), yield);
     }
 }
 
-asio::awaitable<Call> Callers::call(std::shared_ptr<Caller> caller, CallKind kind)
+Call Callers::call(const std::shared_ptr<Caller>& caller, CallKind kind, const boost::asio::yield_context& yield)
 {
     if (!caller->connection || !caller->connection->isOpen()) {
         caller->daemon = this->random(0, this->fleet.daemonCount() - 1);
@@ -139,7 +140,7 @@
         question.method = "DELETE";
     }
     Call made { .kind = kind, .daemon = caller->daemon, .sent = now() };
-    const HttpAnswer answer = co_await caller->connection->call(question);
+    const HttpAnswer answer = caller->connection->call(question, yield);
     made.over = now();
     made.status = answer.status;
     made.broken = answer.broken;
@@ -147,42 +148,42 @@
     if (kind == CallKind::State && body.is_object() && body.contains("State"))
         made.state = body.at("State").get<std::string>();
     this->history.jobs.at(caller->id).calls.push_back(made);
-    co_return made;
+    return made;
 }
 
-asio::awaitable<bool> Callers::submit(std::shared_ptr<Caller> caller)
+bool Callers::submit(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield)
 {
     bool undecided = false; ///< an earlier attempt may have been taken
     for (;;) {
-        const Call made = co_await this->call(caller, CallKind::Submit);
+        const Call made = this->call(caller, CallKind::Submit, yield);
         if (isSuccess(made.status))
-            co_return true;
+            return true;
         undecided = undecided || !isRefusal(made.status);
         if (!undecided && this->random(1, 100) <= givenUpPercent)
-            co_return false;
-        co_await this->wait(retryInterval);
+            return false;
+        this->wait(retryInterval, yield);
     }
 }
 
-asio::awaitable<void> Callers::followJob(std::shared_ptr<Caller> caller)
+void Callers::followJob(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield)
 {
     const bool cancels = this->random(1, 100) <= cancelledPercent;
     const bool repeats = this->random(1, 100) <= repeatedPercent;
-    if (co_await this->submit(caller)) {
+    if (this->submit(caller, yield)) {
         if (repeats) {
-            co_await this->wait(this->random(0, 2000));
-            co_await this->call(caller, CallKind::Submit);
+            this->wait(this->random(0, 2000), yield);
+            this->call(caller, CallKind::Submit, yield);
         }
         if (cancels) {
-            co_await this->wait(this->random(0, 1000));
-            while (!isSuccess((co_await this->call(caller, CallKind::Cancel)).status))
-                co_await this->wait(retryInterval);
+            this->wait(this->random(0, 1000), yield);
+            while (!isSuccess((this->call(caller, CallKind::Cancel, yield)).status))
+                this->wait(retryInterval, yield);
         }
         for (;;) {
-            const Call asked = co_await this->call(caller, CallKind::State);
+            const Call asked = this->call(caller, CallKind::State, yield);
             if (asked.state == "completed" || asked.state == "failed" || asked.state == "cancelled")
                 break;
-            co_await this->wait(pollInterval);
+            this->wait(pollInterval, yield);
         }
     }
     --this->open;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -4,6 +4,7 @@
 #include "soak/fleet.h"
 #include "soak/httpconnection.h"
 
+#include <boost/asio/spawn.hpp>
 #include <memory>
 #include <random>
 
@@ -26,11 +27,11 @@
 private:
     struct Caller;
 
-    boost::asio::awaitable<void> submitJobs();
-    boost::asio::awaitable<void> followJob(std::shared_ptr<Caller> caller);
-    boost::asio::awaitable<bool> submit(std::shared_ptr<Caller> caller);
-    boost::asio::awaitable<Call> call(std::shared_ptr<Caller> caller, CallKind kind);
-    boost::asio::awaitable<void> wait(Moment milliseconds);
+    void submitJobs(const boost::asio::yield_context& yield);
+    void followJob(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield);
+    bool submit(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield);
+    Call call(const std::shared_ptr<Caller>& caller, CallKind kind, const boost::asio::yield_context& yield);
+    void wait(Moment milliseconds, const boost::asio::yield_context& yield);
     std::vector<PlannedStep> randomSteps();
     int random(int lowest, int highest);
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -2,10 +2,7 @@
 
 #include "soak/httpconnection.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 
 namespace WisteriaHill::Soak {
@@ -36,14 +33,17 @@
 {
 }
 
-void FaultInjector::start(Moment end) { asio::co_spawn(this->context, this->run(end), asio::detached); }
+void FaultInjector::start(Moment end)
+{
+    asio::spawn(this->context, [this, end](const asio::yield_context& yield) { this->run(end, yield); });
+}
 
 int FaultInjector::random(int lowest, int highest)
 {
     return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
 }
 
-asio::awaitable<void> FaultInjector::run(Moment end)
+void FaultInjector::run(Moment end, const boost::asio::yield_context& yield)
 {
     asio::steady_timer timer(this->context);
     while (now() < end) {
@@ -51,21 +51,22 @@
         const int times = this->random(1, 100) <= repeatPercent ? 2 : 1;
         for (int time = 0; time < times; ++time) {
             ++this->active;
-            asio::co_spawn(
-                this->context, this->inject(fault, this->random(shortestFault, longestFault)), asio::detached);
+            asio::spawn(this->context, [this, fault](const asio::yield_context& yield) {
+                this->inject(fault, this->random(shortestFault, longestFault), yield);
+            });
             timer.expires_after(std::chrono::milliseconds(this->random(shortestGap, longestGap)));
-            co_await timer.async_wait(asio::use_awaitable);
+            timer.async_wait(yield);
         }
     }
     this->finished = true;
 }
 
-asio::awaitable<void> FaultInjector::inject(Fault fault, Moment length)
+void FaultInjector::inject(const Fault& fault, Moment length, const boost::asio::yield_context& yield)
 {
     this->log << now() << " " << fault.name << " for " << length << " ms" << std::endl;
     fault.begin();
     asio::steady_timer timer(this->context, std::chrono::milliseconds(length));
-    co_await timer.async_wait(asio::use_awaitable);
+    timer.async_wait(yield);
     if (fault.end) {
         fault.end();
         this->log << now() << " " << fault.name << " ended" << std::endl;
@@ -73,11 +74,12 @@
     --this->active;
 }
 
-asio::awaitable<void> FaultInjector::tellStandIn(std::uint16_t port, std::string path, std::string body)
+void FaultInjector::tellStandIn(
+    std::uint16_t port, const std::string& path, const std::string& body, const boost::asio::yield_context& yield)
 {
     HttpConnection connection(this->context, port);
     const HttpQuestion question = postOf(path, body);
-    co_await connection.call(question);
+    connection.call(question, yield);
 }
 
 FaultInjector::Fault FaultInjector::randomFault()
@@ -152,7 +154,8 @@
 FaultInjector::Fault FaultInjector::standInFault()
 {
     const auto tell = [this](std::uint16_t port, const std::string& path, const std::string& body) {
-        asio::co_spawn(this->context, this->tellStandIn(port, path, body), asio::detached);
+        asio::spawn(this->context,
+            [this, port, path, body](const asio::yield_context& yield) { this->tellStandIn(port, path, body, yield); });
     };
     constexpr int kinds = 3;
     const int kind = this->random(1, kinds);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -3,6 +3,7 @@
 
 #include "soak/fleet.h"
 
+#include <boost/asio/spawn.hpp>
 #include <fstream>
 #include <functional>
 #include <random>
@@ -27,9 +28,10 @@
         std::function<void()> end; ///< may be empty
     };
 
-    boost::asio::awaitable<void> run(Moment end);
-    boost::asio::awaitable<void> inject(Fault fault, Moment length);
-    boost::asio::awaitable<void> tellStandIn(std::uint16_t port, std::string path, std::string body);
+    void run(Moment end, const boost::asio::yield_context& yield);
+    void inject(const Fault& fault, Moment length, const boost::asio::yield_context& yield);
+    void tellStandIn(
+        std::uint16_t port, const std::string& path, const std::string& body, const boost::asio::yield_context& yield);
     Fault randomFault();
     Fault processFault();
     Fault linkFault();
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -1,8 +1,6 @@
 /// The processes of a soak: a store, backend servers and daemons, with proxies between them.
 #pragma once
 
-#include <utility> // boost/asio/awaitable.hpp needs it
-
 #include "soak/childprocess.h"
 #include "soak/history.h"
 #include "soak/proxy.h"
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -147,7 +147,7 @@
             this->checkState(id, job, call, cancelSent);
             const bool isFinal = call.state == "completed" || call.state == "failed" || call.state == "cancelled";
             if (!finalState.empty() && call.sent > this->finalShown[id] && call.state != finalState)
-                this->found.push_back(id + ": shown as " + call.state + " after " + finalState);
+                this->reportChange(id, finalState, call.state);
             if (isFinal && finalState.empty()) {
                 finalState = call.state;
                 this->finalShown[id] = call.over;
@@ -158,6 +158,11 @@
             this->checkCancelled(id, cancelAnswered);
     }
 
+    void reportChange(const std::string& id, const std::string& from, const std::string& to)
+    {
+        this->found.push_back(id + ": shown as " + to + " after " + from);
+    }
+
     void checkState(const std::string& id, const JobHistory& job, const Call& call, Moment cancelSent)
     {
         if (call.state == "completed") {
@@ -210,12 +215,17 @@
             for (const Call& call : job.calls) {
                 const bool during = call.daemon == stop.daemon && call.sent < stop.gone && call.over >= stop.asked;
                 if (during && call.broken && call.over - call.sent > connectionLoss)
-                    this->found.push_back(id + ": a graceful stop of " + name + " cut off a call after "
-                        + std::to_string(call.over - call.sent) + " ms");
+                    this->reportCutOff(id, name, call.over - call.sent);
             }
         }
     }
 
+    void reportCutOff(const std::string& id, const std::string& daemon, Moment after)
+    {
+        this->found.push_back(
+            id + ": a graceful stop of " + daemon + " cut off a call after " + std::to_string(after) + " ms");
+    }
+
     const History& history;
     std::map<std::string, std::vector<const Run*>> runsByTask;
     std::map<std::string, Moment> finalShown;
--- a/tests/soak/httpconnection.cpp
+++ b/tests/soak/httpconnection.cpp
@@ -1,9 +1,5 @@
-#include <utility> // boost/asio/awaitable.hpp needs it
-
 #include "soak/httpconnection.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -18,7 +14,7 @@
 
 } // namespace
 
-asio::awaitable<HttpAnswer> HttpConnection::call(HttpQuestion question)
+HttpAnswer HttpConnection::call(const HttpQuestion& question, const boost::asio::yield_context& yield)
 {
     boost::system::error_code error;
     HttpAnswer answer;
@@ -26,7 +22,7 @@
         this->stream.emplace(this->context);
         this->stream->expires_after(question.timeout);
         const asio::ip::tcp::endpoint target(asio::ip::address_v4::loopback(), this->port);
-        co_await this->stream->async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+        this->stream->async_connect(target, yield[error]);
     }
     if (!error) {
         http::request<http::string_body> request(
@@ -38,12 +34,11 @@
             request.set(http::field::authorization, "Bearer " + question.key);
         request.prepare_payload();
         this->stream->expires_after(question.timeout);
-        co_await http::async_write(*this->stream, request, asio::redirect_error(asio::use_awaitable, error));
+        http::async_write(*this->stream, request, yield[error]);
         boost::beast::flat_buffer buffer;
         http::response<http::string_body> response;
         if (!error)
-            co_await http::async_read(
-                *this->stream, buffer, response, asio::redirect_error(asio::use_awaitable, error));
+            http::async_read(*this->stream, buffer, response, yield[error]);
         answer.broken = error && error != boost::beast::error::timeout;
         if (!error) {
             answer.status = static_cast<int>(response.result_int());
@@ -54,7 +49,7 @@
     }
     if (error)
         this->stream.reset();
-    co_return answer;
+    return answer;
 }
 
 } // namespace WisteriaHill::Soak
--- a/tests/soak/httpconnection.h
+++ b/tests/soak/httpconnection.h
@@ -1,8 +1,8 @@
 /// An HTTP client connection that is kept for further calls.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 #include <cstdint>
@@ -36,7 +36,7 @@
     }
 
     /// Connects when it must. The connection must outlive the call.
-    boost::asio::awaitable<HttpAnswer> call(HttpQuestion question);
+    HttpAnswer call(const HttpQuestion& question, const boost::asio::yield_context& yield);
 
     /// False once the peer has ended it or a call has failed.
     bool isOpen() const { return this->stream.has_value(); }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -6,10 +6,8 @@
 #include "utils/base64.h"
 #include "utils/checkedjson.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -51,13 +49,6 @@
     return { .method = "POST", .path = "/-/rows-tx", .body = Json { { "Write", Json::array({ row }) } }.dump() };
 }
 
-/// Ends the soak with the error of one of its parts.
-void rethrow(const std::exception_ptr& error)
-{
-    if (error)
-        std::rethrow_exception(error);
-}
-
 class Soaker {
 public:
     Soaker(asio::io_context& context, const FleetOptions& options, std::uint64_t seed, Moment faultTime)
@@ -69,25 +60,25 @@
     {
     }
 
-    asio::awaitable<void> run()
+    void run(const boost::asio::yield_context& yield)
     {
-        asio::co_spawn(this->context, this->tick(), rethrow);
+        asio::spawn(this->context, [this](const asio::yield_context& yield) { this->tick(yield); });
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
-            co_await this->waitUntilReady(daemon);
+            this->waitUntilReady(daemon, yield);
         this->callers.start();
         this->faults.start(now() + this->faultTime);
         while (!this->faults.isHealed())
-            co_await this->wait(tickInterval);
-        co_await this->wait(contactTime);
+            this->wait(tickInterval, yield);
+        this->wait(contactTime, yield);
         this->history.healed = now();
-        co_await this->changeConfiguration();
+        this->changeConfiguration(yield);
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
-            co_await this->replace(daemon);
+            this->replace(daemon, yield);
         this->callers.stopSubmitting();
         const Moment begin = now();
         while (this->callers.openJobs() > 0 && now() < begin + settleBound)
-            co_await this->wait(tickInterval);
-        co_await this->stopAll();
+            this->wait(tickInterval, yield);
+        this->stopAll(yield);
         this->history.finished = now();
         this->fleet.readHistory(this->history);
         for (const std::string& broken : brokenPromises(this->history))
@@ -110,81 +101,81 @@
     }
 
 private:
-    asio::awaitable<void> wait(Moment milliseconds)
+    void wait(Moment milliseconds, const boost::asio::yield_context& yield)
     {
         asio::steady_timer timer(this->context, std::chrono::milliseconds(milliseconds));
-        co_await timer.async_wait(asio::use_awaitable);
+        timer.async_wait(yield);
     }
 
-    asio::awaitable<void> tick()
+    void tick(const boost::asio::yield_context& yield)
     {
         for (;;) {
             this->fleet.tick();
-            co_await this->wait(tickInterval);
+            this->wait(tickInterval, yield);
         }
     }
 
-    asio::awaitable<void> waitUntilReady(int daemon)
+    void waitUntilReady(int daemon, const boost::asio::yield_context& yield)
     {
         const Moment begin = now();
         for (;;) {
             HttpConnection connection(this->context, this->fleet.readinessPort(daemon));
-            if ((co_await connection.call(questionFor("/-/readyz"))).status == ok)
-                co_return;
+            if ((connection.call(questionFor("/-/readyz"), yield)).status == ok)
+                return;
             if (now() > begin + startBound) {
                 this->findings.push_back("daemon " + std::to_string(daemon) + " did not become ready");
-                co_return;
+                return;
             }
-            co_await this->wait(tickInterval);
+            this->wait(tickInterval, yield);
         }
     }
 
     /// Stops a daemon gracefully and waits until its successor serves.
-    asio::awaitable<void> replace(int daemon)
+    void replace(int daemon, const boost::asio::yield_context& yield)
     {
         this->fleet.stopDaemon(daemon, true);
         const Moment begin = now();
         while (this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
-            co_await this->wait(tickInterval);
+            this->wait(tickInterval, yield);
         while (!this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
-            co_await this->wait(tickInterval);
-        co_await this->waitUntilReady(daemon);
+            this->wait(tickInterval, yield);
+        this->waitUntilReady(daemon, yield);
     }
 
-    asio::awaitable<void> stopAll()
+    void stopAll(const boost::asio::yield_context& yield)
     {
         this->fleet.stopRestarting();
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
             this->fleet.stopDaemon(daemon, true);
         const Moment begin = now();
         while (this->fleet.isAnyDaemonRunning() && now() < begin + stopBound)
-            co_await this->wait(tickInterval);
+            this->wait(tickInterval, yield);
         if (this->fleet.isAnyDaemonRunning())
             this->findings.push_back("a daemon did not stop");
     }
 
     /// Adds one key of the account; every daemon must take it within the bound, and refuse one that never was.
-    asio::awaitable<void> changeConfiguration()
+    void changeConfiguration(const boost::asio::yield_context& yield)
     {
         HttpConnection store(this->context, this->fleet.storePort());
         const HttpAnswer read
-            = co_await store.call(questionFor("/-/rows-get?Table=op&part=&StartKey=config&To=&Limit=1"));
+            = store.call(questionFor("/-/rows-get?Table=op&part=&StartKey=config&To=&Limit=1"), yield);
         Json row = Json::parse(read.body).at("rows").at(0);
         Json document = Json::parse(*Utils::fromBase64(row.at("Value").get<std::string>()));
         document["Version"] = document.at("Version").get<int>() + 1;
         document["Tenants"][0]["ApiKeys"].push_back("added-key");
         row["Value"] = Utils::toBase64(document.dump());
         row.erase("Ver");
-        const HttpAnswer written = co_await store.call(writeOf(row));
+        const HttpAnswer written = store.call(writeOf(row), yield);
         if (written.status != ok) {
             this->findings.push_back("the store did not take the configuration");
-            co_return;
+            return;
         }
-        co_await this->wait(configurationBound);
+        this->wait(configurationBound, yield);
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon) {
             HttpConnection connection(this->context, this->fleet.callersPort(daemon));
-            const HttpAnswer added = co_await connection.call(questionFor("/score/0000000000000000", "added-key"));
-            const HttpAnswer unknown = co_await connection.call(questionFor("/score/0000000000000000", "stolen"));
+            const HttpAnswer added = connection.call(questionFor("/score/0000000000000000", "added-key"), yield);
+            const HttpAnswer unknown = connection.call(questionFor("/score/0000000000000000", "stolen"), yield);
             if (added.status == unauthorised || added.status == 0)
                 this->findings.push_back("daemon " + std::to_string(daemon) + ": the new key is not in force");
             if (unknown.status != unauthorised)
@@ -219,7 +210,7 @@
             .daemons = static_cast<int>(number("--daemons")),
             .servers = static_cast<int>(number("--servers")) },
         static_cast<std::uint64_t>(number("--seed")), number("--seconds") * msPerSecond);
-    asio::co_spawn(context, soaker.run(), rethrow);
+    asio::spawn(context, [&soaker](const asio::yield_context& yield) { soaker.run(yield); });
     context.run();
     return soaker.report() ? 0 : 1;
 }
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -1,13 +1,7 @@
-#include <utility> // boost/asio/awaitable.hpp needs it
-
 #include "soak/proxy.h"
 
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 namespace WisteriaHill::Soak {
@@ -32,9 +26,9 @@
 } // namespace
 
 struct Proxy::Session {
-    explicit Session(tcp::socket client)
-        : client(std::move(client))
-        , server(this->client.get_executor())
+    explicit Session(asio::io_context& context)
+        : client(context)
+        , server(context)
     {
     }
 
@@ -54,7 +48,7 @@
     , acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), port))
     , target(asio::ip::address_v4::loopback(), targetPort)
 {
-    asio::co_spawn(context, this->accept(), asio::detached);
+    asio::spawn(context, [this](const asio::yield_context& yield) { this->accept(yield); });
 }
 
 bool Proxy::isFaulty() const
@@ -79,35 +73,38 @@
     }
 }
 
-asio::awaitable<void> Proxy::accept()
+void Proxy::accept(const boost::asio::yield_context& yield)
 {
     for (;;) {
-        auto session = std::make_shared<Session>(co_await this->acceptor.async_accept(asio::use_awaitable));
+        auto session = std::make_shared<Session>(this->context);
+        this->acceptor.async_accept(session->client, yield);
         if (this->fault.refuse) {
             session->reset();
             continue;
         }
         this->sessions.remove_if([](const std::weak_ptr<Session>& open) { return open.expired(); });
         this->sessions.push_back(session);
-        asio::co_spawn(this->context, this->connect(session), asio::detached);
+        asio::spawn(
+            this->context, [this, session](const asio::yield_context& yield) { this->connect(session, yield); });
     }
 }
 
-asio::awaitable<void> Proxy::connect(std::shared_ptr<Session> session)
+void Proxy::connect(const std::shared_ptr<Session>& session, const boost::asio::yield_context& yield)
 {
     error_code error;
-    co_await session->server.async_connect(this->target, asio::redirect_error(asio::use_awaitable, error));
+    session->server.async_connect(this->target, yield[error]);
     if (error) {
         session->reset();
-        co_return;
+        return;
     }
     session->client.set_option(tcp::no_delay(true), error);
     session->server.set_option(tcp::no_delay(true), error);
-    asio::co_spawn(this->context, this->pump(session, true), asio::detached);
-    asio::co_spawn(this->context, this->pump(session, false), asio::detached);
+    asio::spawn(this->context, [this, session](const asio::yield_context& yield) { this->pump(session, true, yield); });
+    asio::spawn(
+        this->context, [this, session](const asio::yield_context& yield) { this->pump(session, false, yield); });
 }
 
-asio::awaitable<void> Proxy::pump(std::shared_ptr<Session> session, bool toTarget)
+void Proxy::pump(const std::shared_ptr<Session>& session, bool toTarget, const boost::asio::yield_context& yield)
 {
     tcp::socket& from = toTarget ? session->client : session->server;
     tcp::socket& into = toTarget ? session->server : session->client;
@@ -115,22 +112,20 @@
     std::array<char, pieceBytes> piece {};
     error_code error;
     while (!error) {
-        const std::size_t size
-            = co_await from.async_read_some(asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t size = from.async_read_some(asio::buffer(piece), yield[error]);
         while ((toTarget ? this->fault.silentToTarget : this->fault.silentToClient) || session->silenced) {
             timer.expires_after(heldCheckInterval);
-            co_await timer.async_wait(asio::use_awaitable);
+            timer.async_wait(yield);
             if (!session->client.is_open())
-                co_return;
+                return;
         }
         if (this->fault.delay.count() > 0) {
             timer.expires_after(this->fault.delay);
-            co_await timer.async_wait(asio::use_awaitable);
+            timer.async_wait(yield);
         }
         if (size > 0) {
             error_code writeError;
-            co_await asio::async_write(
-                into, asio::buffer(piece.data(), size), asio::redirect_error(asio::use_awaitable, writeError));
+            asio::async_write(into, asio::buffer(piece.data(), size), yield[writeError]);
             error = error ? error : writeError;
         }
     }
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -1,9 +1,9 @@
 /// A TCP proxy on loopback whose connections can be delayed, reset, silenced or refused.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
 #include <chrono>
 #include <cstdint>
 #include <list>
@@ -37,9 +37,9 @@
 private:
     struct Session;
 
-    boost::asio::awaitable<void> accept();
-    boost::asio::awaitable<void> connect(std::shared_ptr<Session> session);
-    boost::asio::awaitable<void> pump(std::shared_ptr<Session> session, bool toTarget);
+    void accept(const boost::asio::yield_context& yield);
+    void connect(const std::shared_ptr<Session>& session, const boost::asio::yield_context& yield);
+    void pump(const std::shared_ptr<Session>& session, bool toTarget, const boost::asio::yield_context& yield);
 
     boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -24,7 +24,6 @@
 using namespace Scheduling;
 using Adapters::HttpExchangeId;
 using Adapters::HttpRequest;
-using Adapters::HttpResponse;
 using TestSupport::RunEvent;
 using TestSupport::ServerHealth;
 namespace HttpStatus = Utils::HttpStatus;
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -136,10 +136,9 @@
         this->done.insert(task);
     this->ended.push_back({ .number = ++this->lastNumber, .task = task, .attempt = attempt, .end = how });
     this->closedAttempts[task] = attempt;
-    const TaskName ended = task; // may refer to the entry that goes
-    this->active.erase(ended);
-    this->needs.erase(ended);
-    this->report({ .kind = RunEvent::Kind::Ended, .task = ended, .attempt = attempt, .end = how });
+    this->active.erase(task);
+    this->needs.erase(task);
+    this->report({ .kind = RunEvent::Kind::Ended, .task = task, .attempt = attempt, .end = how });
 }
 
 void FakeServer::releaseDelayedOrders()
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,4 +1,4 @@
-#include "support/fleet.h"
+#include "support/fleetparts.h"
 
 #include "utils/result.h"
 
@@ -8,20 +8,12 @@
 
 namespace {
 
-using Controllers::CallAnswer;
 using Controllers::DaemonCore;
-using Controllers::LeaseBatchResult;
-using Controllers::RunResult;
-using Model::BackendError;
-using Model::TableAnswer;
-using Model::TableError;
 
 constexpr Duration tickInterval { 50 };
-constexpr Duration leaseCheckInterval { 25 };
 constexpr std::uint16_t firstPeerPort = 9000;
 constexpr std::uint64_t largestDelayMs = 4;
 constexpr Duration stopBound { 30'000 };
-constexpr std::uint32_t slots = 8;
 constexpr std::uint32_t accelerators = 8;
 
 Duration parsePeriod(const Utils::Json& policy)
@@ -31,42 +23,6 @@
 
 } // namespace
 
-struct Fleet::Host {
-    std::unique_ptr<DaemonCore> core;
-    std::uint64_t life = 0; ///< one per process; messages to earlier ones are lost
-    bool paused = false;
-    bool exited = false;
-    Model::Revision revision = 0; ///< last seen in force
-    bool cutFromPlatform = false;
-    bool cutFromPeers = false;
-    std::set<std::size_t> cutServers;
-    std::deque<Input> deferred; ///< while paused
-    std::set<Model::CallerId> openCallers;
-};
-
-struct Fleet::Server {
-    Server(std::uint32_t count, Model::Incarnation incarnation)
-        : state(count, incarnation)
-    {
-    }
-    ServerState state;
-    bool alive = true;
-    bool silent = false;
-    bool failsEverything = false;
-    Duration serviceTime { 0 };
-    std::uint32_t busySlots = 0;
-    std::uint64_t run = 0;
-    std::uint64_t life = 0;
-    SteadyTime lastNewWork;
-};
-
-struct Fleet::Call {
-    std::size_t host = 0;
-    std::uint64_t life = 0;
-    Controllers::CallId id = 0;
-    bool answered = false;
-};
-
 Fleet::Fleet(FleetOptions givenOptions)
     : options(std::move(givenOptions))
     , random(this->options.seed)
@@ -229,239 +185,6 @@
     }
 }
 
-std::shared_ptr<Fleet::Call> Fleet::open(
-    std::size_t host, Controllers::CallId id, Duration timeout, const CallAnswer& timeoutAnswer)
-{
-    auto call = std::make_shared<Call>(Call { .host = host, .life = this->hosts[host]->life, .id = id });
-    this->queue.after(timeout, [this, call, timeoutAnswer]() { this->answerCall(call, timeoutAnswer, Duration(0)); });
-    return call;
-}
-
-void Fleet::answerCall(const std::shared_ptr<Call>& call, const CallAnswer& answer, Duration delay)
-{
-    this->queue.after(delay, [this, call, answer]() {
-        if (std::exchange(call->answered, true))
-            return;
-        this->deliver(call->host, call->life,
-            [this, call, answer](DaemonCore& core) { core.callAnswered(call->id, answer, this->now()); });
-    });
-}
-
-CallAnswer Fleet::lostRequest(const CallAnswer& asUnknown, const CallAnswer& asNotSent) const
-{
-    return this->options.broken == BrokenVariant::LostRequestReportedAsNotSent ? asNotSent : asUnknown;
-}
-
-void Fleet::perform(std::size_t index, const Controllers::CallTable& effect)
-{
-    const auto call = this->open(index, effect.call, effect.timeout, TableAnswer(TableError::Unknown));
-    if (this->faults.platformDown || this->hosts[index]->cutFromPlatform) {
-        // Half of the calls find no connection, the others lose theirs.
-        if (this->random.chance(0.5))
-            this->answerCall(call, TableAnswer(TableError::NotSent), this->networkDelay());
-        return;
-    }
-    Model::TableOperation operation = effect.operation;
-    if (this->options.broken == BrokenVariant::TableIgnoresConditions) {
-        if (auto* transaction = std::get_if<Model::TableTransaction>(&operation))
-            transaction->conditions.clear();
-    }
-    // A slow platform carries a call out even when its caller has given up.
-    this->queue.after(this->networkDelay() + this->faults.platformDelay, [this, call, operation]() {
-        const TableAnswer answer = this->tableState.apply(operation);
-        const bool write = std::holds_alternative<Model::TableTransaction>(operation);
-        const bool lost
-            = this->hosts[call->host]->cutFromPlatform || (write && this->random.chance(this->faults.loseTableAnswers));
-        if (!lost)
-            this->answerCall(call, answer, this->networkDelay());
-    });
-}
-
-void Fleet::perform(std::size_t index, const Controllers::FetchHostList& effect)
-{
-    const Controllers::HostListResult away = Controllers::HostListError::Unavailable;
-    const auto call = this->open(index, effect.call, effect.timeout, away);
-    if (!this->faults.platformDown && !this->hosts[index]->cutFromPlatform)
-        this->answerCall(call, Controllers::HostListResult(this->listed), this->networkDelay());
-}
-
-bool Fleet::reachable(std::size_t host, std::size_t server) const
-{
-    return !this->hosts[host]->cutServers.contains(server) && !this->servers[server]->silent;
-}
-
-void Fleet::perform(std::size_t index, const Controllers::RunOnServer& effect)
-{
-    const std::size_t server = this->serverIndex(effect.server.id);
-    const auto call = this->open(index, effect.call, effect.timeout, RunResult(BackendError::TimedOut));
-    if (!this->servers[server]->alive) {
-        this->answerCall(call, RunResult(BackendError::NotSent), this->networkDelay());
-        return;
-    }
-    const bool lostThere = !this->reachable(index, server) || this->random.chance(this->faults.loseRequests);
-    if (lostThere)
-        return;
-    this->queue.after(this->networkDelay(), [this, server, call, request = effect.request]() {
-        if (this->servers[server]->alive)
-            this->runRequest(server, call, request);
-    });
-}
-
-void Fleet::runRequest(std::size_t index, const std::shared_ptr<Call>& call, const Model::RunRequest& request)
-{
-    Server& server = *this->servers[index];
-    if (server.state.isLeaving()) {
-        this->answerCall(call, RunResult(BackendError::Leaving), this->networkDelay());
-        return;
-    }
-    if (server.busySlots >= slots) {
-        this->answerCall(call, RunResult(BackendError::Busy), this->networkDelay());
-        return;
-    }
-    this->facts.ran(request.body);
-    ++server.run;
-    server.lastNewWork = this->now();
-    if (server.failsEverything) {
-        this->answerCall(call, RunResult(BackendError::Failed), this->networkDelay());
-        return;
-    }
-    ++server.busySlots;
-    this->queue.after(server.serviceTime, [this, index, call, request, life = server.life]() {
-        Server& running = *this->servers[index];
-        if (!running.alive || running.life != life) {
-            this->answerCall(call, RunResult(BackendError::Truncated), this->networkDelay());
-            return;
-        }
-        --running.busySlots;
-        const bool lostBack = !this->reachable(call->host, index) || this->random.chance(this->faults.loseAnswers);
-        if (lostBack) {
-            const CallAnswer unknown = RunResult(BackendError::Truncated);
-            this->answerCall(call, this->lostRequest(unknown, RunResult(BackendError::NotSent)), this->networkDelay());
-            return;
-        }
-        const bool swapped = this->options.broken == BrokenVariant::AnswersSwapped && this->random.chance(0.1);
-        RunResult answer = Model::RunAnswer { .body = swapped ? "answer to another" : "answer to " + request.body,
-            .busySlots = running.busySlots,
-            .leaving = running.state.isLeaving() };
-        this->answerCall(call, answer, this->networkDelay());
-    });
-}
-
-void Fleet::perform(std::size_t index, const Controllers::SendLeaseBatch& effect)
-{
-    const std::size_t server = this->serverIndex(effect.server.id);
-    const auto call = this->open(index, effect.call, effect.timeout, LeaseBatchResult(BackendError::TimedOut));
-    if (!this->servers[server]->alive) {
-        this->answerCall(call, LeaseBatchResult(BackendError::NotSent), this->networkDelay());
-        return;
-    }
-    if (!this->reachable(index, server) || this->random.chance(this->faults.loseRequests))
-        return;
-    this->queue.after(this->networkDelay(), [this, server, call, batch = effect.batch]() {
-        if (this->servers[server]->alive)
-            this->applyLeases(server, call, batch);
-    });
-}
-
-void Fleet::applyLeases(std::size_t index, const std::shared_ptr<Call>& call, const Model::LeaseBatch& batch)
-{
-    Server& server = *this->servers[index];
-    const bool newWork = std::ranges::any_of(batch.operations,
-        [](const Model::LeaseOperation& operation) { return std::holds_alternative<Model::ReserveLease>(operation); });
-    Model::LeaseBatchAnswer answer = server.state.apply(batch, this->now());
-    answer.report.busySlots = server.busySlots;
-    const bool granted = std::ranges::any_of(answer.results,
-        [](const Model::LeaseResult& result) { return std::holds_alternative<Model::LeaseGranted>(result); });
-    if (newWork && granted)
-        server.lastNewWork = this->now();
-    this->collectChanges(index);
-    if (this->reachable(call->host, index) && !this->random.chance(this->faults.loseAnswers))
-        this->answerCall(call, LeaseBatchResult(std::move(answer)), this->networkDelay());
-}
-
-void Fleet::scheduleLeaseCheck(std::size_t index)
-{
-    this->queue.after(leaseCheckInterval, [this, index]() {
-        this->servers[index]->state.advance(this->now());
-        this->collectChanges(index);
-        this->scheduleLeaseCheck(index);
-    });
-}
-
-void Fleet::collectChanges(std::size_t index)
-{
-    ServerState& state = this->servers[index]->state;
-    for (const std::uint64_t gangToken : state.takeReserved())
-        this->facts.memberReserved(gangToken, this->serverId(index));
-    for (TaskChange change : state.takeChanges()) {
-        change.server = this->serverId(index);
-        this->facts.taskChanged(change);
-    }
-}
-
-void Fleet::perform(std::size_t index, const Controllers::SendHeartbeat& effect)
-{
-    const std::size_t target = this->hostAt(effect.to);
-    const bool cut = target >= this->hosts.size() || this->hosts[index]->cutFromPeers
-        || this->hosts[target]->cutFromPeers || this->random.chance(this->faults.loseHeartbeats);
-    if (cut)
-        return;
-    this->queue.after(this->networkDelay(), [this, target, heartbeat = effect.heartbeat]() {
-        this->deliver(target, this->hosts[target]->life,
-            [this, heartbeat](DaemonCore& core) { core.heartbeatReceived(heartbeat, this->now()); });
-    });
-}
-
-void Fleet::perform(std::size_t index, const Controllers::AskPeer& effect)
-{
-    const Controllers::PeerResult unreachable = Controllers::PeerError::Unreachable;
-    const auto call = this->open(index, effect.call, effect.timeout, unreachable);
-    const std::size_t target = this->hostAt(effect.to);
-    const bool cut = target >= this->hosts.size() || this->hosts[index]->cutFromPeers
-        || this->hosts[target]->cutFromPeers || !this->hosts[target]->core;
-    if (cut)
-        return;
-    this->queue.after(this->networkDelay(), [this, target, call, question = effect.question]() {
-        this->deliver(target, this->hosts[target]->life, [this, call, question](DaemonCore& core) {
-            const Model::PeerReply reply = core.answerPeer(question, this->now());
-            this->answerCall(call, Controllers::PeerResult(reply), this->networkDelay());
-        });
-    });
-}
-
-void Fleet::perform(std::size_t index, const Controllers::AnswerCaller& effect)
-{
-    this->hosts[index]->openCallers.erase(effect.caller);
-    this->facts.answered(effect.caller, effect.answer);
-}
-
-void Fleet::perform(std::size_t, const Controllers::AnswerDocument& effect)
-{
-    if (!this->documents.emplace(effect.caller, effect).second)
-        this->facts.violation("an operator got two answers");
-}
-
-void Fleet::perform(std::size_t index, const Controllers::LogEvent& effect)
-{
-    const auto sinceStart
-        = std::chrono::duration_cast<Duration>(this->now().time_since_epoch() - std::chrono::hours(1));
-    const std::string where = "host" + std::to_string(index) + " at " + std::to_string(sinceStart.count()) + " ms: ";
-    this->events.push_back({ effect.event, where + effect.details });
-}
-
-void Fleet::perform(std::size_t index, const Controllers::ExitProcess&)
-{
-    Host& host = *this->hosts[index];
-    if (!host.openCallers.empty())
-        this->facts.violation("a graceful stop cut off " + std::to_string(host.openCallers.size()) + " requests");
-    host.exited = true;
-    // The core is still on the stack; it goes at once after this input.
-    this->queue.after(Duration(0), [this, index, life = host.life]() {
-        if (this->hosts[index]->life == life)
-            this->kill(index);
-    });
-}
-
 std::size_t Fleet::serverIndex(const Model::BackendServerId& id) const
 {
     for (std::size_t index = 0; index < this->servers.size(); ++index) {
