Ends of a server that restarted unnoticed are not forgotten unseen

Cause: each look carried the number up to which ends may be forgotten. A server that restarted under its id while idle counts its ends anew, and forgot those below the old number before a daemon had seen them; its tasks were taken for lost and ran again. Ruled out: the lease (never lapsed), a stale leader (one term all along). The number is sent until a look with it was answered by the same incarnation, and not after a look without an answer. A start that is under way to a server that restarted is sent again there. Tests: two cases of tst_scheduler, both failed before.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -120,6 +120,7 @@
     SteadyTime clockReadAt {};
     std::int64_t handled = 0; ///< ends up to this number were taken over into the blackboard
     std::int64_t acknowledged = 0; ///< ends up to this number are stored
+    std::int64_t forgotten = 0; ///< ends up to this number were forgotten by the server, as it has confirmed
     bool lookOpen = false;
     std::uint64_t lookSerial = 0; ///< of the newest look; answers of older ones are ignored
     SteadyTime nextLookAt {};
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -146,7 +146,10 @@
 
 void ServerMonitor::look(BackendServer& server, SteadyTime now)
 {
-    LookOrder order { .token = this->token, .acknowledged = server.acknowledged };
+    // Acknowledged once only: a server that restarted unnoticed counts its ends anew, and would forget them unseen.
+    LookOrder order { .token = this->token,
+        .acknowledged
+        = server.acknowledged > server.forgotten && server.unansweredLooks == 0 ? server.acknowledged : 0 };
     const bool pending = server.handled > server.acknowledged;
     order.wait = server.lookSoon || pending || !server.fenced || server.occupants.empty() ? Duration(0)
         : this->looksOften(server)                                                        ? shortLookWait
@@ -162,12 +165,14 @@
     this->effects.push(ServerCall { .server = server.address,
         .order = order,
         .timeout = order.wait + lookSlack,
-        .done = [this, id = server.address.id, serial, now](
-                    const OrderResult& result) { this->lookAnswered(id, serial, now, result); } });
+        .done
+        = [this, id = server.address.id, serial, now, acknowledged = order.acknowledged](const OrderResult& result) {
+              this->lookAnswered(id, serial, { now, acknowledged }, result);
+          } });
 }
 
 void ServerMonitor::lookAnswered(
-    const std::string& id, std::uint64_t serial, SteadyTime sentAt, const OrderResult& result)
+    const std::string& id, std::uint64_t serial, const SentLook& look, const OrderResult& result)
 {
     const SteadyTime now = this->clock();
     const auto found = this->board.servers.find(id);
@@ -176,7 +181,7 @@
     BackendServer& server = found->second;
     server.lookOpen = false;
     if (const auto* answer = std::get_if<LookAnswer>(&result)) {
-        this->takeAnswer(server, *answer, sentAt, now);
+        this->takeAnswer(server, *answer, look, now);
         return;
     }
     if (const auto* refusal = std::get_if<OrderRefusal>(&result)) {
@@ -195,7 +200,7 @@
     this->changed = true;
 }
 
-void ServerMonitor::takeAnswer(BackendServer& server, const LookAnswer& answer, SteadyTime sentAt, SteadyTime now)
+void ServerMonitor::takeAnswer(BackendServer& server, const LookAnswer& answer, const SentLook& look, SteadyTime now)
 {
     if (server.unansweredLooks > 0)
         this->effects.log(Event::ServerReachable,
@@ -208,7 +213,9 @@
     server.clock = answer.clock;
     server.clockReadAt = now;
     if (server.incarnation != answer.startedAt)
-        this->incarnationChanged(server, answer, now);
+        this->incarnationChanged(server, answer, look.sentAt, now);
+    else
+        server.forgotten = std::max(server.forgotten, look.acknowledged);
     for (const EndedRun& ended : answer.ended) {
         if (ended.number <= server.handled)
             continue;
@@ -216,18 +223,20 @@
         server.handled = ended.number;
         this->changed = true;
     }
-    this->compareRuns(server, answer, sentAt, now);
+    this->compareRuns(server, answer, look.sentAt, now);
     server.nextLookAt = needsLook(server) ? now : now + idleLookInterval;
     if (server.handled > server.acknowledged)
         server.nextLookAt = SteadyTime::max(); // until the ends are stored
 }
 
-void ServerMonitor::incarnationChanged(BackendServer& server, const LookAnswer& answer, SteadyTime now)
+void ServerMonitor::incarnationChanged(
+    BackendServer& server, const LookAnswer& answer, SteadyTime sentAt, SteadyTime now)
 {
     const bool first = server.incarnation == 0;
     server.incarnation = answer.startedAt;
     server.handled = 0;
     server.acknowledged = 0;
+    server.forgotten = 0;
     std::set<TaskName> known;
     for (const ActiveRun& active : answer.active)
         known.insert(active.task);
@@ -239,12 +248,17 @@
                 { "runs", server.occupants.size() } });
     const std::map<TaskName, Resources> occupants = server.occupants;
     for (const auto& [name, need] : occupants) {
-        const Task* task = this->board.findTask(name);
+        Task* task = this->board.findTask(name);
         const bool current = task && task->run && task->run->server == server.address.id;
-        if (!current)
+        if (!current) {
             server.occupants.erase(name);
-        else if (task->run->incarnation != answer.startedAt && !known.contains(name)
-            && task->run->phase != RunPhase::Recording)
+            continue;
+        }
+        if (task->run->incarnation == answer.startedAt || known.contains(name))
+            continue;
+        // A start without an answer may still arrive; it is sent again and settles there.
+        task->run->incarnation = answer.startedAt;
+        if (isOver(*task->run, sentAt, this->options.stopTime))
             this->tracker.runLost(name, RunLoss::ServerRestarted, now);
     }
     this->changed = true;
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -56,9 +56,14 @@
 
 private:
     void look(BackendServer& server, SteadyTime now);
-    void lookAnswered(const std::string& id, std::uint64_t serial, SteadyTime sentAt, const OrderResult& result);
-    void takeAnswer(BackendServer& server, const LookAnswer& answer, SteadyTime sentAt, SteadyTime now);
-    void incarnationChanged(BackendServer& server, const LookAnswer& answer, SteadyTime now);
+    struct SentLook {
+        SteadyTime sentAt {};
+        std::int64_t acknowledged = 0; ///< that it carried
+    };
+
+    void lookAnswered(const std::string& id, std::uint64_t serial, const SentLook& look, const OrderResult& result);
+    void takeAnswer(BackendServer& server, const LookAnswer& answer, const SentLook& look, SteadyTime now);
+    void incarnationChanged(BackendServer& server, const LookAnswer& answer, SteadyTime sentAt, SteadyTime now);
     void compareRuns(BackendServer& server, const LookAnswer& answer, SteadyTime sentAt, SteadyTime now);
     void noteActive(BackendServer& server, const ActiveRun& active, SteadyTime now);
     void startAnswered(const TaskName& name, int attempt, const std::string& server, const OrderResult& result);
--- a/tests/auto/scheduling/tst_scheduler_faults.cpp
+++ b/tests/auto/scheduling/tst_scheduler_faults.cpp
@@ -154,6 +154,42 @@
     CHECK(bench.runUntil("job", JobState::Completed, 4s));
 }
 
+TEST_CASE("ends on a server that restarted unnoticed are not forgotten unseen")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 1 });
+    bench.run(2s);
+    bench.submit("first", "ordinary", { makeStep(5, 1, 300ms) });
+    REQUIRE(bench.runUntil("first", JobState::Completed, 3s));
+    bench.run(1s); // idle, so that no look notices the restart
+    bench.server(0).restart();
+    bench.submit("second", "ordinary", { makeStep(3, 1, 300ms) });
+    CHECK(bench.runUntil("second", JobState::Completed, 4s));
+    CHECK(bench.startsOf("second") == 3);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a start that is under way to a server that restarted is not given up")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 2 });
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        bench.server(index).restart();
+        bench.server(index).delayOrders = 4;
+    }
+    bench.submit("job", "ordinary", { makeStep(1, 1, 6s) });
+    bench.run(500ms);
+    FakeServer& chosen = bench.server(0).delayOrders < 4 ? bench.server(0) : bench.server(1);
+    FakeServer& other = &chosen == &bench.server(0) ? bench.server(1) : bench.server(0);
+    other.delayOrders = 0;
+    chosen.entry.draining = true; // a run that is given up goes to the other one
+    bench.putEntry(chosen);
+    bench.run(1300ms); // the look that tells of the restart has been answered
+    chosen.releaseDelayedOrders();
+    bench.run(2s);
+    CHECK(bench.activeTasks("job") == 1);
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("a server that fails everything does not use up the attempts of a job")
 {
     SchedulerBench bench({ .racks = 1, .serversPerRack = 4 });
