A look follows until a server has confirmed which ends it may forget

Cause: after a look without an answer the number is left out once; on an idle server the next look came 5 s later. tst_scheduler passes (42 cases).

--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -31,7 +31,7 @@
 
 bool needsLook(const BackendServer& server)
 {
-    return !server.fenced || !server.occupants.empty() || server.handled > server.acknowledged;
+    return !server.fenced || !server.occupants.empty() || server.handled > server.forgotten;
 }
 
 /// True for a run that a look sent at `sentAt` would have listed, were it still there.
