A former leader tells its successor of the successes that it could not store

Runs that ended well and are not stored are remembered; after the leadership is lost they go out with heartbeats, a dozen at a time, for 30 s. The scheduler takes them as late successes. Protocol version of heartbeats: 4. Ruled out: storing them by the former leader itself; its transactions must fail, since they expect its leadership row.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -278,7 +278,7 @@
     this->runEffects();
 }
 
-Scheduling::PeerHeartbeat FleetDaemon::ownHeartbeat(SteadyTime now) const
+Scheduling::PeerHeartbeat FleetDaemon::ownHeartbeat(SteadyTime now)
 {
     const Scheduling::MemberRow& self = this->peers.own();
     const bool scheduling = this->scheduler.isActive();
@@ -295,7 +295,8 @@
         .leaving = this->stopping,
         .storeReachable = this->storeRoute.isDirect() && this->storeRoute.isReachable(now),
         .wallOffset = this->wallOffset(now).count(),
-        .pending = scheduling ? this->scheduler.summary().pending : std::map<std::string, std::int64_t> {} };
+        .pending = scheduling ? this->scheduler.summary().pending : std::map<std::string, std::int64_t> {},
+        .successes = this->scheduler.successesToTell(now) };
 }
 
 void FleetDaemon::sendHeartbeats(SteadyTime now)
@@ -323,6 +324,7 @@
         this->scheduler.leadership().heardLeader(heartbeat->node, heartbeat->term, now);
     else if (heartbeat->leaving && heartbeat->node == this->scheduler.leadership().leaderNode())
         this->scheduler.leadership().heardStepDown(heartbeat->term, now);
+    this->scheduler.takeSuccesses(heartbeat->successes, now);
     this->configuration.heardVersion(heartbeat->configurationVersion, now);
 }
 
--- a/src/app/fleetdaemon.h
+++ b/src/app/fleetdaemon.h
@@ -41,7 +41,7 @@
     void runEffects();
     void execute(Scheduling::Effect effect);
     void sendHeartbeats(SteadyTime now);
-    Scheduling::PeerHeartbeat ownHeartbeat(SteadyTime now) const;
+    Scheduling::PeerHeartbeat ownHeartbeat(SteadyTime now);
     void heartbeatReceived(const std::string& bytes);
     void answerPending(const Scheduling::CallerContext& context, const Scheduling::AnswerCaller& answer);
     void answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -4,6 +4,7 @@
 #include "scheduling/fleetconfiguration.h"
 #include "scheduling/serverorders.h"
 #include "scheduling/statestore.h"
+#include "scheduling/unstoredsuccesses.h"
 
 #include <map>
 #include <memory>
@@ -148,6 +149,7 @@
     std::shared_ptr<const FleetConfiguration> configuration;
     std::map<std::string, Job> jobs;
     std::map<std::string, BackendServer> servers;
+    UnstoredSuccesses unstoredSuccesses; ///< kept when the leadership is lost
     std::set<std::string> dirtyJobs; ///< jobs with rows that differ from the stored ones
     bool advisedQueues = false; ///< some queue needs placement advice
     bool servingTasks = false; ///< some job has tasks with a latency target
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -206,8 +206,8 @@
         // A run of an earlier attempt or of a gang that is done: only its room and a success matter.
         if (!task || !task->run || task->run->server != server.address.id)
             server.occupants.erase(ended.task);
-        if (task && ended.end == RunEnd::Done)
-            this->takeLateSuccess(server, ended, *task, now);
+        if (ended.end == RunEnd::Done)
+            this->takeLateSuccess(server.address.id, ended.task, ended.attempt, now);
         return;
     }
     Job& job = this->board.jobs.at(ended.task.jobId);
@@ -224,6 +224,8 @@
             { "stopReason", task->run->stopReason } });
 
     if (ended.end == RunEnd::Done) {
+        this->board.unstoredSuccesses.seen(
+            ended.number, { formatTaskName(ended.task), ended.attempt, server.address.id });
         server.failedJobs.clear();
         server.avoidUntil = {};
         server.lastDoneAt = now;
@@ -248,23 +250,32 @@
     this->updateJob(job, now);
 }
 
-void JobTracker::takeLateSuccess(BackendServer& server, const EndedRun& ended, Task& task, SteadyTime now)
+void JobTracker::successReported(const ReportedSuccess& success, SteadyTime now)
 {
-    Job& job = this->board.jobs.at(ended.task.jobId);
-    const StepSpecification& specification = specificationOf(job, ended.task.step);
-    if (job.ended() || task.phase == TaskPhase::Done || specification.longRunning || ended.attempt > task.attempts)
+    TaskName name;
+    if (parseTaskName(success.task, name))
+        this->takeLateSuccess(success.server, name, success.attempt, now);
+}
+
+void JobTracker::takeLateSuccess(const std::string& server, const TaskName& name, int attempt, SteadyTime now)
+{
+    Task* task = this->board.findTask(name);
+    if (!task || task->phase == TaskPhase::Done || attempt > task->attempts)
+        return;
+    Job& job = this->board.jobs.at(name.jobId);
+    const StepSpecification& specification = specificationOf(job, name.step);
+    if (job.ended() || specification.longRunning)
         return;
     this->effects.log(Event::RunEnded,
-        { { "task", formatTaskName(ended.task) }, { "attempt", ended.attempt }, { "server", server.address.id },
-            { "incarnation", server.incarnation }, { "end", runEndName(ended.end) }, { "number", ended.number },
-            { "givenUpBefore", true }, { "newestAttempt", task.attempts } });
-    this->markDirty(ended.task);
+        { { "task", formatTaskName(name) }, { "attempt", attempt }, { "server", server },
+            { "end", runEndName(RunEnd::Done) }, { "givenUpBefore", true }, { "newestAttempt", task->attempts } });
+    this->markDirty(name);
     // A run of a newer attempt is no task's any more; the next look at its server finds and stops it.
-    Occurrence& occurrence = job.occurrences.at(ended.task.occurrence);
+    Occurrence& occurrence = job.occurrences.at(name.occurrence);
     if (specification.gang)
-        this->finishGang(job, occurrence, ended.task.step);
+        this->finishGang(job, occurrence, name.step);
     else
-        this->finishTask(job, occurrence, ended.task.step, task);
+        this->finishTask(job, occurrence, name.step, *task);
     this->updateReadiness(job, occurrence, now);
     this->updateJob(job, now);
 }
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -42,6 +42,9 @@
     /// Takes over an end that a backend server has listed.
     void runEnded(BackendServer& server, const EndedRun& ended, SteadyTime now);
 
+    /// Takes over what a former scheduler saw and could not store.
+    void successReported(const ReportedSuccess& success, SteadyTime now);
+
     /// Returns the task of a run that is surely over to the queue.
     void runLost(const TaskName& name, RunLoss loss, SteadyTime now);
 
@@ -66,7 +69,7 @@
     void finishGang(Job& job, Occurrence& occurrence, int step);
     void countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now);
     /// Takes over that a run which was given up was done all the same, on a server that could not be reached.
-    void takeLateSuccess(BackendServer& server, const EndedRun& ended, Task& task, SteadyTime now);
+    void takeLateSuccess(const std::string& server, const TaskName& name, int attempt, SteadyTime now);
     void judgeServer(BackendServer& server, Job& job, SteadyTime now);
     void requeue(const TaskName& name, Step& step, Task& task, SteadyTime now);
     void stopGang(const TaskName& name, const std::string& reason, SteadyTime now);
--- a/src/libs/scheduling/peers.cpp
+++ b/src/libs/scheduling/peers.cpp
@@ -6,6 +6,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 #include <sstream>
 
 namespace WisteriaHill::Scheduling {
@@ -14,7 +15,7 @@
 
 namespace {
 
-constexpr std::uint32_t protocolVersion = 3;
+constexpr std::uint32_t protocolVersion = 4;
 constexpr std::size_t longestHeartbeat = 60'000; ///< bytes of a datagram
 constexpr Duration storeTimeout { 700 };
 constexpr Duration firstReadInterval { 1000 };
--- a/src/libs/scheduling/peers.h
+++ b/src/libs/scheduling/peers.h
@@ -3,6 +3,7 @@
 
 #include "scheduling/effects.h"
 #include "scheduling/rowcodec.h"
+#include "scheduling/unstoredsuccesses.h"
 
 #include <functional>
 #include <map>
@@ -28,12 +29,13 @@
     bool storeReachable = false; ///< without the help of another daemon
     std::int64_t wallOffset = 0; ///< time of day less the store's time, ms
     std::map<std::string, std::int64_t> pending; ///< of the leader: jobs without a started task, by queue
+    std::vector<ReportedSuccess> successes; ///< of a former leader: runs whose ends it could not store
 
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(this->node, this->zone, this->address, this->heartbeatPort, this->relayPort, this->incarnation,
             this->configurationVersion, this->term, this->leading, this->scheduling, this->leaving,
-            this->storeReachable, this->wallOffset, this->pending);
+            this->storeReachable, this->wallOffset, this->pending, this->successes);
     }
 };
 
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -187,6 +187,7 @@
     this->loaded = true;
     for (auto& [id, server] : this->board.servers)
         server.address.id = id;
+    this->takeSuccesses(this->board.unstoredSuccesses.takeAll(), now); // of an earlier term of this daemon
     this->monitor.begin(this->leader.term(), now);
     this->effects.log(Event::SchedulerLoaded,
         { { "term", this->leader.term() }, { "jobs", this->board.jobs.size() },
@@ -461,6 +462,19 @@
     }
 }
 
+std::vector<ReportedSuccess> Scheduler::successesToTell(SteadyTime now)
+{
+    return this->leader.isLeader() ? std::vector<ReportedSuccess>() : this->board.unstoredSuccesses.takeNext(now);
+}
+
+void Scheduler::takeSuccesses(const std::vector<ReportedSuccess>& successes, SteadyTime now)
+{
+    if (!this->isActive())
+        return;
+    for (const ReportedSuccess& success : successes)
+        this->tracker.successReported(success, now);
+}
+
 FleetSummary Scheduler::summary() const
 {
     FleetSummary summary;
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -74,6 +74,13 @@
     const Leadership& leadership() const { return this->leader; }
     const Board& state() const { return this->board; }
     FleetSummary summary() const;
+
+    /// What this daemon, when it does not lead, tells the others with its next heartbeat.
+    std::vector<ReportedSuccess> successesToTell(SteadyTime now);
+
+    /// Takes over what a former scheduler tells; ignored when this daemon doesn't schedule.
+    void takeSuccesses(const std::vector<ReportedSuccess>& successes, SteadyTime now);
+
     Effects& pendingEffects() { return this->effects; }
 
     /// True when the leader has read all rows and schedules.
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -130,6 +130,7 @@
         || number <= found->second.acknowledged)
         return;
     found->second.acknowledged = number;
+    this->board.unstoredSuccesses.stored(id, number);
     found->second.nextLookAt = now;
 }
 
--- /dev/null
+++ b/src/libs/scheduling/unstoredsuccesses.cpp
@@ -0,0 +1,55 @@
+#include "scheduling/unstoredsuccesses.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling {
+
+namespace {
+
+constexpr std::size_t successesPerHeartbeat = 12; ///< keep a heartbeat within one packet
+constexpr std::size_t mostRemembered = 400;
+/// Outlasts the cuts after which a server's end can still matter; later the task has run again.
+constexpr Duration tellingPeriod { 30'000 };
+
+} // namespace
+
+void UnstoredSuccesses::seen(std::int64_t number, ReportedSuccess success)
+{
+    this->tellingSince.reset();
+    if (this->entries.size() >= mostRemembered)
+        this->entries.pop_front();
+    this->entries.push_back({ number, std::move(success) });
+}
+
+void UnstoredSuccesses::stored(const std::string& server, std::int64_t number)
+{
+    std::erase_if(
+        this->entries, [&](const Entry& entry) { return entry.success.server == server && entry.number <= number; });
+}
+
+std::vector<ReportedSuccess> UnstoredSuccesses::takeNext(SteadyTime now)
+{
+    if (!this->tellingSince)
+        this->tellingSince = now;
+    if (now - *this->tellingSince > tellingPeriod)
+        this->entries.clear();
+    std::vector<ReportedSuccess> next;
+    const std::size_t count = std::min(this->entries.size(), successesPerHeartbeat);
+    for (std::size_t index = 0; index < count; ++index) {
+        next.push_back(this->entries.front().success);
+        this->entries.push_back(std::move(this->entries.front()));
+        this->entries.pop_front();
+    }
+    return next;
+}
+
+std::vector<ReportedSuccess> UnstoredSuccesses::takeAll()
+{
+    std::vector<ReportedSuccess> all;
+    for (Entry& entry : this->entries)
+        all.push_back(std::move(entry.success));
+    this->entries.clear();
+    return all;
+}
+
+} // namespace WisteriaHill::Scheduling
--- a/tests/auto/scheduling/tst_scheduler_faults.cpp
+++ b/tests/auto/scheduling/tst_scheduler_faults.cpp
@@ -68,6 +68,29 @@
     CHECK(bench.activeTasks("job") == 0);
 }
 
+TEST_CASE("a former leader tells its successor of the successes that it could not store")
+{
+    SchedulerBench bench({ .daemons = 2 });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 4s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    const std::size_t former = bench.leader();
+    FakeServer& leaving = bench.serverRunning("job");
+    bench.isolate(former);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        const std::string& id = bench.server(index).entry.id;
+        bench.cut(id == leaving.entry.id ? 1 - former : former, id);
+    }
+    bench.run(5s); // the task is done, and the former leader has seen it
+    REQUIRE(leaving.active.empty());
+    leaving.alive = false;
+    bench.removeEntry(leaving);
+    bench.run(5s);
+    REQUIRE(bench.startsOf("job") == 2);
+    bench.heal();
+    CHECK(bench.runUntil("job", JobState::Completed, 2s));
+}
+
 TEST_CASE("another daemon takes over from a killed leader within two seconds and adopts its runs")
 {
     SchedulerBench bench({ .daemons = 3 });
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -203,7 +203,8 @@
     while (daemon.alive && !daemon.scheduler->pendingEffects().empty()) {
         Effect effect = daemon.scheduler->pendingEffects().pop();
         if (auto* commit = std::get_if<CommitCall>(&effect)) {
-            const CommitResult result = this->store.commit(commit->transaction);
+            const CommitResult result = this->isolated.contains(index) ? CommitResult(StoreError::Unknown)
+                                                                       : this->store.commit(commit->transaction);
             const bool lost
                 = std::holds_alternative<StoreError>(result) && std::get<StoreError>(result) == StoreError::Unknown;
             this->answer(
@@ -211,10 +212,11 @@
                 lost ? commit->timeout : networkDelay);
         } else if (auto* read = std::get_if<ReadCall>(&effect)) {
             ++this->storeReads;
-            const ReadResult result = this->store.read(read->range);
+            const bool silent = this->store.silent || this->isolated.contains(index);
+            const ReadResult result = silent ? ReadResult(StoreError::Unknown) : this->store.read(read->range);
             this->answer(
                 index, [done = std::move(read->done), result]() { done(result); },
-                this->store.silent ? read->timeout : networkDelay);
+                silent ? read->timeout : networkDelay);
         } else if (auto* watch = std::get_if<WatchCall>(&effect)) {
             this->watches.push_back({ this->time + watch->wait, index, daemon.life, std::move(*watch) });
         } else if (const auto* advice = std::get_if<AdviceCall>(&effect)) {
@@ -325,13 +327,22 @@
 {
     if (this->time.time_since_epoch() % heartbeatInterval != std::chrono::nanoseconds(0))
         return;
-    for (const auto& from : this->daemons) {
-        if (!from->alive || from->paused || !from->scheduler->leadership().isLeader())
+    const auto talks = [this](std::size_t index) {
+        return this->daemons[index]->alive && !this->daemons[index]->paused && !this->isolated.contains(index);
+    };
+    for (std::size_t sender = 0; sender < this->daemons.size(); ++sender) {
+        if (!talks(sender))
             continue;
-        const Leadership& leading = std::as_const(*from->scheduler).leadership();
-        for (const auto& to : this->daemons) {
-            if (to->alive && !to->paused && to != from)
-                to->scheduler->leadership().heardLeader(leading.leaderNode(), leading.term(), this->time);
+        Scheduler& from = *this->daemons[sender]->scheduler;
+        const Leadership& leading = std::as_const(from).leadership();
+        const std::vector<ReportedSuccess> successes = from.successesToTell(this->time);
+        for (std::size_t receiver = 0; receiver < this->daemons.size(); ++receiver) {
+            if (!talks(receiver) || receiver == sender)
+                continue;
+            Scheduler& to = *this->daemons[receiver]->scheduler;
+            if (leading.isLeader())
+                to.leadership().heardLeader(leading.leaderNode(), leading.term(), this->time);
+            to.takeSuccesses(successes, this->time);
         }
     }
 }
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -86,7 +86,13 @@
 
     /// Cuts a daemon off from a server: orders get no answer and are not carried out.
     void cut(std::size_t daemon, const std::string& server) { this->cuts.emplace(daemon, server); }
-    void heal() { this->cuts.clear(); }
+    /// Cuts a daemon off from the store and the other daemons.
+    void isolate(std::size_t daemon) { this->isolated.insert(daemon); }
+    void heal()
+    {
+        this->cuts.clear();
+        this->isolated.clear();
+    }
 
     Scheduling::SteadyTime now() const { return this->time; }
 
@@ -146,6 +152,7 @@
     std::vector<WaitingLook> looks;
     std::vector<WaitingWatch> watches;
     std::set<std::pair<std::size_t, std::string>> cuts;
+    std::set<std::size_t> isolated;
     std::map<std::string, Scheduling::JobRecord> submitted;
     std::map<Scheduling::TaskName, std::set<int>> seenAttempts;
     std::map<std::string, Scheduling::SteadyTime> upkeepEnds; ///< of servers that are down
