A server is asked before it is told which ends to forget, when its last answer is old

Cause: while ends can't be stored no look is sent; a server that restarted in that time was told to forget ends by the number of its former incarnation once the store was back. The number goes out within 200 ms of an answer; otherwise a look without it comes first.

--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -21,6 +21,8 @@
 /// Orders are sent when they are decided; this finds those to be sent again.
 constexpr Duration orderSweepInterval { 50 };
 constexpr Duration failedLookPause { 150 };
+/// A server that answered this recently has not restarted since; a restart takes longer.
+constexpr Duration answerFreshness { 200 };
 /// A server without runs is looked at this often, to notice runs that orders started late.
 constexpr Duration idleLookInterval { 5000 };
 /// The clocks of backend servers may be slow by 2%, and an order is under way for some time.
@@ -147,14 +149,13 @@
 
 void ServerMonitor::look(BackendServer& server, SteadyTime now)
 {
-    // Acknowledged once only: a server that restarted unnoticed counts its ends anew, and would forget them unseen.
-    LookOrder order { .token = this->token,
-        .acknowledged
-        = server.acknowledged > server.forgotten && server.unansweredLooks == 0 ? server.acknowledged : 0 };
-    const bool pending = server.handled > server.acknowledged;
-    order.wait = server.lookSoon || pending || !server.fenced || server.occupants.empty() ? Duration(0)
-        : this->looksOften(server)                                                        ? shortLookWait
-                                                                                          : lookWait;
+    const bool owed = server.acknowledged > server.forgotten;
+    // A server that restarted unnoticed counts its ends anew, and would forget them unseen.
+    const bool sameIncarnation = server.unansweredLooks == 0 && now - server.clockReadAt <= answerFreshness;
+    LookOrder order { .token = this->token, .acknowledged = owed && sameIncarnation ? server.acknowledged : 0 };
+    const bool answerAtOnce = server.lookSoon || server.handled > server.acknowledged || (owed && !sameIncarnation)
+        || !server.fenced || server.occupants.empty();
+    order.wait = answerAtOnce ? Duration(0) : this->looksOften(server) ? shortLookWait : lookWait;
     // A server that does not answer gets no new lease, so that its runs are surely over some time later.
     if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredLooks == 0) {
         order.leaseEnd = this->leaseEndFor(server, now);
@@ -226,7 +227,7 @@
     }
     this->compareRuns(server, answer, look.sentAt, now);
     server.nextLookAt = needsLook(server) ? now : now + idleLookInterval;
-    if (server.handled > server.acknowledged)
+    if (server.handled > server.acknowledged && server.acknowledged == server.forgotten)
         server.nextLookAt = SteadyTime::max(); // until the ends are stored
 }
 
--- a/tests/auto/scheduling/tst_scheduler_faults.cpp
+++ b/tests/auto/scheduling/tst_scheduler_faults.cpp
@@ -191,6 +191,22 @@
     CHECK(bench.violations().empty());
 }
 
+TEST_CASE("ends on a server that restarted while the store was away are not forgotten unseen")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 1 });
+    bench.run(2s);
+    bench.submit("first", "ordinary", { makeStep(5, 1, 300ms) });
+    REQUIRE(bench.runUntilActive("first", 5, 1s));
+    bench.store.down = true;
+    bench.run(1s); // the ends are seen, and can't be stored
+    bench.server(0).restart();
+    bench.store.down = false;
+    bench.submit("second", "ordinary", { makeStep(3, 1, 20ms) });
+    CHECK(bench.runUntil("second", JobState::Completed, 4s));
+    CHECK(bench.startsOf("second") == 3);
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("a start that is under way to a server that restarted is not given up")
 {
     SchedulerBench bench({ .racks = 1, .serversPerRack = 2 });
--- a/tests/scripts/soak.sh
+++ b/tests/scripts/soak.sh
@@ -3,7 +3,8 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 failed=0
-while read -r seed seconds _; do
-  scripts/soak --seconds "$seconds" --parallel 1 --build "${1:-build}" "$seed" </dev/null || failed=1
-done < <(grep '^[0-9]' tests/soak/seeds.txt)
+for seconds in $(awk '/^[0-9]/ { print $2 }' tests/soak/seeds.txt | sort -un); do
+  mapfile -t seeds < <(awk -v seconds="$seconds" '/^[0-9]/ && $2 == seconds { print $1 }' tests/soak/seeds.txt)
+  scripts/soak --seconds "$seconds" --parallel 3 --build "${1:-build}" "${seeds[@]}" || failed=1
+done
 exit "$failed"
