--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t jobIdLength = 16;
 constexpr Duration storeTimeout { 700 }; ///< the store answers in a few milliseconds unless it is disturbed
+constexpr Duration shortestTimeout { 50 }; ///< a dozen round trips of the store
 constexpr Duration answerReserve { 250 }; ///< of the client's deadline, for the way back
 constexpr int definiteAttempts = 3; ///< when the store says each time that nothing was done
 constexpr Duration retryAfterStoreFailure { 1000 };
@@ -58,6 +59,12 @@
     return wellFormed ? std::optional(id) : std::nullopt;
 }
 
+Duration Intake::timeoutWithin(SteadyTime deadline) const
+{
+    const auto left = std::chrono::duration_cast<Duration>(deadline - answerReserve - this->clock());
+    return std::clamp(left, shortestTimeout, storeTimeout);
+}
+
 bool Intake::mayRetry(SteadyTime deadline) const
 {
     return this->clock() + answerReserve < deadline && !this->storeFails();
@@ -120,7 +127,7 @@
     const RowKey key = jobRow(submission->record.id);
     this->effects.push(CommitCall {
         .transaction = { .expected = { { key, 0 } }, .writes = { { key, encodeJob(submission->record) } } },
-        .timeout = storeTimeout,
+        .timeout = this->timeoutWithin(submission->deadline),
         .done = [this, submission](const CommitResult& result) { this->submissionAnswered(submission, result); } });
 }
 
@@ -172,7 +179,7 @@
 {
     this->effects.push(CommitCall { .transaction = { .expected = { { jobRow(lookup->id), lookup->version } },
                                         .writes = { { jobRow(cancelKey(lookup->id)), "cancel" } } },
-        .timeout = storeTimeout,
+        .timeout = this->timeoutWithin(lookup->deadline),
         .done = [this, lookup](const CommitResult& result) { this->cancelAnswered(lookup, result); } });
 }
 
@@ -213,7 +220,7 @@
 void Intake::readState(const std::shared_ptr<Lookup>& lookup)
 {
     this->effects.push(ReadCall { .range = singleRow(StoreTable::states, StoreTable::schedulerPartition, lookup->id),
-        .timeout = storeTimeout,
+        .timeout = this->timeoutWithin(lookup->deadline),
         .done = [this, lookup](const ReadResult& result) {
             const auto* page = std::get_if<RowPage>(&result);
             if (!page && this->mayRetry(lookup->deadline)) {
@@ -247,7 +254,7 @@
 void Intake::readJob(const std::shared_ptr<Lookup>& lookup)
 {
     this->effects.push(ReadCall { .range = singleRow(StoreTable::jobs, StoreTable::intakePartition, lookup->id),
-        .timeout = storeTimeout,
+        .timeout = this->timeoutWithin(lookup->deadline),
         .done = [this, lookup](const ReadResult& result) {
             const auto* page = std::get_if<RowPage>(&result);
             if (!page && this->mayRetry(lookup->deadline)) {
--- a/src/libs/scheduling/intake.h
+++ b/src/libs/scheduling/intake.h
@@ -85,6 +85,8 @@
     void readJob(const std::shared_ptr<Lookup>& lookup);
     void refuse(const std::string& id, const CallerAnswer& answer, const AnswerCaller& reply);
     bool mayRetry(SteadyTime deadline) const;
+    /// How long a store call may take so that the client is answered before its deadline.
+    Duration timeoutWithin(SteadyTime deadline) const;
 
     Effects& effects;
     std::function<SteadyTime()> clock;
--- a/tests/auto/scheduling/tst_intake.cpp
+++ b/tests/auto/scheduling/tst_intake.cpp
@@ -118,6 +118,34 @@
     CHECK(bench.now - begin < 1000ms);
 }
 
+TEST_CASE("every call is answered before its client's deadline")
+{
+    IntakeBench bench;
+    bench.store.silent = true;
+    bench.context.deadline = Duration(GENERATE(300, 1000, 1200, 1700, 3000));
+    const SteadyTime latest = bench.now + bench.context.deadline - Duration(200);
+    SECTION("submission")
+    {
+        bench.submit();
+        REQUIRE(bench.answer);
+        CHECK(bench.answer->outcome == CallerOutcome::Uncertain);
+    }
+    SECTION("state")
+    {
+        bench.intake.state(bench.context, jobId, bench.capture());
+        bench.settle();
+        REQUIRE(bench.answer);
+        CHECK(bench.answer->outcome == CallerOutcome::NotReady);
+    }
+    SECTION("cancel")
+    {
+        bench.intake.cancel(bench.context, jobId, bench.capture());
+        bench.settle();
+        REQUIRE(bench.answer);
+    }
+    CHECK(bench.now <= latest);
+}
+
 TEST_CASE("a job is never refused while a write without an answer may still be carried out")
 {
     IntakeBench bench;
