--- a/tests/auto/soak/tst_promises.cpp
+++ b/tests/auto/soak/tst_promises.cpp
@@ -8,11 +8,13 @@
 
 namespace {
 
+constexpr Moment at(int milliseconds) { return Moment(Duration(milliseconds)); }
+
 constexpr const char* job = "00000000000000aa";
 constexpr const char* firstTask = "00000000000000aa.0.0.0";
 constexpr const char* secondStepTask = "00000000000000aa.0.1.0";
-constexpr Moment healed = 20'000;
-constexpr Moment finished = 60'000;
+constexpr Moment healed = at(20'000);
+constexpr Moment finished = at(60'000);
 
 Run doneRun(const std::string& task, Moment started, Moment ended)
 {
@@ -25,26 +27,29 @@
         .acknowledged = true };
 }
 
-Call submitted(int status) { return { .kind = CallKind::Submit, .sent = 1000, .over = 1010, .status = status }; }
+Call submitted(int status)
+{
+    return { .kind = CallKind::Submit, .sent = at(1000), .over = at(1010), .status = status };
+}
 
 Call shown(const std::string& state, Moment moment)
 {
-    return { .kind = CallKind::State, .sent = moment, .over = moment + 5, .status = 200, .state = state };
+    return { .kind = CallKind::State, .sent = moment, .over = moment + Duration(5), .status = 200, .state = state };
 }
 
 Call cancelledAt(Moment moment)
 {
-    return { .kind = CallKind::Cancel, .sent = moment, .over = moment + 5, .status = 200 };
+    return { .kind = CallKind::Cancel, .sent = moment, .over = moment + Duration(5), .status = 200 };
 }
 
 /// A job of two steps that was accepted, run and shown as completed.
 History soundHistory()
 {
-    History history { .runs = { doneRun(firstTask, 1100, 2000), doneRun(secondStepTask, 2100, 3000) },
+    History history { .runs = { doneRun(firstTask, at(1100), at(2000)), doneRun(secondStepTask, at(2100), at(3000)) },
         .healed = healed,
         .finished = finished };
     history.jobs[job] = { .steps = { {}, { .afterPrevious = true } },
-        .calls = { submitted(200), shown("running", 1500), shown("completed", 4000) } };
+        .calls = { submitted(200), shown("running", at(1500)), shown("completed", at(4000)) } };
     return history;
 }
 
@@ -62,14 +67,16 @@
 TEST_CASE("a task that runs twice at once is noticed")
 {
     History history = soundHistory();
-    history.runs.push_back({ .server = "i-2", .task = firstTask, .attempt = 2, .started = 1500, .ended = 1900 });
+    history.runs.push_back(
+        { .server = "i-2", .task = firstTask, .attempt = 2, .started = at(1500), .ended = at(1900) });
     checkFinds(history, "still ran");
 }
 
 TEST_CASE("a start after an end that was acknowledged is noticed")
 {
     History history = soundHistory();
-    history.runs.push_back({ .server = "i-2", .task = firstTask, .attempt = 2, .started = 2500, .ended = 2900 });
+    history.runs.push_back(
+        { .server = "i-2", .task = firstTask, .attempt = 2, .started = at(2500), .ended = at(2900) });
     checkFinds(history, "was done");
 }
 
@@ -77,21 +84,21 @@
 {
     History history = soundHistory();
     history.runs.front().acknowledged = false;
-    history.runs.push_back(doneRun(firstTask, 2010, 2050));
+    history.runs.push_back(doneRun(firstTask, at(2010), at(2050)));
     CHECK(brokenPromises(history).empty());
 }
 
 TEST_CASE("a step that starts too early is noticed")
 {
     History history = soundHistory();
-    history.runs.back().started = 1900;
+    history.runs.back().started = at(1900);
     checkFinds(history, "before the step that it waits for");
 }
 
 TEST_CASE("a start that nobody asked for is noticed")
 {
     History history = soundHistory();
-    history.runs.push_back(doneRun("00000000000000bb.0.0.0", 1000, 1100));
+    history.runs.push_back(doneRun("00000000000000bb.0.0.0", at(1000), at(1100)));
     checkFinds(history, "nobody asked for it");
 }
 
@@ -114,22 +121,22 @@
     History history = soundHistory();
     SECTION("completed too early")
     {
-        history.jobs[job].calls.back() = shown("completed", 2500);
+        history.jobs[job].calls.back() = shown("completed", at(2500));
         checkFinds(history, "shown as completed before step 1 was done");
     }
     SECTION("failed without cause")
     {
-        history.jobs[job].calls.back() = shown("failed", 4000);
+        history.jobs[job].calls.back() = shown("failed", at(4000));
         checkFinds(history, "failed without cause");
     }
     SECTION("cancelled by nobody")
     {
-        history.jobs[job].calls.back() = shown("cancelled", 4000);
+        history.jobs[job].calls.back() = shown("cancelled", at(4000));
         checkFinds(history, "nobody cancelled it");
     }
     SECTION("another state after the last one")
     {
-        history.jobs[job].calls.push_back(shown("running", 5000));
+        history.jobs[job].calls.push_back(shown("running", at(5000)));
         checkFinds(history, "shown as running after completed");
     }
 }
@@ -139,7 +146,8 @@
     History history = soundHistory();
     SECTION("unknown")
     {
-        history.jobs[job].calls.push_back({ .kind = CallKind::State, .sent = 9000, .over = 9005, .status = 410 });
+        history.jobs[job].calls.push_back(
+            { .kind = CallKind::State, .sent = at(9000), .over = at(9005), .status = 410 });
         checkFinds(history, "unknown to daemon 0");
     }
     SECTION("not ended")
@@ -152,19 +160,20 @@
 TEST_CASE("work for a cancelled job is noticed")
 {
     History history = soundHistory();
-    history.jobs[job].calls = { submitted(200), cancelledAt(1500), shown("cancelled", 2000) };
+    history.jobs[job].calls = { submitted(200), cancelledAt(at(1500)), shown("cancelled", at(2000)) };
     SECTION("a late start")
     {
         history.runs.push_back({ .server = "i-2",
             .task = "00000000000000aa.0.0.1",
             .attempt = 1,
-            .started = healed + 4000,
-            .ended = healed + 4500 });
+            .started = healed + Duration(4000),
+            .ended = healed + Duration(4500) });
         checkFinds(history, "started after the job was cancelled");
     }
     SECTION("a run that goes on")
     {
-        history.runs.push_back({ .server = "i-2", .task = "00000000000000aa.0.0.1", .attempt = 1, .started = 1200 });
+        history.runs.push_back(
+            { .server = "i-2", .task = "00000000000000aa.0.0.1", .attempt = 1, .started = at(1200) });
         checkFinds(history, "runs on");
     }
 }
@@ -179,25 +188,26 @@
     }
     SECTION("a graceful stop with a status")
     {
-        history.stops = { { .asked = 5000, .gone = 6000, .status = 1 } };
+        history.stops = { { .asked = at(5000), .gone = at(6000), .status = 1 } };
         checkFinds(history, "ended with status 1");
     }
     SECTION("a graceful stop that is late")
     {
-        history.stops = { { .asked = 5000, .gone = 12'000, .status = 0 } };
+        history.stops = { { .asked = at(5000), .gone = at(12'000), .status = 0 } };
         checkFinds(history, "took 7000 ms");
     }
     SECTION("a graceful stop that is late after a pause")
     {
-        history.stops = { { .asked = 5000, .resumed = 7000, .gone = 12'900, .status = 0 } };
+        history.stops = { { .asked = at(5000), .resumed = at(7000), .gone = at(12'900), .status = 0 } };
         CHECK(brokenPromises(history).empty());
-        history.stops.front().gone = 13'100;
+        history.stops.front().gone = at(13'100);
         checkFinds(history, "took 6100 ms");
     }
     SECTION("a graceful stop that cuts off a call")
     {
-        history.stops = { { .asked = 5000, .gone = 6000, .status = 0, .calm = true } };
-        history.jobs[job].calls.push_back({ .kind = CallKind::State, .sent = 4900, .over = 5900, .broken = true });
+        history.stops = { { .asked = at(5000), .gone = at(6000), .status = 0, .calm = true } };
+        history.jobs[job].calls.push_back(
+            { .kind = CallKind::State, .sent = at(4900), .over = at(5900), .broken = true });
         checkFinds(history, "cut off a call");
     }
 }
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -14,10 +14,12 @@
 namespace {
 
 constexpr const char* accountKey = "mill-key";
-constexpr int shortestPause = 80; ///< ms between two jobs
-constexpr int longestPause = 350;
-constexpr Moment pollInterval = 350; ///< ms between two questions about a state
-constexpr Moment retryInterval = 300; ///< ms after a refusal or a call without an answer
+constexpr Duration shortestPause { 80 }; ///< between two jobs
+constexpr Duration longestPause { 350 };
+constexpr Duration pollInterval { 350 }; ///< between two questions about a state
+constexpr Duration retryInterval { 300 }; ///< after a refusal or a call without an answer
+constexpr Duration longestRepeatDelay { 2000 };
+constexpr Duration longestCancelDelay { 1000 };
 constexpr int cancelledPercent = 15;
 constexpr int repeatedPercent = 10; ///< submitted again after they were accepted
 constexpr int givenUpPercent = 50; ///< of the refused
@@ -40,9 +42,9 @@
     Json needs = Json::array();
     Json described = Json::array();
     for (const PlannedStep& step : steps) {
-        needs.push_back({ milliCores, megabytes, step.accelerators, step.milliseconds });
+        needs.push_back({ milliCores, megabytes, step.accelerators, step.work.count() });
         Json json { { "Count", step.tasks }, { "Cpu", milliCores }, { "MemMb", megabytes },
-            { "Gpu", step.accelerators }, { "EstimateMs", step.milliseconds } };
+            { "Gpu", step.accelerators }, { "EstimateMs", step.work.count() } };
         if (step.gang)
             json["Gang"] = true;
         if (step.afterPrevious)
@@ -75,14 +77,19 @@
     asio::spawn(this->context, [this](const asio::yield_context& yield) { this->submitJobs(yield); });
 }
 
+Duration Callers::randomDuration(Duration shortest, Duration longest)
+{
+    return Duration(this->random(static_cast<int>(shortest.count()), static_cast<int>(longest.count())));
+}
+
 int Callers::random(int lowest, int highest)
 {
     return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
 }
 
-void Callers::wait(Moment milliseconds, const boost::asio::yield_context& yield)
+void Callers::wait(Duration duration, const boost::asio::yield_context& yield)
 {
-    asio::steady_timer timer(this->context, std::chrono::milliseconds(milliseconds));
+    asio::steady_timer timer(this->context, duration);
     timer.async_wait(yield);
 }
 
@@ -91,20 +98,22 @@
     constexpr int kinds = 3;
     switch (this->random(1, kinds)) {
     case 1:
-        return {
-            { .tasks = this->random(1, 4), .accelerators = this->random(0, 2), .milliseconds = this->random(100, 1500) }
-        };
+        return { { .tasks = this->random(1, 4),
+            .accelerators = this->random(0, 2),
+            .work = this->randomDuration(Duration(100), Duration(1500)) } };
     case 2:
-        return { { .tasks = this->random(1, 3), .accelerators = 1, .milliseconds = this->random(100, 800) },
+        return { { .tasks = this->random(1, 3),
+                     .accelerators = 1,
+                     .work = this->randomDuration(Duration(100), Duration(800)) },
             { .tasks = this->random(1, 2),
                 .afterPrevious = true,
                 .accelerators = 2,
-                .milliseconds = this->random(100, 800) } };
+                .work = this->randomDuration(Duration(100), Duration(800)) } };
     default:
         return { { .tasks = this->random(2, 3),
             .gang = true,
             .accelerators = wholeServer / this->random(1, 2),
-            .milliseconds = this->random(200, 1000) } };
+            .work = this->randomDuration(Duration(200), Duration(1000)) } };
     }
 }
 
@@ -122,7 +131,7 @@
         ++this->open;
         asio::spawn(
             this->context, [this, caller](const asio::yield_context& yield) { this->followJob(caller, yield); });
-        this->wait(this->random(shortestPause, longestPause), yield);
+        this->wait(this->randomDuration(shortestPause, longestPause), yield);
     }
 }
 
@@ -171,11 +180,11 @@
     const bool repeats = this->random(1, 100) <= repeatedPercent;
     if (this->submit(caller, yield)) {
         if (repeats) {
-            this->wait(this->random(0, 2000), yield);
+            this->wait(this->randomDuration(Duration(0), longestRepeatDelay), yield);
             this->call(caller, CallKind::Submit, yield);
         }
         if (cancels) {
-            this->wait(this->random(0, 1000), yield);
+            this->wait(this->randomDuration(Duration(0), longestCancelDelay), yield);
             while (!isSuccess((this->call(caller, CallKind::Cancel, yield)).status))
                 this->wait(retryInterval, yield);
         }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -31,8 +31,9 @@
     void followJob(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield);
     bool submit(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield);
     Call call(const std::shared_ptr<Caller>& caller, CallKind kind, const boost::asio::yield_context& yield);
-    void wait(Moment milliseconds, const boost::asio::yield_context& yield);
+    void wait(Duration duration, const boost::asio::yield_context& yield);
     std::vector<PlannedStep> randomSteps();
+    Duration randomDuration(Duration shortest, Duration longest);
     int random(int lowest, int highest);
 
     boost::asio::io_context& context;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-constexpr int shortestGap = 150; ///< ms between the beginnings of two faults
-constexpr int longestGap = 1400;
-constexpr int shortestFault = 200; ///< ms
-constexpr int longestFault = 4000;
-constexpr int longestDelay = 400; ///< ms a piece, of a slow link
+constexpr Duration shortestGap { 150 }; ///< between the beginnings of two faults
+constexpr Duration longestGap { 1400 };
+constexpr Duration shortestFault { 200 };
+constexpr Duration longestFault { 4000 };
+constexpr Duration longestDelay { 400 }; ///< a piece, of a slow link
 constexpr int repeatPercent = 20; ///< faults that come again at once
 
 HttpQuestion postOf(const std::string& path, const std::string& body)
@@ -38,6 +38,11 @@
     asio::spawn(this->context, [this, end](const asio::yield_context& yield) { this->run(end, yield); });
 }
 
+Duration FaultInjector::randomDuration(Duration shortest, Duration longest)
+{
+    return Duration(this->random(static_cast<int>(shortest.count()), static_cast<int>(longest.count())));
+}
+
 int FaultInjector::random(int lowest, int highest)
 {
     return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
@@ -52,24 +57,25 @@
         for (int time = 0; time < times; ++time) {
             ++this->active;
             asio::spawn(this->context, [this, fault](const asio::yield_context& yield) {
-                this->inject(fault, this->random(shortestFault, longestFault), yield);
+                this->inject(fault, this->randomDuration(shortestFault, longestFault), yield);
             });
-            timer.expires_after(std::chrono::milliseconds(this->random(shortestGap, longestGap)));
+            timer.expires_after(this->randomDuration(shortestGap, longestGap));
             timer.async_wait(yield);
         }
     }
     this->finished = true;
 }
 
-void FaultInjector::inject(const Fault& fault, Moment length, const boost::asio::yield_context& yield)
+void FaultInjector::inject(const Fault& fault, Duration length, const boost::asio::yield_context& yield)
 {
-    this->log << now() << " " << fault.name << " for " << length << " ms" << std::endl;
+    this->log << now().time_since_epoch().count() << " " << fault.name << " for " << length.count() << " ms"
+              << std::endl;
     fault.begin();
-    asio::steady_timer timer(this->context, std::chrono::milliseconds(length));
+    asio::steady_timer timer(this->context, length);
     timer.async_wait(yield);
     if (fault.end) {
         fault.end();
-        this->log << now() << " " << fault.name << " ended" << std::endl;
+        this->log << now().time_since_epoch().count() << " " << fault.name << " ended" << std::endl;
     }
     --this->active;
 }
@@ -143,7 +149,7 @@
     case 4:
         return faulty("cut both ways:", name, { .silentToTarget = true, .silentToClient = true });
     case 5:
-        return faulty("delay", name, { .delay = std::chrono::milliseconds(this->random(1, longestDelay)) });
+        return faulty("delay", name, { .delay = this->randomDuration(Duration(1), longestDelay) });
     case 6:
         return { "reset" + name, [proxy]() { proxy->resetConnections(); }, {} };
     default:
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -29,13 +29,14 @@
     };
 
     void run(Moment end, const boost::asio::yield_context& yield);
-    void inject(const Fault& fault, Moment length, const boost::asio::yield_context& yield);
+    void inject(const Fault& fault, Duration length, const boost::asio::yield_context& yield);
     void tellStandIn(
         std::uint16_t port, const std::string& path, const std::string& body, const boost::asio::yield_context& yield);
     Fault randomFault();
     Fault processFault();
     Fault linkFault();
     Fault standInFault();
+    Duration randomDuration(Duration shortest, Duration longest);
     int random(int lowest, int highest);
 
     boost::asio::io_context& context;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -3,7 +3,6 @@
 #include "utils/checkedjson.h"
 
 #include <algorithm>
-#include <chrono>
 #include <csignal>
 #include <fstream>
 
@@ -11,7 +10,7 @@
 
 namespace {
 
-constexpr Moment restartDelay = 300; ///< ms
+constexpr Duration restartDelay { 300 };
 constexpr int storeLinkOffset = 10; ///< ports from the first one
 constexpr int serverOffset = 20;
 constexpr int serverLinkOffset = 50;
@@ -26,12 +25,6 @@
 
 } // namespace
 
-Moment now()
-{
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count();
-}
-
 Fleet::Fleet(boost::asio::io_context& context, FleetOptions givenOptions)
     : options(std::move(givenOptions))
     , store({ this->options.buildDirectory + "/tests/storestandin", std::to_string(this->options.firstPort) },
@@ -134,8 +127,8 @@
 {
     if (const std::optional<int> status = daemon.process->reap()) {
         if (!daemon.endExpected)
-            this->unexpectedEnds.push_back("daemon " + std::to_string(number) + " at " + std::to_string(now())
-                + ", status " + std::to_string(*status));
+            this->unexpectedEnds.push_back("daemon " + std::to_string(number) + " at "
+                + std::to_string(now().time_since_epoch().count()) + ", status " + std::to_string(*status));
         for (PlannedStop& stop : daemon.openStops) {
             stop.gone = now();
             stop.status = *status;
@@ -146,9 +139,9 @@
         daemon.endExpected = false;
         daemon.startAt = now() + restartDelay;
     }
-    if (this->restarting && daemon.startAt && now() >= daemon.startAt) {
+    if (this->restarting && daemon.startAt && now() >= *daemon.startAt) {
         daemon.process->start();
-        daemon.startAt = 0;
+        daemon.startAt.reset();
     }
 }
 
@@ -159,9 +152,9 @@
     for (Server& server : this->servers) {
         if (server.process->reap())
             server.startAt = now() + restartDelay;
-        if (this->restarting && server.startAt && now() >= server.startAt) {
+        if (this->restarting && server.startAt && now() >= *server.startAt) {
             server.process->start();
-            server.startAt = 0;
+            server.startAt.reset();
         }
     }
 }
@@ -179,7 +172,7 @@
         const Run run { .server = line.at("server"),
             .task = line.at("task"),
             .attempt = line.at("attempt"),
-            .started = line.at("at") };
+            .started = Moment(Duration(line.at("at").get<std::int64_t>())) };
         const std::int64_t life = line.at("life");
         if (line.at("event") == "started") {
             runs.push_back(run);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -19,9 +19,6 @@
     int servers = 6;
 };
 
-/// The machine's steady clock.
-Moment now();
-
 /// Starts all processes at once. Thread safety: none; all on the context's thread.
 class Fleet {
 public:
@@ -65,14 +62,14 @@
         std::unique_ptr<Proxy> callersLink;
         std::unique_ptr<Proxy> storeLink;
         bool endExpected = false;
-        Moment startAt = 0; ///< when it is to be started again; zero while it runs
+        std::optional<Moment> startAt; ///< when it is to be started again
         std::vector<PlannedStop> openStops; ///< one at most
     };
 
     struct Server {
         std::unique_ptr<ChildProcess> process;
         std::unique_ptr<Proxy> link;
-        Moment startAt = 0;
+        std::optional<Moment> startAt;
         std::vector<Moment> kills;
     };
 
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr Moment visibleAfter = 3000; ///< ms after its acceptance every daemon knows a job
-constexpr Moment cancelBound = 3000; ///< ms after the answer to a cancel nothing new starts
-constexpr Moment stopBound = 6000; ///< ms that a graceful stop may take
-constexpr Moment connectionLoss = 200; ///< ms; a call that breaks sooner met a connection that was closing
+constexpr Duration visibleAfter { 3000 }; ///< after its acceptance every daemon knows a job
+constexpr Duration cancelBound { 3000 }; ///< after the answer to a cancel nothing new starts
+constexpr Duration stopBound { 6000 }; ///< that a graceful stop may take
+constexpr Duration connectionLoss { 200 }; ///< a call that breaks sooner met a connection that was closing
 constexpr int maximumAttempts = 3; ///< in the stand-in's configuration
 constexpr int firstRefusal = 400; ///< status
 constexpr int badGateway = 502;
@@ -22,6 +22,8 @@
 /// True when the answer says for certain that the job was not taken.
 bool isRefusal(int status) { return status >= firstRefusal && status != badGateway && status != gatewayTimeout; }
 
+std::string text(Moment moment) { return std::to_string(moment.time_since_epoch().count()); }
+
 std::string jobOf(const std::string& task) { return task.substr(0, task.find('.')); }
 
 std::size_t stepOf(const std::string& task)
@@ -61,7 +63,7 @@
     }
 
 private:
-    Moment endOf(const Run& run) const { return run.ended ? run.ended : this->history.finished; }
+    Moment endOf(const Run& run) const { return run.ended.value_or(this->history.finished); }
 
     void checkRuns(const std::string& task, const std::vector<const Run*>& runs)
     {
@@ -86,7 +88,7 @@
     void checkPair(const Run& first, const Run& second)
     {
         const std::string both = second.task + ": attempt " + std::to_string(second.attempt) + " on " + second.server
-            + " started at " + std::to_string(second.started) + ", attempt " + std::to_string(first.attempt) + " on "
+            + " started at " + text(second.started) + ", attempt " + std::to_string(first.attempt) + " on "
             + first.server;
         if (second.started < this->endOf(first))
             this->found.push_back(both + " still ran");
@@ -101,8 +103,8 @@
         for (int index = 0; index < job.steps.at(step).tasks; ++index) {
             const auto runs = this->runsByTask.find(taskName(id, step, index));
             if (runs != this->runsByTask.end())
-                done += std::ranges::any_of(
-                            runs->second, [&](const Run* run) { return run->how == "done" && run->ended <= moment; })
+                done += std::ranges::any_of(runs->second,
+                            [&](const Run* run) { return run->how == "done" && run->ended && *run->ended <= moment; })
                     ? 1
                     : 0;
         }
@@ -112,17 +114,17 @@
     bool failedOftenEnough(const std::string& id, Moment moment) const
     {
         return std::ranges::any_of(this->runsByTask, [&](const auto& entry) {
-            const auto failed = std::ranges::count_if(
-                entry.second, [&](const Run* run) { return run->how == "failed" && run->ended <= moment; });
+            const auto failed = std::ranges::count_if(entry.second,
+                [&](const Run* run) { return run->how == "failed" && run->ended && *run->ended <= moment; });
             return jobOf(entry.first) == id && failed >= maximumAttempts;
         });
     }
 
     void checkJob(const std::string& id, const JobHistory& job)
     {
-        Moment accepted = 0;
-        Moment cancelSent = 0;
-        Moment cancelAnswered = 0;
+        std::optional<Moment> accepted;
+        std::optional<Moment> cancelSent;
+        std::optional<Moment> cancelAnswered;
         bool allRefused = true;
         std::string finalState;
         for (const Call& call : job.calls) {
@@ -131,7 +133,7 @@
                 if (isSuccess(call.status) && !accepted)
                     accepted = call.over;
             } else if (call.kind == CallKind::Cancel) {
-                cancelSent = cancelSent ? std::min(cancelSent, call.sent) : call.sent;
+                cancelSent = std::min(cancelSent.value_or(call.sent), call.sent);
                 if (isSuccess(call.status) && !cancelAnswered)
                     cancelAnswered = call.over;
             }
@@ -139,9 +141,9 @@
         for (const Call& call : job.calls) {
             if (call.kind != CallKind::State)
                 continue;
-            if (call.status == jobUnknown && accepted && call.sent > accepted + visibleAfter)
+            if (call.status == jobUnknown && accepted && call.sent > *accepted + visibleAfter)
                 this->found.push_back(id + ": unknown to daemon " + std::to_string(call.daemon)
-                    + " although it was accepted at " + std::to_string(accepted));
+                    + " although it was accepted at " + text(*accepted));
             if (call.state.empty())
                 continue;
             this->checkState(id, job, call, cancelSent);
@@ -155,7 +157,7 @@
         }
         this->checkOutcome(id, accepted, allRefused, finalState);
         if (cancelAnswered)
-            this->checkCancelled(id, cancelAnswered);
+            this->checkCancelled(id, *cancelAnswered);
     }
 
     void reportChange(const std::string& id, const std::string& from, const std::string& to)
@@ -163,7 +165,7 @@
         this->found.push_back(id + ": shown as " + to + " after " + from);
     }
 
-    void checkState(const std::string& id, const JobHistory& job, const Call& call, Moment cancelSent)
+    void checkState(const std::string& id, const JobHistory& job, const Call& call, std::optional<Moment> cancelSent)
     {
         if (call.state == "completed") {
             for (std::size_t step = 0; step < job.steps.size(); ++step) {
@@ -174,11 +176,12 @@
         }
         if (call.state == "failed" && !this->failedOftenEnough(id, call.over))
             this->found.push_back(id + ": shown as failed without cause");
-        if (call.state == "cancelled" && (!cancelSent || cancelSent > call.over))
+        if (call.state == "cancelled" && (!cancelSent || *cancelSent > call.over))
             this->found.push_back(id + ": shown as cancelled, and nobody cancelled it");
     }
 
-    void checkOutcome(const std::string& id, Moment accepted, bool allRefused, const std::string& finalState)
+    void checkOutcome(
+        const std::string& id, std::optional<Moment> accepted, bool allRefused, const std::string& finalState)
     {
         const bool ran
             = std::ranges::any_of(this->runsByTask, [&](const auto& entry) { return jobOf(entry.first) == id; });
@@ -206,9 +209,9 @@
         const std::string name = "daemon " + std::to_string(stop.daemon);
         if (stop.status != 0)
             this->found.push_back(name + ": a graceful stop ended with status " + std::to_string(stop.status));
-        const Moment taken = stop.gone - std::max(stop.asked, stop.resumed);
+        const Duration taken = stop.gone - std::max(stop.asked, stop.resumed);
         if (taken > stopBound)
-            this->found.push_back(name + ": a graceful stop took " + std::to_string(taken) + " ms");
+            this->found.push_back(name + ": a graceful stop took " + std::to_string(taken.count()) + " ms");
         if (!stop.calm)
             return;
         for (const auto& [id, job] : this->history.jobs) {
@@ -220,10 +223,10 @@
         }
     }
 
-    void reportCutOff(const std::string& id, const std::string& daemon, Moment after)
+    void reportCutOff(const std::string& id, const std::string& daemon, Duration after)
     {
         this->found.push_back(
-            id + ": a graceful stop of " + daemon + " cut off a call after " + std::to_string(after) + " ms");
+            id + ": a graceful stop of " + daemon + " cut off a call after " + std::to_string(after.count()) + " ms");
     }
 
     const History& history;
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -1,23 +1,29 @@
 /// What callers and backend servers saw during a soak, and the promises that are checked against it.
 #pragma once
 
-#include <cstdint>
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace WisteriaHill::Soak {
 
-/// Milliseconds on the machine's steady clock, shared by all processes of a soak.
-using Moment = std::int64_t;
+using Duration = std::chrono::milliseconds;
+
+/// A point on the machine's steady clock, shared by all processes of a soak.
+using Moment = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// The machine's steady clock.
+inline Moment now() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
 /// One run of one task, as its server recorded it.
 struct Run {
     std::string server;
     std::string task; ///< job.occurrence.step.index
     int attempt = 0;
-    Moment started = 0;
-    Moment ended = 0; ///< zero while it runs; the kill of a server ends its runs
+    Moment started {};
+    std::optional<Moment> ended; ///< unset while it runs; the kill of a server ends its runs
     std::string how; ///< of the end; empty after a kill
     bool acknowledged = false; ///< a daemon has taken note of the end
 };
@@ -28,7 +34,7 @@
     bool gang = false;
     bool afterPrevious = false;
     int accelerators = 0;
-    int milliseconds = 0; ///< work of a task
+    Duration work { 0 }; ///< of a task
 };
 
 enum class CallKind { Submit, State, Cancel };
@@ -37,8 +43,8 @@
 struct Call {
     CallKind kind = CallKind::State;
     int daemon = 0;
-    Moment sent = 0;
-    Moment over = 0; ///< answered, broken or given up
+    Moment sent {};
+    Moment over {}; ///< answered, broken or given up
     int status = 0; ///< zero when there was no whole answer
     bool broken = false; ///< the connection ended before the answer
     std::string state; ///< the job's, when it was answered
@@ -53,9 +59,9 @@
 /// A stop that was asked for by SIGTERM.
 struct PlannedStop {
     int daemon = 0;
-    Moment asked = 0;
-    Moment resumed = 0; ///< end of the last pause while it stopped; a paused process can do nothing
-    Moment gone = 0;
+    Moment asked {};
+    Moment resumed {}; ///< end of the last pause while it stopped; a paused process can do nothing
+    Moment gone {};
     int status = -1; ///< exit status; negative after a signal
     bool calm = false; ///< nothing else was wrong from the contact time before it to its end
 };
@@ -65,8 +71,8 @@
     std::map<std::string, JobHistory> jobs;
     std::vector<PlannedStop> stops;
     std::vector<std::string> unexpectedEnds; ///< of processes that nobody ended
-    Moment healed = 0; ///< nothing was wrong from here on
-    Moment finished = 0;
+    Moment healed {}; ///< nothing was wrong from here on
+    Moment finished {};
 };
 
 /// One line for each promise that was broken; empty when all were kept.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,12 +33,12 @@
   --servers=N   [default: 6]
 )";
 
-constexpr Moment tickInterval = 10; ///< ms
-constexpr Moment startBound = 15'000; ///< ms until every daemon must be ready
-constexpr Moment contactTime = 3000; ///< ms without a fault until bounds hold
-constexpr Moment settleBound = 40'000; ///< ms until every job must have ended
-constexpr Moment configurationBound = 2000; ///< ms until a change must be in force
-constexpr Moment stopBound = 7000; ///< ms; a stop may take 6 s
+constexpr Duration tickInterval { 10 };
+constexpr Duration startBound { 15'000 }; ///< until every daemon must be ready
+constexpr Duration contactTime { 3000 }; ///< without a fault until bounds hold
+constexpr Duration settleBound { 40'000 }; ///< until every job must have ended
+constexpr Duration configurationBound { 2000 }; ///< until a change must be in force
+constexpr Duration stopBound { 7000 }; ///< a stop may take 6 s
 constexpr int ok = 200;
 constexpr int unauthorised = 401;
 
@@ -51,7 +51,7 @@
 
 class Soaker {
 public:
-    Soaker(asio::io_context& context, const FleetOptions& options, std::uint64_t seed, Moment faultTime)
+    Soaker(asio::io_context& context, const FleetOptions& options, std::uint64_t seed, Duration faultTime)
         : context(context)
         , fleet(context, options)
         , callers(context, this->fleet, this->history, seed)
@@ -101,9 +101,9 @@
     }
 
 private:
-    void wait(Moment milliseconds, const boost::asio::yield_context& yield)
+    void wait(Duration duration, const boost::asio::yield_context& yield)
     {
-        asio::steady_timer timer(this->context, std::chrono::milliseconds(milliseconds));
+        asio::steady_timer timer(this->context, duration);
         timer.async_wait(yield);
     }
 
@@ -188,7 +188,7 @@
     History history;
     Callers callers;
     FaultInjector faults;
-    Moment faultTime;
+    Duration faultTime;
     std::vector<std::string> findings;
     bool over = false;
 };
@@ -199,7 +199,6 @@
 {
     const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
     const auto number = [&arguments](const char* name) { return std::stoll(arguments.at(name).asString()); };
-    constexpr Moment msPerSecond = 1000;
     asio::io_context context;
     asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait([&context](const auto&, int) { context.stop(); });
@@ -209,7 +208,7 @@
             .firstPort = static_cast<std::uint16_t>(number("--port")),
             .daemons = static_cast<int>(number("--daemons")),
             .servers = static_cast<int>(number("--servers")) },
-        static_cast<std::uint64_t>(number("--seed")), number("--seconds") * msPerSecond);
+        static_cast<std::uint64_t>(number("--seed")), std::chrono::seconds(number("--seconds")));
     asio::spawn(context, [&soaker](const asio::yield_context& yield) { soaker.run(yield); });
     context.run();
     return soaker.report() ? 0 : 1;
