--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -2,7 +2,6 @@
 
 #include "utils/checkedjson.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <iomanip>
 #include <sstream>
 
@@ -68,7 +67,7 @@
     : context(context)
     , fleet(fleet)
     , history(history)
-    , engine(seed)
+    , chance(seed)
 {
 }
 
@@ -77,43 +76,27 @@
     asio::spawn(this->context, [this](const asio::yield_context& yield) { this->submitJobs(yield); });
 }
 
-Duration Callers::randomDuration(Duration shortest, Duration longest)
-{
-    return Duration(this->random(static_cast<int>(shortest.count()), static_cast<int>(longest.count())));
-}
-
-int Callers::random(int lowest, int highest)
-{
-    return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
-}
-
-void Callers::wait(Duration duration, const boost::asio::yield_context& yield)
-{
-    asio::steady_timer timer(this->context, duration);
-    timer.async_wait(yield);
-}
-
 std::vector<PlannedStep> Callers::randomSteps()
 {
     constexpr int kinds = 3;
-    switch (this->random(1, kinds)) {
+    switch (this->chance.between(1, kinds)) {
     case 1:
-        return { { .tasks = this->random(1, 4),
-            .accelerators = this->random(0, 2),
-            .work = this->randomDuration(Duration(100), Duration(1500)) } };
+        return { { .tasks = this->chance.between(1, 4),
+            .accelerators = this->chance.between(0, 2),
+            .work = this->chance.between(Duration(100), Duration(1500)) } };
     case 2:
-        return { { .tasks = this->random(1, 3),
+        return { { .tasks = this->chance.between(1, 3),
                      .accelerators = 1,
-                     .work = this->randomDuration(Duration(100), Duration(800)) },
-            { .tasks = this->random(1, 2),
+                     .work = this->chance.between(Duration(100), Duration(800)) },
+            { .tasks = this->chance.between(1, 2),
                 .afterPrevious = true,
                 .accelerators = 2,
-                .work = this->randomDuration(Duration(100), Duration(800)) } };
+                .work = this->chance.between(Duration(100), Duration(800)) } };
     default:
-        return { { .tasks = this->random(2, 3),
+        return { { .tasks = this->chance.between(2, 3),
             .gang = true,
-            .accelerators = wholeServer / this->random(1, 2),
-            .work = this->randomDuration(Duration(200), Duration(1000)) } };
+            .accelerators = wholeServer / this->chance.between(1, 2),
+            .work = this->chance.between(Duration(200), Duration(1000)) } };
     }
 }
 
@@ -122,23 +105,23 @@
     while (this->submitting) {
         auto caller = std::make_shared<Caller>();
         std::ostringstream id;
-        id << std::hex << std::setw(16) << std::setfill('0') << this->engine();
+        id << std::hex << std::setw(16) << std::setfill('0') << this->chance.number();
         caller->id = id.str();
-        caller->queue = this->random(1, 100) <= urgentPercent ? "/cut/" : "/score/";
+        caller->queue = this->chance.happens(urgentPercent) ? "/cut/" : "/score/";
         const std::vector<PlannedStep> steps = this->randomSteps();
         caller->body = bodyOf(steps);
         this->history.jobs[caller->id].steps = steps;
         ++this->open;
         asio::spawn(
             this->context, [this, caller](const asio::yield_context& yield) { this->followJob(caller, yield); });
-        this->wait(this->randomDuration(shortestPause, longestPause), yield);
+        waitFor(this->context, this->chance.between(shortestPause, longestPause), yield);
     }
 }
 
 Call Callers::call(const std::shared_ptr<Caller>& caller, CallKind kind, const boost::asio::yield_context& yield)
 {
     if (!caller->connection || !caller->connection->isOpen()) {
-        caller->daemon = this->random(0, this->fleet.daemonCount() - 1);
+        caller->daemon = this->chance.between(0, this->fleet.daemonCount() - 1);
         caller->connection = std::make_unique<HttpConnection>(this->context, this->fleet.callersPort(caller->daemon));
     }
     HttpQuestion question { .path = caller->queue + caller->id, .key = accountKey };
@@ -168,31 +151,31 @@
         if (isSuccess(made.status))
             return true;
         undecided = undecided || !isRefusal(made.status);
-        if (!undecided && this->random(1, 100) <= givenUpPercent)
+        if (!undecided && this->chance.happens(givenUpPercent))
             return false;
-        this->wait(retryInterval, yield);
+        waitFor(this->context, retryInterval, yield);
     }
 }
 
 void Callers::followJob(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield)
 {
-    const bool cancels = this->random(1, 100) <= cancelledPercent;
-    const bool repeats = this->random(1, 100) <= repeatedPercent;
+    const bool cancels = this->chance.happens(cancelledPercent);
+    const bool repeats = this->chance.happens(repeatedPercent);
     if (this->submit(caller, yield)) {
         if (repeats) {
-            this->wait(this->randomDuration(Duration(0), longestRepeatDelay), yield);
+            waitFor(this->context, this->chance.between(Duration(0), longestRepeatDelay), yield);
             this->call(caller, CallKind::Submit, yield);
         }
         if (cancels) {
-            this->wait(this->randomDuration(Duration(0), longestCancelDelay), yield);
+            waitFor(this->context, this->chance.between(Duration(0), longestCancelDelay), yield);
             while (!isSuccess((this->call(caller, CallKind::Cancel, yield)).status))
-                this->wait(retryInterval, yield);
+                waitFor(this->context, retryInterval, yield);
         }
         for (;;) {
             const Call asked = this->call(caller, CallKind::State, yield);
             if (asked.state == "completed" || asked.state == "failed" || asked.state == "cancelled")
                 break;
-            this->wait(pollInterval, yield);
+            waitFor(this->context, pollInterval, yield);
         }
     }
     --this->open;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -1,12 +1,12 @@
 /// Callers of a soak: they submit jobs, ask for their states and cancel some, on connections that they keep.
 #pragma once
 
+#include "soak/chance.h"
 #include "soak/fleet.h"
 #include "soak/httpconnection.h"
 
 #include <boost/asio/spawn.hpp>
 #include <memory>
-#include <random>
 
 namespace WisteriaHill::Soak {
 
@@ -31,15 +31,12 @@
     void followJob(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield);
     bool submit(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield);
     Call call(const std::shared_ptr<Caller>& caller, CallKind kind, const boost::asio::yield_context& yield);
-    void wait(Duration duration, const boost::asio::yield_context& yield);
     std::vector<PlannedStep> randomSteps();
-    Duration randomDuration(Duration shortest, Duration longest);
-    int random(int lowest, int highest);
 
     boost::asio::io_context& context;
     Fleet& fleet;
     History& history;
-    std::mt19937_64 engine;
+    Chance chance;
     bool submitting = true;
     int open = 0;
 };
--- /dev/null
+++ b/tests/soak/chance.h
@@ -0,0 +1,36 @@
+/// Choices that are drawn from a seed, and pauses of coroutines.
+#pragma once
+
+#include "soak/history.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <random>
+
+namespace WisteriaHill::Soak {
+
+/// The same seed gives the same choices. Thread safety: none.
+class Chance {
+public:
+    explicit Chance(std::uint64_t seed)
+        : engine(seed)
+    {
+    }
+
+    std::uint64_t number() { return this->engine(); }
+
+    /// Both ends included.
+    int between(int lowest, int highest);
+    Duration between(Duration shortest, Duration longest);
+
+    bool happens(int percent) { return this->between(1, 100) <= percent; }
+
+private:
+    std::mt19937_64 engine;
+};
+
+/// Lets a coroutine of the context wait.
+void waitFor(boost::asio::io_context& context, Duration duration, const boost::asio::yield_context& yield);
+
+} // namespace WisteriaHill::Soak
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -2,7 +2,6 @@
 
 #include "soak/httpconnection.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 
 namespace WisteriaHill::Soak {
@@ -29,7 +28,7 @@
     : context(context)
     , fleet(fleet)
     , log(logPath)
-    , engine(seed)
+    , chance(seed)
 {
 }
 
@@ -38,29 +37,17 @@
     asio::spawn(this->context, [this, end](const asio::yield_context& yield) { this->run(end, yield); });
 }
 
-Duration FaultInjector::randomDuration(Duration shortest, Duration longest)
-{
-    return Duration(this->random(static_cast<int>(shortest.count()), static_cast<int>(longest.count())));
-}
-
-int FaultInjector::random(int lowest, int highest)
-{
-    return std::uniform_int_distribution<int>(lowest, highest)(this->engine);
-}
-
 void FaultInjector::run(Moment end, const boost::asio::yield_context& yield)
 {
-    asio::steady_timer timer(this->context);
     while (now() < end) {
         const Fault fault = this->randomFault();
-        const int times = this->random(1, 100) <= repeatPercent ? 2 : 1;
+        const int times = this->chance.happens(repeatPercent) ? 2 : 1;
         for (int time = 0; time < times; ++time) {
             ++this->active;
             asio::spawn(this->context, [this, fault](const asio::yield_context& yield) {
-                this->inject(fault, this->randomDuration(shortestFault, longestFault), yield);
+                this->inject(fault, this->chance.between(shortestFault, longestFault), yield);
             });
-            timer.expires_after(this->randomDuration(shortestGap, longestGap));
-            timer.async_wait(yield);
+            waitFor(this->context, this->chance.between(shortestGap, longestGap), yield);
         }
     }
     this->finished = true;
@@ -71,8 +58,7 @@
     this->log << now().time_since_epoch().count() << " " << fault.name << " for " << length.count() << " ms"
               << std::endl;
     fault.begin();
-    asio::steady_timer timer(this->context, length);
-    timer.async_wait(yield);
+    waitFor(this->context, length, yield);
     if (fault.end) {
         fault.end();
         this->log << now().time_since_epoch().count() << " " << fault.name << " ended" << std::endl;
@@ -91,18 +77,18 @@
 FaultInjector::Fault FaultInjector::randomFault()
 {
     constexpr int kinds = 5;
-    const int kind = this->random(1, kinds);
+    const int kind = this->chance.between(1, kinds);
     return kind <= 2 ? this->processFault() : kind <= 4 ? this->linkFault() : this->standInFault();
 }
 
 FaultInjector::Fault FaultInjector::processFault()
 {
-    const int daemon = this->random(0, this->fleet.daemonCount() - 1);
-    const int server = this->random(0, this->fleet.serverCount() - 1);
+    const int daemon = this->chance.between(0, this->fleet.daemonCount() - 1);
+    const int server = this->chance.between(0, this->fleet.serverCount() - 1);
     const std::string ofDaemon = " daemon " + std::to_string(daemon);
     const std::string ofServer = " server " + std::to_string(server);
     constexpr int kinds = 7;
-    switch (this->random(1, kinds)) {
+    switch (this->chance.between(1, kinds)) {
     case 1:
         return { "kill" + ofDaemon, [=, this]() { this->fleet.signalDaemon(daemon, SIGKILL); }, {} };
     case 2:
@@ -127,8 +113,8 @@
 {
     constexpr int links = 3;
     constexpr int kinds = 7;
-    const int link = this->random(1, links);
-    const int number = this->random(0, (link == 1 ? this->fleet.serverCount() : this->fleet.daemonCount()) - 1);
+    const int link = this->chance.between(1, links);
+    const int number = this->chance.between(0, (link == 1 ? this->fleet.serverCount() : this->fleet.daemonCount()) - 1);
     Proxy* proxy = link == 1 ? &this->fleet.serverLink(number)
         : link == 2          ? &this->fleet.storeLink(number)
                              : &this->fleet.callersLink(number);
@@ -139,7 +125,7 @@
     const auto faulty = [proxy](const char* what, const std::string& name, const LinkFault& fault) -> Fault {
         return { what + name, [proxy, fault]() { proxy->setFault(fault); }, [proxy]() { proxy->setFault({}); } };
     };
-    switch (this->random(1, kinds)) {
+    switch (this->chance.between(1, kinds)) {
     case 1:
         return faulty("refuse", name, { .refuse = true });
     case 2:
@@ -149,7 +135,7 @@
     case 4:
         return faulty("cut both ways:", name, { .silentToTarget = true, .silentToClient = true });
     case 5:
-        return faulty("delay", name, { .delay = this->randomDuration(Duration(1), longestDelay) });
+        return faulty("delay", name, { .delay = this->chance.between(Duration(1), longestDelay) });
     case 6:
         return { "reset" + name, [proxy]() { proxy->resetConnections(); }, {} };
     default:
@@ -164,12 +150,12 @@
             [this, port, path, body](const asio::yield_context& yield) { this->tellStandIn(port, path, body, yield); });
     };
     constexpr int kinds = 3;
-    const int kind = this->random(1, kinds);
+    const int kind = this->chance.between(1, kinds);
     if (kind == 1) {
         const std::uint16_t port = this->fleet.storePort();
         return { "store forgets its history", [=]() { tell(port, "/stand-in/forget", ""); }, {} };
     }
-    const int server = this->random(0, this->fleet.serverCount() - 1);
+    const int server = this->chance.between(0, this->fleet.serverCount() - 1);
     const std::uint16_t port = this->fleet.serverPort(server);
     const std::string health = kind == 2 ? "fails" : "stands";
     return { "server " + std::to_string(server) + " " + health, [=]() { tell(port, "/stand-in/health", health); },
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -1,12 +1,12 @@
 /// Random faults of a soak, one after the other and overlapping.
 #pragma once
 
+#include "soak/chance.h"
 #include "soak/fleet.h"
 
 #include <boost/asio/spawn.hpp>
 #include <fstream>
 #include <functional>
-#include <random>
 
 namespace WisteriaHill::Soak {
 
@@ -36,13 +36,11 @@
     Fault processFault();
     Fault linkFault();
     Fault standInFault();
-    Duration randomDuration(Duration shortest, Duration longest);
-    int random(int lowest, int highest);
 
     boost::asio::io_context& context;
     Fleet& fleet;
     std::ofstream log;
-    std::mt19937_64 engine;
+    Chance chance;
     int active = 0;
     bool finished = false;
 };
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -66,7 +66,6 @@
 
 std::uint16_t Fleet::callersPort(int daemon) const { return this->daemonPort(daemon, callersProxy); }
 std::uint16_t Fleet::readinessPort(int daemon) const { return this->daemonPort(daemon, readiness); }
-std::uint16_t Fleet::metricsPort(int daemon) const { return this->daemonPort(daemon, metrics); }
 
 std::uint16_t Fleet::serverPort(int server) const
 {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -47,7 +47,6 @@
 
     std::uint16_t callersPort(int daemon) const;
     std::uint16_t readinessPort(int daemon) const;
-    std::uint16_t metricsPort(int daemon) const;
     std::uint16_t storePort() const { return this->options.firstPort; }
     std::uint16_t serverPort(int server) const;
     int daemonCount() const { return this->options.daemons; }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -7,7 +7,6 @@
 #include "utils/checkedjson.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -68,8 +67,8 @@
         this->callers.start();
         this->faults.start(now() + this->faultTime);
         while (!this->faults.isHealed())
-            this->wait(tickInterval, yield);
-        this->wait(contactTime, yield);
+            waitFor(this->context, tickInterval, yield);
+        waitFor(this->context, contactTime, yield);
         this->history.healed = now();
         this->changeConfiguration(yield);
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
@@ -77,7 +76,7 @@
         this->callers.stopSubmitting();
         const Moment begin = now();
         while (this->callers.openJobs() > 0 && now() < begin + settleBound)
-            this->wait(tickInterval, yield);
+            waitFor(this->context, tickInterval, yield);
         this->stopAll(yield);
         this->history.finished = now();
         this->fleet.readHistory(this->history);
@@ -101,17 +100,11 @@
     }
 
 private:
-    void wait(Duration duration, const boost::asio::yield_context& yield)
-    {
-        asio::steady_timer timer(this->context, duration);
-        timer.async_wait(yield);
-    }
-
     void tick(const boost::asio::yield_context& yield)
     {
         for (;;) {
             this->fleet.tick();
-            this->wait(tickInterval, yield);
+            waitFor(this->context, tickInterval, yield);
         }
     }
 
@@ -126,7 +119,7 @@
                 this->findings.push_back("daemon " + std::to_string(daemon) + " did not become ready");
                 return;
             }
-            this->wait(tickInterval, yield);
+            waitFor(this->context, tickInterval, yield);
         }
     }
 
@@ -136,9 +129,9 @@
         this->fleet.stopDaemon(daemon, true);
         const Moment begin = now();
         while (this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
-            this->wait(tickInterval, yield);
+            waitFor(this->context, tickInterval, yield);
         while (!this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
-            this->wait(tickInterval, yield);
+            waitFor(this->context, tickInterval, yield);
         this->waitUntilReady(daemon, yield);
     }
 
@@ -149,7 +142,7 @@
             this->fleet.stopDaemon(daemon, true);
         const Moment begin = now();
         while (this->fleet.isAnyDaemonRunning() && now() < begin + stopBound)
-            this->wait(tickInterval, yield);
+            waitFor(this->context, tickInterval, yield);
         if (this->fleet.isAnyDaemonRunning())
             this->findings.push_back("a daemon did not stop");
     }
@@ -171,7 +164,7 @@
             this->findings.push_back("the store did not take the configuration");
             return;
         }
-        this->wait(configurationBound, yield);
+        waitFor(this->context, configurationBound, yield);
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon) {
             HttpConnection connection(this->context, this->fleet.callersPort(daemon));
             const HttpAnswer added = connection.call(questionFor("/score/0000000000000000", "added-key"), yield);
