--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -186,11 +186,11 @@
     bool over = false;
 };
 
-} // namespace
+constexpr int exitBroken = 1; ///< a promise was broken
+constexpr int exitNotRun = 2;
 
-int main(int argc, char** argv)
+int runSoak(const std::map<std::string, docopt::value>& arguments)
 {
-    const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
     const auto number = [&arguments](const char* name) { return std::stoll(arguments.at(name).asString()); };
     asio::io_context context;
     asio::signal_set signals(context, SIGINT, SIGTERM);
@@ -204,5 +204,17 @@
         static_cast<std::uint64_t>(number("--seed")), std::chrono::seconds(number("--seconds")));
     asio::spawn(context, [&soaker](const asio::yield_context& yield) { soaker.run(yield); });
     context.run();
-    return soaker.report() ? 0 : 1;
+    return soaker.report() ? 0 : exitBroken;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return runSoak(docopt::docopt(usage, { argv + 1, argv + argc }));
+    } catch (const std::exception& error) {
+        std::cerr << "the soak could not go on: " << error.what() << "\n";
+        return exitNotRun;
+    }
 }
