One reading of credentials, one Retry-After value, one set of handlers for calls about jobs

The product's interface on a daemon of the fleet wrote again what httpapi.cpp and callerapi.cpp had: the Bearer credential and the rounding of Retry-After are functions beside HttpRequest now, and both interfaces of FleetDaemon take the same CallerHandlers. The media type of JSON bodies is a named constant.

--- a/src/app/fleetapi.cpp
+++ b/src/app/fleetapi.cpp
@@ -22,20 +22,13 @@
 
 constexpr const char* jobsPath = "/v1/jobs";
 constexpr std::string_view explainSuffix = "/explain";
-constexpr std::string_view credentialScheme = "Bearer ";
 constexpr int indent = 2;
-constexpr std::int64_t msPerSecond = 1000;
-
-std::string credentialOf(const HttpRequest& request)
-{
-    const std::string authorization = request.header(HeaderName::authorization);
-    return authorization.starts_with(credentialScheme) ? authorization.substr(credentialScheme.size()) : std::string();
-}
+constexpr Utils::Duration retryWithoutConfiguration { 1000 };
 
 /// A call as one to the queue; the id follows the queue's prefix.
 CallerContext contextFor(const Scheduling::Queue& queue, const std::string& id, const HttpRequest& request)
 {
-    return { .host = queue.host, .path = queue.pathPrefix + id, .key = credentialOf(request) };
+    return { .host = queue.host, .path = queue.pathPrefix + id, .key = Adapters::bearerCredential(request) };
 }
 
 int statusOf(CallerOutcome outcome)
@@ -107,11 +100,11 @@
     if (!configuration) {
         this->respondTo(exchange, "",
             { .outcome = CallerOutcome::NotReady,
-                .retryAfter = Utils::Duration(msPerSecond),
+                .retryAfter = retryWithoutConfiguration,
                 .reason = "this entry host has no configuration yet" });
         return nullptr;
     }
-    const Scheduling::ClientAccount* account = configuration->accountOfKey(credentialOf(request));
+    const Scheduling::ClientAccount* account = configuration->accountOfKey(Adapters::bearerCredential(request));
     if (!account)
         this->respondTo(exchange, "",
             { .outcome = CallerOutcome::UnknownKey, .reason = "the credential belongs to no client account" });
@@ -133,7 +126,7 @@
     else if (statusOf(answer.outcome) >= HttpStatus::badRequest)
         headers[HeaderName::outcome] = "notRun";
     if (answer.retryAfter.count() > 0)
-        headers[HeaderName::retryAfter] = std::to_string((answer.retryAfter.count() + msPerSecond - 1) / msPerSecond);
+        headers[HeaderName::retryAfter] = Adapters::retryAfterSeconds(answer.retryAfter);
     this->respond(exchange, statusOf(answer.outcome), body, std::move(headers));
 }
 
@@ -158,7 +151,7 @@
         return;
     }
     auto& job = std::get<Scheduling::GangJob>(made);
-    this->handlers.submit(contextFor(*job.queue, job.id, request), job.id, std::move(job.specification),
+    this->handlers.jobs.submit(contextFor(*job.queue, job.id, request), job.id, std::move(job.specification),
         [this, exchange, id = job.id](const CallerAnswer& answer) { this->respondTo(exchange, id, answer); });
 }
 
@@ -175,9 +168,9 @@
     const CallerContext context = contextFor(queues.front(), id, request);
     const auto answer = [this, exchange, id](const CallerAnswer& given) { this->respondTo(exchange, id, given); };
     if (request.method == "DELETE")
-        this->handlers.cancel(context, id, answer);
+        this->handlers.jobs.cancel(context, id, answer);
     else
-        this->handlers.state(context, id, answer);
+        this->handlers.jobs.state(context, id, answer);
 }
 
 void FleetApi::explainJob(HttpExchangeId exchange, const std::string& id)
--- a/src/app/fleetapi.h
+++ b/src/app/fleetapi.h
@@ -17,11 +17,7 @@
 public:
     /// What the daemon does for this interface.
     struct Handlers {
-        std::function<void(const Scheduling::CallerContext&, const std::string& id, Scheduling::JobSpecification,
-            Scheduling::AnswerCaller)>
-            submit;
-        std::function<void(const Scheduling::CallerContext&, const std::string& id, Scheduling::AnswerCaller)> cancel;
-        std::function<void(const Scheduling::CallerContext&, const std::string& id, Scheduling::AnswerCaller)> state;
+        Scheduling::CallerHandlers jobs;
         std::function<const Scheduling::FleetConfiguration*()> configuration; ///< null before the first one
         std::function<std::string()> metrics;
     };
--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -103,13 +103,7 @@
     , heartbeats(this->loop, { .address = this->settings.address, .port = this->settings.heartbeatPort },
           [this](const std::string& bytes) { this->heartbeatReceived(bytes); })
     , callers(this->loop, this->settings.callers.address, this->settings.callers.port,
-          { .submit
-              = [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
-                    Scheduling::AnswerCaller answer) { this->submit(context, id, std::move(job), std::move(answer)); },
-              .cancel = [this](const CallerContext& context, const std::string& id,
-                            Scheduling::AnswerCaller answer) { this->cancel(context, id, std::move(answer)); },
-              .state = [this](const CallerContext& context, const std::string& id,
-                           Scheduling::AnswerCaller answer) { this->readState(context, id, std::move(answer)); },
+          { .jobs = this->callerHandlers(),
               .pending =
                   [this](const CallerContext& context, const Scheduling::AnswerCaller& answer) {
                       this->answerPending(context, this->measured("pending", answer));
@@ -129,13 +123,7 @@
               });
           })
     , operators(this->loop, this->settings.metrics.address, this->settings.metrics.port, this->scheduler,
-          { .submit
-              = [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
-                    Scheduling::AnswerCaller answer) { this->submit(context, id, std::move(job), std::move(answer)); },
-              .cancel = [this](const CallerContext& context, const std::string& id,
-                            Scheduling::AnswerCaller answer) { this->cancel(context, id, std::move(answer)); },
-              .state = [this](const CallerContext& context, const std::string& id,
-                           Scheduling::AnswerCaller answer) { this->readState(context, id, std::move(answer)); },
+          { .jobs = this->callerHandlers(),
               .configuration = [this]() { return this->configuration.inForce().get(); },
               .metrics = [this]() { return this->metrics.text(this->gauges(steadyNow())); } })
 {
@@ -258,6 +246,17 @@
         .heartbeatBytesReceived = this->heartbeats.bytesReceived() };
 }
 
+Scheduling::CallerHandlers FleetDaemon::callerHandlers()
+{
+    return { .submit
+        = [this](const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
+              Scheduling::AnswerCaller answer) { this->submit(context, id, std::move(job), std::move(answer)); },
+        .cancel = [this](const CallerContext& context, const std::string& id,
+                      Scheduling::AnswerCaller answer) { this->cancel(context, id, std::move(answer)); },
+        .state = [this](const CallerContext& context, const std::string& id,
+                     Scheduling::AnswerCaller answer) { this->readState(context, id, std::move(answer)); } };
+}
+
 void FleetDaemon::submit(const CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
     Scheduling::AnswerCaller answer)
 {
--- a/src/app/fleetdaemon.h
+++ b/src/app/fleetdaemon.h
@@ -45,6 +45,8 @@
     void heartbeatReceived(const std::string& bytes);
     void answerPending(const Scheduling::CallerContext& context, const Scheduling::AnswerCaller& answer);
     void answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
+    /// What both interfaces for jobs call.
+    Scheduling::CallerHandlers callerHandlers();
     void submit(const Scheduling::CallerContext& context, const std::string& id, Scheduling::JobSpecification job,
         Scheduling::AnswerCaller answer);
     void cancel(const Scheduling::CallerContext& context, const std::string& id, Scheduling::AnswerCaller answer);
--- a/src/libs/adapters/httpapi.cpp
+++ b/src/libs/adapters/httpapi.cpp
@@ -29,19 +29,11 @@
     return segments;
 }
 
-std::string credentialOf(const HttpRequest& request)
-{
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string value = request.header(HeaderName::authorization);
-    return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string();
-}
-
 HttpHeaders retryHeaders(const std::optional<Duration>& retryAfter)
 {
     if (!retryAfter)
         return {};
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(*retryAfter);
-    return { { HeaderName::retryAfter, std::to_string(seconds.count()) },
+    return { { HeaderName::retryAfter, retryAfterSeconds(*retryAfter) },
         { HeaderName::retryAfterMs, std::to_string(retryAfter->count()) } };
 }
 
@@ -183,7 +175,7 @@
             { { HeaderName::outcome, "notRun" }, { HeaderName::retryAfter, "1" } });
         return std::nullopt;
     }
-    std::optional<Model::ClientAccountId> account = this->core.accountOf(credentialOf(request));
+    std::optional<Model::ClientAccountId> account = this->core.accountOf(bearerCredential(request));
     if (!account)
         this->respondError(exchange, Utils::HttpStatus::unauthorised, "the credential belongs to no client account");
     return account;
@@ -191,7 +183,7 @@
 
 std::optional<Model::TeamId> HttpApi::authenticateTeam(HttpExchangeId exchange, const HttpRequest& request)
 {
-    std::optional<Model::TeamId> team = this->core.teamOf(credentialOf(request));
+    std::optional<Model::TeamId> team = this->core.teamOf(bearerCredential(request));
     if (!team)
         this->respondError(exchange, Utils::HttpStatus::unauthorised, "the credential belongs to no team");
     return team;
--- a/src/libs/adapters/httpmessage.h
+++ b/src/libs/adapters/httpmessage.h
@@ -3,9 +3,11 @@
 
 #include "utils/steadytime.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace WisteriaHill::Adapters {
 
@@ -14,6 +16,8 @@
 /// Header names in lower case without the colon.
 using HttpHeaders = std::map<std::string, std::string>;
 
+inline constexpr const char* jsonContentType = "application/json";
+
 /// A request as a server got it.
 struct HttpRequest {
     std::string method;
@@ -33,7 +37,7 @@
 /// A whole response.
 struct HttpResponse {
     int status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = jsonContentType;
     HttpHeaders headers;
     std::string body;
 
@@ -47,6 +51,7 @@
 /// Names of the product's own headers and of the others that are read.
 namespace HeaderName {
 inline constexpr const char* authorization = "authorization";
+inline constexpr const char* contentType = "content-type";
 inline constexpr const char* host = "host";
 inline constexpr const char* idempotencyKey = "idempotency-key";
 inline constexpr const char* ifMatch = "if-match";
@@ -65,4 +70,18 @@
 inline constexpr const char* leaving = "wisteriahill-leaving";
 } // namespace HeaderName
 
+/// The credential of a request with `Authorization: Bearer`, or an empty string.
+inline std::string bearerCredential(const HttpRequest& request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string value = request.header(HeaderName::authorization);
+    return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string();
+}
+
+/// The value of a Retry-After header: whole seconds, rounded up.
+inline std::string retryAfterSeconds(Duration wait)
+{
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
+}
+
 } // namespace WisteriaHill::Adapters
--- a/src/libs/scheduling/intake.h
+++ b/src/libs/scheduling/intake.h
@@ -44,6 +44,13 @@
 
 using AnswerCaller = std::function<void(const CallerAnswer&)>;
 
+/// The calls about jobs, as an interface passes them on; each is answered once.
+struct CallerHandlers {
+    std::function<void(const CallerContext&, const std::string& id, JobSpecification, AnswerCaller)> submit;
+    std::function<void(const CallerContext&, const std::string& id, AnswerCaller)> cancel;
+    std::function<void(const CallerContext&, const std::string& id, AnswerCaller)> state;
+};
+
 /// Thread safety: none.
 class Intake {
 public:
