The scheduling library states its shared steps once

The range of one row was written in four controllers, the end of a task that is done in two places of JobTracker, the lookup of a run's server in two of ServerMonitor, the required label in three, the step of an occurrence in five; each is one function now. The versioned message codec of the landed engine's peers serves the fleet's heartbeats too (model/versionedcodec.h). Five time parameters that nothing read are gone.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -324,7 +324,7 @@
     else if (heartbeat->leaving && heartbeat->node == this->scheduler.leadership().leaderNode())
         this->scheduler.leadership().heardStepDown(heartbeat->term, now);
     this->scheduler.takeSuccesses(heartbeat->successes, now);
-    this->configuration.heardVersion(heartbeat->configurationVersion, now);
+    this->configuration.heardVersion(heartbeat->configurationVersion);
 }
 
 void FleetDaemon::answerPending(const CallerContext& context, const Scheduling::AnswerCaller& answer)
--- a/src/libs/model/peermessage.cpp
+++ b/src/libs/model/peermessage.cpp
@@ -1,14 +1,12 @@
 #include "model/peermessage.h"
 
-#include "model/boundedinputarchive.h"
+#include "model/versionedcodec.h"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
-#include <sstream>
 
 namespace WisteriaHill::Model {
 
@@ -16,34 +14,11 @@
 
 constexpr std::uint32_t protocolVersion = 1;
 
-template <typename Value> std::string encode(const Value& value)
-{
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(protocolVersion, value);
-    }
-    return std::move(stream).str();
-}
+template <typename Value> std::string encode(const Value& value) { return encodeVersioned(value, protocolVersion); }
 
 template <typename Value> std::optional<Value> decode(const std::string& bytes, std::size_t limit)
 {
-    if (bytes.size() > limit)
-        return std::nullopt;
-    try {
-        Internal::BoundedInputArchive archive(bytes);
-        std::uint32_t version = 0;
-        archive(version);
-        if (version != protocolVersion)
-            return std::nullopt;
-        Value value;
-        archive(value);
-        if (archive.remaining() != 0)
-            return std::nullopt;
-        return value;
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
+    return decodeVersioned<Value>(bytes, limit, protocolVersion);
 }
 
 } // namespace
--- a/src/libs/scheduling/advicecontroller.cpp
+++ b/src/libs/scheduling/advicecontroller.cpp
@@ -33,7 +33,7 @@
     std::vector<std::pair<std::int64_t, std::string>> candidates;
     for (const auto& [id, server] : this->board.servers) {
         if (server.service != queue.service || !usable(server) || step.deniedServers.contains(id)
-            || (!wanted.requiredLabel.empty() && !server.labels.contains(wanted.requiredLabel)))
+            || !hasRequiredLabel(server.labels, wanted))
             continue;
         const Resources free = server.freeCapacity();
         if (!free.holds(need))
@@ -122,8 +122,7 @@
     const auto job = this->board.jobs.find(question.step.jobId);
     if (job == this->board.jobs.end())
         return;
-    Step& step
-        = job->second.occurrences.at(question.step.occurrence).steps.at(static_cast<std::size_t>(question.step.step));
+    Step& step = job->second.occurrences.at(question.step.occurrence).stepAt(question.step.step);
     std::set<std::string> denied(question.servers.begin(), question.servers.end());
     for (const auto& [server, ticket] : answer->allowed) {
         denied.erase(server);
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -75,6 +75,9 @@
 struct Occurrence {
     int index = 0;
     std::vector<Step> steps;
+
+    /// Throws std::out_of_range when there is no such step.
+    Step& stepAt(int number) { return this->steps.at(static_cast<std::size_t>(number)); }
     SteadyTime createdAt {};
     bool finished = false;
     bool dirty = false; ///< differs from the stored row
--- a/src/libs/scheduling/boarddump.cpp
+++ b/src/libs/scheduling/boarddump.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/boarddump.h"
 
+#include "scheduling/placement.h"
+
 #include <algorithm>
 
 namespace WisteriaHill::Scheduling {
@@ -76,7 +78,7 @@
     const auto holds = [&](const auto& entry) {
         const BackendServer& server = entry.second;
         return server.present && server.service == queue->service && server.capacity.holds(wanted.perTask)
-            && (wanted.requiredLabel.empty() || server.labels.contains(wanted.requiredLabel));
+            && hasRequiredLabel(server.labels, wanted);
     };
     const auto able = std::ranges::count_if(board.servers, holds);
     if (able == 0)
--- a/src/libs/scheduling/configurationfollower.cpp
+++ b/src/libs/scheduling/configurationfollower.cpp
@@ -21,7 +21,7 @@
         this->watch();
 }
 
-void ConfigurationFollower::heardVersion(std::int64_t version, SteadyTime)
+void ConfigurationFollower::heardVersion(std::int64_t version)
 {
     if (!this->configuration || version > this->configuration->version)
         this->readWanted = true;
@@ -31,13 +31,8 @@
 {
     this->readOpen = true;
     this->nextRead = now + retryPause;
-    this->effects.push(ReadCall { .range = { .table = this->document.table,
-                                      .partition = this->document.partition,
-                                      .from = this->document.key,
-                                      .to = this->document.key + '\x01',
-                                      .limit = 1 },
-        .timeout = storeTimeout,
-        .done = [this](const ReadResult& result) {
+    this->effects.push(ReadCall {
+        .range = singleRow(this->document), .timeout = storeTimeout, .done = [this](const ReadResult& result) {
             this->readOpen = false;
             const auto* page = std::get_if<RowPage>(&result);
             if (!page)
--- a/src/libs/scheduling/configurationfollower.h
+++ b/src/libs/scheduling/configurationfollower.h
@@ -38,7 +38,7 @@
     void tick(SteadyTime now);
 
     /// Another daemon has this version in force: a newer one than ours is read at once.
-    void heardVersion(std::int64_t version, SteadyTime now);
+    void heardVersion(std::int64_t version);
 
     const std::shared_ptr<const FleetConfiguration>& inForce() const { return this->configuration; }
 
--- a/src/libs/scheduling/evacuation.cpp
+++ b/src/libs/scheduling/evacuation.cpp
@@ -22,8 +22,7 @@
 
 bool Evacuation::mayMissAnother(const TaskName& name) const
 {
-    const Step& step
-        = this->board.jobs.at(name.jobId).occurrences.at(name.occurrence).steps.at(static_cast<std::size_t>(name.step));
+    const Step& step = this->board.jobs.at(name.jobId).occurrences.at(name.occurrence).stepAt(name.step);
     const auto missing = std::ranges::count_if(step.tasks, [](const Task& task) {
         return !task.run || task.run->phase != RunPhase::Active || task.run->percent < wholePercent;
     });
--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -19,14 +19,7 @@
 
 RowKey jobRow(const std::string& id) { return { StoreTable::jobs, StoreTable::intakePartition, id }; }
 
-RowRange singleRow(const char* table, const char* partition, const std::string& key)
-{
-    return { .table = table, .partition = partition, .from = key, .to = key + '\x01', .limit = 1 };
-}
-
-} // namespace
-
-namespace {
+RowKey stateRow(const std::string& id) { return { StoreTable::states, StoreTable::schedulerPartition, id }; }
 
 CallerAnswer storeAway(CallerOutcome outcome)
 {
@@ -219,7 +212,7 @@
 
 void Intake::readState(const std::shared_ptr<Lookup>& lookup)
 {
-    this->effects.push(ReadCall { .range = singleRow(StoreTable::states, StoreTable::schedulerPartition, lookup->id),
+    this->effects.push(ReadCall { .range = singleRow(stateRow(lookup->id)),
         .timeout = this->timeoutWithin(lookup->deadline),
         .done = [this, lookup](const ReadResult& result) {
             const auto* page = std::get_if<RowPage>(&result);
@@ -253,7 +246,7 @@
 
 void Intake::readJob(const std::shared_ptr<Lookup>& lookup)
 {
-    this->effects.push(ReadCall { .range = singleRow(StoreTable::jobs, StoreTable::intakePartition, lookup->id),
+    this->effects.push(ReadCall { .range = singleRow(jobRow(lookup->id)),
         .timeout = this->timeoutWithin(lookup->deadline),
         .done = [this, lookup](const ReadResult& result) {
             const auto* page = std::get_if<RowPage>(&result);
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -19,8 +19,6 @@
     return job.record.specification.steps.at(static_cast<std::size_t>(step));
 }
 
-Step& stepAt(Occurrence& occurrence, int step) { return occurrence.steps.at(static_cast<std::size_t>(step)); }
-
 bool stepIsDone(const Step& step) { return step.done == static_cast<int>(step.tasks.size()); }
 
 } // namespace
@@ -212,7 +210,7 @@
     }
     Job& job = this->board.jobs.at(ended.task.jobId);
     Occurrence& occurrence = job.occurrences.at(ended.task.occurrence);
-    Step& step = stepAt(occurrence, ended.task.step);
+    Step& step = occurrence.stepAt(ended.task.step);
     const StepSpecification& specification = specificationOf(job, ended.task.step);
     this->markDirty(ended.task);
     if (!ended.checkpoint.empty())
@@ -229,15 +227,11 @@
         server.failedJobs.clear();
         server.avoidUntil = {};
         server.lastDoneAt = now;
-        if (specification.gang)
-            this->finishGang(job, occurrence, ended.task.step);
-        else if (!specification.longRunning)
-            this->finishTask(job, occurrence, ended.task.step, *task);
-        else
-            this->requeue(ended.task, step, *task, now);
         server.occupants.erase(ended.task);
-        this->updateReadiness(job, occurrence, now);
-        this->updateJob(job, now);
+        if (specification.longRunning && !specification.gang)
+            this->requeue(ended.task, step, *task, now);
+        else
+            this->finish(job, occurrence, ended.task.step, *task, now);
         return;
     }
     if (ended.end == RunEnd::Failed) {
@@ -272,12 +266,7 @@
     this->markDirty(name);
     // A run of a newer attempt is no task's any more; the next look at its server finds and stops it.
     Occurrence& occurrence = job.occurrences.at(name.occurrence);
-    if (specification.gang)
-        this->finishGang(job, occurrence, name.step);
-    else
-        this->finishTask(job, occurrence, name.step, *task);
-    this->updateReadiness(job, occurrence, now);
-    this->updateJob(job, now);
+    this->finish(job, occurrence, name.step, *task, now);
 }
 
 void JobTracker::judgeServer(BackendServer& server, Job& job, SteadyTime now)
@@ -297,9 +286,19 @@
     }
 }
 
+void JobTracker::finish(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime now)
+{
+    if (specificationOf(job, step).gang)
+        this->finishGang(job, occurrence, step);
+    else
+        this->finishTask(job, occurrence, step, task);
+    this->updateReadiness(job, occurrence, now);
+    this->updateJob(job, now);
+}
+
 void JobTracker::finishTask(Job& job, Occurrence& occurrence, int step, Task& task)
 {
-    Step& done = stepAt(occurrence, step);
+    Step& done = occurrence.stepAt(step);
     done.running -= task.run ? 1 : 0;
     ++done.done;
     task.phase = TaskPhase::Done;
@@ -310,7 +309,7 @@
 
 void JobTracker::finishGang(Job& job, Occurrence& occurrence, int step)
 {
-    Step& gang = stepAt(occurrence, step);
+    Step& gang = occurrence.stepAt(step);
     // The other members' room stays taken until their servers list the ends.
     for (Task& member : gang.tasks) {
         member.phase = TaskPhase::Done;
@@ -354,7 +353,7 @@
 void JobTracker::stopGang(const TaskName& name, const std::string& reason, SteadyTime now)
 {
     Job& job = this->board.jobs.at(name.jobId);
-    const std::size_t members = stepAt(job.occurrences.at(name.occurrence), name.step).tasks.size();
+    const std::size_t members = job.occurrences.at(name.occurrence).stepAt(name.step).tasks.size();
     for (std::size_t index = 0; index < members; ++index)
         this->requestStop({ name.jobId, name.occurrence, name.step, static_cast<int>(index) }, reason, now);
 }
@@ -370,7 +369,7 @@
         { { "task", formatTaskName(name) }, { "attempt", task->run->attempt }, { "server", task->run->server },
             { "reason", runLossName(loss) }, { "stopReason", task->run->stopReason } });
     this->markDirty(name);
-    this->requeue(name, stepAt(occurrence, name.step), *task, now);
+    this->requeue(name, occurrence.stepAt(name.step), *task, now);
     if (specificationOf(job, name.step).gang)
         this->stopGang(name, "another member was lost", now);
     this->updateJob(job, now);
@@ -382,7 +381,7 @@
         Step& step = occurrence.steps[index];
         const std::vector<int>& prerequisites = job.record.specification.steps[index].prerequisites;
         const bool ready
-            = std::ranges::all_of(prerequisites, [&](int earlier) { return stepIsDone(stepAt(occurrence, earlier)); });
+            = std::ranges::all_of(prerequisites, [&](int earlier) { return stepIsDone(occurrence.stepAt(earlier)); });
         if (ready && !step.ready)
             step.readySince = now;
         step.ready = ready;
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -65,6 +65,8 @@
 
 private:
     Occurrence& createOccurrence(Job& job, int index, SteadyTime now);
+    /// Takes over that a task, or the gang of a task, is done.
+    void finish(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime now);
     void finishTask(Job& job, Occurrence& occurrence, int step, Task& task);
     void finishGang(Job& job, Occurrence& occurrence, int step);
     void countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now);
--- a/src/libs/scheduling/leadership.cpp
+++ b/src/libs/scheduling/leadership.cpp
@@ -66,9 +66,7 @@
 {
     this->callOpen = true;
     this->nextRead = now + (now - *this->startedAt < firstReads ? firstReadInterval : rowReadInterval);
-    const RowKey key = rowKey();
-    this->effects.push(ReadCall { .range
-        = { .table = key.table, .partition = key.partition, .from = key.key, .to = key.key + '\x01', .limit = 1 },
+    this->effects.push(ReadCall { .range = singleRow(rowKey()),
         .timeout = storeTimeout,
         .done = [this](const ReadResult& result) { this->rowRead(result); } });
 }
@@ -83,7 +81,7 @@
     const bool waited = now - *this->startedAt >= this->options.stagger;
     if (page->rows.empty()) {
         if (waited)
-            this->claim(0, {}, now);
+            this->claim(0, {});
         return;
     }
     const Row& read = page->rows.front();
@@ -100,10 +98,10 @@
         = previous->holder == this->options.node && previous->incarnation != this->options.incarnation;
     if (previous->holder.empty() || ownPredecessor
         || now - this->seenAt > this->options.unchanged + this->options.stagger)
-        this->claim(read.version, *previous, now);
+        this->claim(read.version, *previous);
 }
 
-void Leadership::claim(RowVersion expected, const LeadershipRow& previous, SteadyTime)
+void Leadership::claim(RowVersion expected, const LeadershipRow& previous)
 {
     const LeadershipRow wanted { .holder = this->options.node,
         .incarnation = this->options.incarnation,
--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -69,7 +69,7 @@
 private:
     void readRow(SteadyTime now);
     void rowRead(const ReadResult& result);
-    void claim(RowVersion expected, const LeadershipRow& previous, SteadyTime now);
+    void claim(RowVersion expected, const LeadershipRow& previous);
     void claimed(const LeadershipRow& wanted, const CommitResult& result);
 
     Effects& effects;
--- a/src/libs/scheduling/peers.cpp
+++ b/src/libs/scheduling/peers.cpp
@@ -1,13 +1,11 @@
 #include "scheduling/peers.h"
 
-#include "model/boundedinputarchive.h"
+#include "model/versionedcodec.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <sstream>
 
 namespace WisteriaHill::Scheduling {
 
@@ -29,32 +27,16 @@
 
 std::string encodePeerHeartbeat(const PeerHeartbeat& heartbeat)
 {
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(protocolVersion, heartbeat);
-    }
-    return std::move(stream).str();
+    return Model::encodeVersioned(heartbeat, protocolVersion);
 }
 
 std::optional<PeerHeartbeat> decodePeerHeartbeat(const std::string& bytes)
 {
-    if (bytes.size() > longestHeartbeat)
+    std::optional<PeerHeartbeat> heartbeat
+        = Model::decodeVersioned<PeerHeartbeat>(bytes, longestHeartbeat, protocolVersion);
+    if (heartbeat && heartbeat->node.empty())
         return std::nullopt;
-    try {
-        Model::Internal::BoundedInputArchive archive(bytes);
-        std::uint32_t version = 0;
-        archive(version);
-        if (version != protocolVersion)
-            return std::nullopt;
-        PeerHeartbeat heartbeat;
-        archive(heartbeat);
-        if (archive.remaining() != 0 || heartbeat.node.empty())
-            return std::nullopt;
-        return heartbeat;
-    } catch (const std::exception&) {
-        return std::nullopt; // the caller counts and logs it
-    }
+    return heartbeat;
 }
 
 void PeerDirectory::tick(SteadyTime now)
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -90,9 +90,14 @@
     return need;
 }
 
+bool hasRequiredLabel(const std::set<std::string>& labels, const StepSpecification& step)
+{
+    return step.requiredLabel.empty() || labels.contains(step.requiredLabel);
+}
+
 bool isEligible(const PlacementServer& server, const StepSpecification& step)
 {
-    return step.requiredLabel.empty() || (server.labels && server.labels->contains(step.requiredLabel));
+    return step.requiredLabel.empty() || (server.labels && hasRequiredLabel(*server.labels, step));
 }
 
 std::vector<std::optional<std::size_t>> placeTasks(
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -38,6 +38,9 @@
 std::vector<std::optional<std::size_t>> placeTasks(
     std::vector<PlacementServer>& servers, const std::vector<std::size_t>& candidates, const PlacementRequest& request);
 
+/// True when the labels hold the one that the step requires, if it does.
+bool hasRequiredLabel(const std::set<std::string>& labels, const StepSpecification& step);
+
 /// True when the server may run a task of the step at all, were it empty.
 bool isEligible(const PlacementServer& server, const StepSpecification& step);
 
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -84,10 +84,10 @@
     this->advice.begin();
     this->upkeep.begin(this->options.leadership.node, this->leader.term());
     this->writer.begin(now);
-    this->load(now);
+    this->load();
 }
 
-void Scheduler::load(SteadyTime)
+void Scheduler::load()
 {
     ++this->loadGeneration;
     this->failedReads.clear();
@@ -115,7 +115,7 @@
                 read.position = page->version;
             read.collected.insert(read.collected.end(), page->rows.begin(), page->rows.end());
             if (page->more && !page->rows.empty()) {
-                read.from = page->rows.back().key.key + '\x01';
+                read.from = keyAfter(page->rows.back().key.key);
                 this->readTable(std::move(read));
             } else {
                 this->tableLoaded(read.table, std::move(read.collected), read.position, this->clock());
@@ -376,7 +376,7 @@
 void Scheduler::startRun(const PlannedStart& start, SteadyTime now)
 {
     Job& job = this->board.jobs.at(start.task.jobId);
-    Step& step = job.occurrences.at(start.task.occurrence).steps.at(static_cast<std::size_t>(start.task.step));
+    Step& step = job.occurrences.at(start.task.occurrence).stepAt(start.task.step);
     Task& task = step.tasks.at(static_cast<std::size_t>(start.task.index));
     const StepSpecification& specification = this->board.stepOf(start.task);
     BackendServer& server = this->board.servers.at(start.server);
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -103,7 +103,7 @@
     };
 
     void elected(SteadyTime now);
-    void load(SteadyTime now);
+    void load();
     void readTable(TableRead read);
     void retryReads(SteadyTime now);
     void tableLoaded(const std::string& table, std::vector<Row> rows, RowVersion position, SteadyTime now);
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -322,18 +322,25 @@
     run.load = active.load;
 }
 
+BackendServer* ServerMonitor::serverOfRun(const TaskName& name, const Run& run, SteadyTime now)
+{
+    const auto found = this->board.servers.find(run.server);
+    if (found != this->board.servers.end())
+        return &found->second;
+    this->tracker.runLost(name, RunLoss::ServerGone, now);
+    return nullptr;
+}
+
 void ServerMonitor::orderStart(const TaskName& name, SteadyTime now)
 {
     Task* task = this->board.findTask(name);
     if (!task || !task->run || task->run->phase != RunPhase::Ordered || task->run->orderOpen)
         return;
-    Run& run = *task->run;
-    const auto found = this->board.servers.find(run.server);
-    if (found == this->board.servers.end()) {
-        this->tracker.runLost(name, RunLoss::ServerGone, now);
+    BackendServer* known = this->serverOfRun(name, *task->run, now);
+    if (!known)
         return;
-    }
-    BackendServer& server = found->second;
+    BackendServer& server = *known;
+    Run& run = *task->run;
     if (!server.fenced || server.incarnation == 0 || server.unansweredLooks > 0) {
         run.nextOrderAt = now + orderRetryPause; // a look tells first what runs there
         return;
@@ -412,16 +419,14 @@
     Task* task = this->board.findTask(name);
     if (!task || !task->run || task->run->phase != RunPhase::Stopping)
         return;
-    Run& run = *task->run;
-    const auto found = this->board.servers.find(run.server);
-    if (found == this->board.servers.end()) {
-        this->tracker.runLost(name, RunLoss::ServerGone, now);
+    const BackendServer* server = this->serverOfRun(name, *task->run, now);
+    if (!server)
         return;
-    }
-    if (run.orderOpen || !found->second.fenced)
+    Run& run = *task->run;
+    if (run.orderOpen || !server->fenced)
         return;
     run.orderOpen = true;
-    this->effects.push(ServerCall { .server = found->second.address,
+    this->effects.push(ServerCall { .server = server->address,
         .order = StopOrder { .task = name, .attempt = run.attempt, .token = this->token },
         .timeout = orderTimeout,
         .done = [this, name, attempt = run.attempt](
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -73,6 +73,8 @@
     void removeGoneServers(SteadyTime now);
     ServerTime leaseEndFor(const BackendServer& server, SteadyTime now) const;
     void extendLease(BackendServer& server, SteadyTime now) const;
+    /// The server that a run is on; null, and the run is lost, when it is not known any more.
+    BackendServer* serverOfRun(const TaskName& name, const Run& run, SteadyTime now);
     Run* currentRun(const TaskName& name, int attempt);
 
     Board& board;
--- a/src/libs/scheduling/statestore.h
+++ b/src/libs/scheduling/statestore.h
@@ -70,6 +70,15 @@
     int limit = 500;
 };
 
+/// A key behind `key` and before all keys that begin with it and go on.
+inline std::string keyAfter(const std::string& key) { return key + '\x01'; }
+
+/// The range that holds one row.
+inline RowRange singleRow(const RowKey& key)
+{
+    return { .table = key.table, .partition = key.partition, .from = key.key, .to = keyAfter(key.key), .limit = 1 };
+}
+
 struct RowPage {
     std::vector<Row> rows;
     bool more = false;
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -115,7 +115,7 @@
     if (this->unsettled) {
         Batch batch = std::move(*this->unsettled);
         this->unsettled.reset();
-        this->send(std::move(batch), now);
+        this->send(std::move(batch));
         return;
     }
     Batch batch { .generation = this->generation };
@@ -134,10 +134,10 @@
         batch.row.holder.clear();
     batch.transaction.expected.push_back({ Leadership::rowKey(), this->leadership.currentVersion() });
     batch.transaction.writes.push_back({ Leadership::rowKey(), encodeLeadership(batch.row) });
-    this->send(std::move(batch), now);
+    this->send(std::move(batch));
 }
 
-void StateWriter::send(Batch batch, SteadyTime)
+void StateWriter::send(Batch batch)
 {
     this->open = true;
     const Transaction transaction = batch.transaction;
--- a/src/libs/scheduling/statewriter.h
+++ b/src/libs/scheduling/statewriter.h
@@ -71,7 +71,7 @@
 
     void collect(Batch& batch);
     void collectOccurrence(Batch& batch, const std::string& jobId, Occurrence& occurrence);
-    void send(Batch batch, SteadyTime now);
+    void send(Batch batch);
     void answered(Batch& batch, const CommitResult& result);
     void succeeded(const Batch& batch, RowVersion version, SteadyTime now);
 
--- a/src/libs/scheduling/upkeepcontroller.cpp
+++ b/src/libs/scheduling/upkeepcontroller.cpp
@@ -88,9 +88,7 @@
     if (wave.progressOpen)
         return;
     wave.progressOpen = true;
-    const RowKey key = progressRow(wave.wave.number);
-    this->effects.push(ReadCall { .range
-        = { .table = key.table, .partition = key.partition, .from = key.key, .to = key.key + '\x01', .limit = 1 },
+    this->effects.push(ReadCall { .range = singleRow(progressRow(wave.wave.number)),
         .timeout = storeTimeout,
         .done = [this, number = wave.wave.number, open = this->generation](const ReadResult& result) {
             if (open != this->generation)
@@ -170,7 +168,7 @@
             machine.stage = Stage::Ordering;
     }
     if (machine.stage == Stage::Ordering && !machine.callOpen && now >= machine.nextCall)
-        this->order(wave, id, machine, now);
+        this->order(wave, id, machine);
     if (machine.stage == Stage::Down) {
         const bool returned = server && server->incarnation != machine.incarnation && server->incarnation != 0;
         if (now - machine.since > this->options.upkeepTime && (returned || now - machine.since > lateExecution)) {
@@ -181,7 +179,7 @@
     }
 }
 
-void UpkeepController::order(Wave& wave, const std::string& id, Machine& machine, SteadyTime)
+void UpkeepController::order(Wave& wave, const std::string& id, Machine& machine)
 {
     const BackendServer* server = this->serverOf(id);
     if (server)
--- a/src/libs/scheduling/upkeepcontroller.h
+++ b/src/libs/scheduling/upkeepcontroller.h
@@ -74,7 +74,7 @@
     void takeWave(const Row& row, SteadyTime now);
     void advance(Wave& wave, SteadyTime now);
     void advanceMachine(Wave& wave, const std::string& id, Machine& machine, SteadyTime now);
-    void order(Wave& wave, const std::string& id, Machine& machine, SteadyTime now);
+    void order(Wave& wave, const std::string& id, Machine& machine);
     void ordered(std::int64_t number, const std::string& id, UpkeepResult result);
     void storeProgress(Wave& wave);
     void storeStatus(Wave& wave);
--- a/tests/auto/scheduling/tst_configurationfollower.cpp
+++ b/tests/auto/scheduling/tst_configurationfollower.cpp
@@ -75,7 +75,7 @@
     bench.store.put(document, "4");
     bench.settle();
     bench.store.put(document, "9");
-    bench.follower.heardVersion(9, bench.now);
+    bench.follower.heardVersion(9);
     bench.settle(); // the watch has not answered
     CHECK(bench.follower.inForce()->version == 9);
 }
