The soak and the stand-ins use the names, statuses and clock that the project has

The soak had HTTP statuses, names of the wire and a test for success of its own, twice in part, and four loops that wait with a bound; the two stand-ins had the same clock and address. They come from Utils::HttpStatus, Platform::Wire, one waitWhile and tests/support/standinclock.h now.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,6 +1,8 @@
 #include "soak/callers.h"
 
+#include "platform/wirenames.h"
 #include "utils/checkedjson.h"
+#include "utils/httpstatus.h"
 
 #include <iomanip>
 #include <sstream>
@@ -8,6 +10,7 @@
 namespace WisteriaHill::Soak {
 
 namespace asio = boost::asio;
+namespace Wire = Platform::Wire;
 using Utils::Json;
 
 namespace {
@@ -27,13 +30,9 @@
 constexpr int megabytes = 1000;
 constexpr int wholeServer = 8; ///< accelerators
 
-bool isSuccess(int status) { return status >= 200 && status < 300; }
-
 bool isRefusal(int status)
 {
-    constexpr int tooManyRequests = 429;
-    constexpr int unavailable = 503;
-    return status == tooManyRequests || status == unavailable;
+    return status == Utils::HttpStatus::tooManyRequests || status == Utils::HttpStatus::unavailable;
 }
 
 std::string bodyOf(const std::vector<PlannedStep>& steps)
@@ -42,15 +41,15 @@
     Json described = Json::array();
     for (const PlannedStep& step : steps) {
         needs.push_back({ milliCores, megabytes, step.accelerators, step.work.count() });
-        Json json { { "Count", step.tasks }, { "Cpu", milliCores }, { "MemMb", megabytes },
-            { "Gpu", step.accelerators }, { "EstimateMs", step.work.count() } };
+        Json json { { Wire::count, step.tasks }, { Wire::cpu, milliCores }, { Wire::memory, megabytes },
+            { Wire::accelerators, step.accelerators }, { Wire::estimate, step.work.count() } };
         if (step.gang)
-            json["Gang"] = true;
+            json[Wire::gang] = true;
         if (step.afterPrevious)
-            json["After"] = { described.size() - 1 };
+            json[Wire::after] = { described.size() - 1 };
         described.push_back(json);
     }
-    return Json { { "Spec", Json { { "needs", needs } }.dump() }, { "Steps", described } }.dump();
+    return Json { { Wire::payload, Json { { "needs", needs } }.dump() }, { Wire::steps, described } }.dump();
 }
 
 } // namespace
@@ -137,8 +136,8 @@
     made.status = answer.status;
     made.broken = answer.broken;
     const Json body = Json::parse(answer.body, nullptr, false);
-    if (kind == CallKind::State && body.is_object() && body.contains("State"))
-        made.state = body.at("State").get<std::string>();
+    if (kind == CallKind::State && body.is_object() && body.contains(Wire::state))
+        made.state = body.at(Wire::state).get<std::string>();
     this->history.jobs.at(caller->id).calls.push_back(made);
     return made;
 }
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -1,5 +1,7 @@
 #include "soak/history.h"
 
+#include "utils/httpstatus.h"
+
 #include <algorithm>
 #include <set>
 
@@ -7,20 +9,19 @@
 
 namespace {
 
+namespace HttpStatus = Utils::HttpStatus;
+
 constexpr Duration visibleAfter { 3000 }; ///< after its acceptance every daemon knows a job
 constexpr Duration cancelBound { 3000 }; ///< after the answer to a cancel nothing new starts
 constexpr Duration stopBound { 6000 }; ///< that a graceful stop may take
 constexpr Duration connectionLoss { 200 }; ///< a call that breaks sooner met a connection that was closing
 constexpr int maximumAttempts = 3; ///< in the stand-in's configuration
-constexpr int firstRefusal = 400; ///< status
-constexpr int badGateway = 502;
-constexpr int gatewayTimeout = 504;
-constexpr int jobUnknown = 410;
-
-bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 /// True when the answer says for certain that the job was not taken.
-bool isRefusal(int status) { return status >= firstRefusal && status != badGateway && status != gatewayTimeout; }
+bool isRefusal(int status)
+{
+    return status >= HttpStatus::badRequest && status != HttpStatus::badGateway && status != HttpStatus::timeout;
+}
 
 std::string text(Moment moment) { return std::to_string(moment.time_since_epoch().count()); }
 
@@ -141,7 +142,7 @@
         for (const Call& call : job.calls) {
             if (call.kind != CallKind::State)
                 continue;
-            if (call.status == jobUnknown && accepted && call.sent > *accepted + visibleAfter)
+            if (call.status == HttpStatus::gone && accepted && call.sent > *accepted + visibleAfter)
                 this->found.push_back(id + ": unknown to daemon " + std::to_string(call.daemon)
                     + " although it was accepted at " + text(*accepted));
             if (call.state.empty())
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -11,6 +11,8 @@
 
 using Duration = std::chrono::milliseconds;
 
+inline bool isSuccess(int status) { return status >= 200 && status < 300; }
+
 /// A point on the machine's steady clock, shared by all processes of a soak.
 using Moment = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
--- a/tests/soak/httpconnection.cpp
+++ b/tests/soak/httpconnection.cpp
@@ -1,5 +1,7 @@
 #include "soak/httpconnection.h"
 
+#include "platform/wirenames.h"
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,7 +31,7 @@
             http::string_to_verb(question.method), question.path, httpVersion, question.body);
         request.set(http::field::host, question.host);
         request.set(http::field::content_type, "application/json");
-        request.set("Deadline-Ms", std::to_string(question.timeout.count()));
+        request.set(Platform::Wire::deadlineHeader, std::to_string(question.timeout.count()));
         if (!question.key.empty())
             request.set(http::field::authorization, "Bearer " + question.key);
         request.prepare_payload();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,13 +1,16 @@
 // Randomized soak of the real programs on one machine: faults come from outside the processes, and the users' promises
 // are checked from what callers and backend servers saw.
 
+#include "platform/wirenames.h"
 #include "soak/callers.h"
 #include "soak/faults.h"
 #include "utils/base64.h"
 #include "utils/checkedjson.h"
+#include "utils/httpstatus.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <docopt/docopt.h>
+#include <functional>
 #include <iostream>
 
 namespace {
@@ -15,6 +18,8 @@
 using namespace WisteriaHill;
 using namespace Soak;
 namespace asio = boost::asio;
+namespace HttpStatus = Utils::HttpStatus;
+namespace Wire = Platform::Wire;
 using Utils::Json;
 
 constexpr const char* usage = R"(Soaks a fleet of real processes in random faults.
@@ -38,14 +43,14 @@
 constexpr Duration settleBound { 40'000 }; ///< until every job must have ended
 constexpr Duration configurationBound { 2000 }; ///< until a change must be in force
 constexpr Duration stopBound { 7000 }; ///< a stop may take 6 s
-constexpr int ok = 200;
-constexpr int unauthorised = 401;
 
 HttpQuestion questionFor(const std::string& path, const std::string& key = {}) { return { .path = path, .key = key }; }
 
 HttpQuestion writeOf(const Json& row)
 {
-    return { .method = "POST", .path = "/-/rows-tx", .body = Json { { "Write", Json::array({ row }) } }.dump() };
+    return {
+        .method = "POST", .path = Wire::transactionPath, .body = Json { { Wire::write, Json::array({ row }) } }.dump()
+    };
 }
 
 class Soaker {
@@ -74,9 +79,7 @@
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
             this->replace(daemon, yield);
         this->callers.stopSubmitting();
-        const Moment begin = now();
-        while (this->callers.openJobs() > 0 && now() < begin + settleBound)
-            waitFor(this->context, tickInterval, yield);
+        this->waitWhile([this]() { return this->callers.openJobs() > 0; }, now() + settleBound, yield);
         this->stopAll(yield);
         this->history.finished = now();
         this->fleet.readHistory(this->history);
@@ -108,12 +111,19 @@
         }
     }
 
+    /// Returns once the condition is false, at the latest at `bound`.
+    void waitWhile(const std::function<bool()>& condition, Moment bound, const boost::asio::yield_context& yield)
+    {
+        while (condition() && now() < bound)
+            waitFor(this->context, tickInterval, yield);
+    }
+
     void waitUntilReady(int daemon, const boost::asio::yield_context& yield)
     {
         const Moment begin = now();
         for (;;) {
             HttpConnection connection(this->context, this->fleet.readinessPort(daemon));
-            if ((connection.call(questionFor("/-/readyz"), yield)).status == ok)
+            if ((connection.call(questionFor(Wire::readyPath), yield)).status == HttpStatus::ok)
                 return;
             if (now() > begin + startBound) {
                 this->findings.push_back("daemon " + std::to_string(daemon) + " did not become ready");
@@ -127,11 +137,9 @@
     void replace(int daemon, const boost::asio::yield_context& yield)
     {
         this->fleet.stopDaemon(daemon, true);
-        const Moment begin = now();
-        while (this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
-            waitFor(this->context, tickInterval, yield);
-        while (!this->fleet.isDaemonRunning(daemon) && now() < begin + stopBound)
-            waitFor(this->context, tickInterval, yield);
+        const Moment bound = now() + stopBound;
+        this->waitWhile([&]() { return this->fleet.isDaemonRunning(daemon); }, bound, yield);
+        this->waitWhile([&]() { return !this->fleet.isDaemonRunning(daemon); }, bound, yield);
         this->waitUntilReady(daemon, yield);
     }
 
@@ -140,9 +148,7 @@
         this->fleet.stopRestarting();
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
             this->fleet.stopDaemon(daemon, true);
-        const Moment begin = now();
-        while (this->fleet.isAnyDaemonRunning() && now() < begin + stopBound)
-            waitFor(this->context, tickInterval, yield);
+        this->waitWhile([this]() { return this->fleet.isAnyDaemonRunning(); }, now() + stopBound, yield);
         if (this->fleet.isAnyDaemonRunning())
             this->findings.push_back("a daemon did not stop");
     }
@@ -151,16 +157,16 @@
     void changeConfiguration(const boost::asio::yield_context& yield)
     {
         HttpConnection store(this->context, this->fleet.storePort());
-        const HttpAnswer read
-            = store.call(questionFor("/-/rows-get?Table=op&part=&StartKey=config&To=&Limit=1"), yield);
-        Json row = Json::parse(read.body).at("rows").at(0);
-        Json document = Json::parse(*Utils::fromBase64(row.at("Value").get<std::string>()));
-        document["Version"] = document.at("Version").get<int>() + 1;
-        document["Tenants"][0]["ApiKeys"].push_back("added-key");
-        row["Value"] = Utils::toBase64(document.dump());
-        row.erase("Ver");
+        const HttpAnswer read = store.call(
+            questionFor(std::string(Wire::readPath) + "?Table=op&part=&StartKey=config&To=&Limit=1"), yield);
+        Json row = Json::parse(read.body).at(Wire::rows).at(0);
+        Json document = Json::parse(*Utils::fromBase64(row.at(Wire::value).get<std::string>()));
+        document[Wire::documentVersion] = document.at(Wire::documentVersion).get<int>() + 1;
+        document[Wire::tenants][0][Wire::keys].push_back("added-key");
+        row[Wire::value] = Utils::toBase64(document.dump());
+        row.erase(Wire::version);
         const HttpAnswer written = store.call(writeOf(row), yield);
-        if (written.status != ok) {
+        if (written.status != HttpStatus::ok) {
             this->findings.push_back("the store did not take the configuration");
             return;
         }
@@ -169,9 +175,9 @@
             HttpConnection connection(this->context, this->fleet.callersPort(daemon));
             const HttpAnswer added = connection.call(questionFor("/score/0000000000000000", "added-key"), yield);
             const HttpAnswer unknown = connection.call(questionFor("/score/0000000000000000", "stolen"), yield);
-            if (added.status == unauthorised || added.status == 0)
+            if (added.status == HttpStatus::unauthorised || added.status == 0)
                 this->findings.push_back("daemon " + std::to_string(daemon) + ": the new key is not in force");
-            if (unknown.status != unauthorised)
+            if (unknown.status != HttpStatus::unauthorised)
                 this->findings.push_back("daemon " + std::to_string(daemon) + ": takes an unknown key");
         }
     }
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -9,6 +9,7 @@
 #include "adapters/httpserver.h"
 #include "platform/wirenames.h"
 #include "support/fakeserver.h"
+#include "support/standinclock.h"
 #include "utils/base64.h"
 #include "utils/checkedjson.h"
 #include "utils/httpstatus.h"
@@ -24,13 +25,14 @@
 using namespace Scheduling;
 using Adapters::HttpExchangeId;
 using Adapters::HttpRequest;
+using TestSupport::loopback;
+using TestSupport::nowMs;
 using TestSupport::RunEvent;
 using TestSupport::ServerHealth;
 namespace HttpStatus = Utils::HttpStatus;
 using Utils::Json;
 namespace Wire = Platform::Wire;
 
-constexpr const char* loopback = "127.0.0.1";
 constexpr const char* healthPath = "/stand-in/health";
 constexpr Duration pollInterval { 10 };
 constexpr Duration heartbeatInterval { 500 };
@@ -45,11 +47,6 @@
     std::uint16_t announcedPort = 0; ///< where daemons call it
 };
 
-std::int64_t nowMs()
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 std::int64_t wallNowMs()
 {
     return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()).count();
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -6,11 +6,11 @@
 #include "adapters/httpserver.h"
 #include "platform/wirenames.h"
 #include "support/fakestore.h"
+#include "support/standinclock.h"
 #include "utils/base64.h"
 #include "utils/checkedjson.h"
 #include "utils/httpstatus.h"
 
-#include <chrono>
 #include <iostream>
 #include <map>
 #include <vector>
@@ -22,11 +22,12 @@
 using Adapters::HttpExchangeId;
 using Adapters::HttpRequest;
 using Adapters::HttpResponse;
+using TestSupport::loopback;
+using TestSupport::nowMs;
 namespace HttpStatus = Utils::HttpStatus;
 using Utils::Json;
 namespace Wire = Platform::Wire;
 
-constexpr const char* loopback = "127.0.0.1";
 constexpr const char* forgetPath = "/stand-in/forget";
 constexpr Duration pollInterval { 10 };
 constexpr std::int64_t entryLifetime = 1500; ///< ms; three heartbeat intervals of the server stand-in
@@ -56,11 +57,6 @@
     return found == request.query.end() ? std::string() : found->second;
 }
 
-std::int64_t nowMs()
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 class StoreService {
 public:
     StoreService(Adapters::EventLoop& loop, std::uint16_t port)
