--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr Duration storeTimeout { 1500 };
-constexpr Duration readRetryPause { 100 };
 /// Bounds how long a connection that went silent hides new jobs.
 constexpr Duration jobFeedWait { 1000 };
 constexpr Duration feedRetryPause { 150 };
@@ -34,6 +32,7 @@
     , clock(std::move(givenClock))
     , storeClock(storeClock)
     , leader(this->effects, this->options.leadership)
+    , reader(this->effects)
     , tracker(this->board, this->effects)
     , monitor(this->board, this->effects, this->tracker, this->options.servers)
     , writer(this->board, this->effects, this->leader)
@@ -49,6 +48,9 @@
     this->leader.setClock(this->clock);
     this->monitor.setClock(this->clock);
     this->writer.setClock(this->clock);
+    this->reader.setClock(this->clock);
+    this->reader.onRead(
+        [this](TableContents contents, SteadyTime now) { this->tableLoaded(std::move(contents), now); });
     this->leader.onElected([this](SteadyTime now) { this->elected(now); });
     this->monitor.onFenced([this](SteadyTime now) { this->leader.stepDown(now, "a server saw a higher token"); });
     this->writer.onStored(
@@ -90,60 +92,28 @@
 void Scheduler::load()
 {
     ++this->loadGeneration;
-    this->failedReads.clear();
-    this->readTable({ .table = this->options.serverTable });
-    this->readTable({ .table = StoreTable::jobs, .partition = StoreTable::intakePartition });
-    this->readTable({ .table = StoreTable::states, .partition = StoreTable::schedulerPartition });
-    this->readTable({ .table = StoreTable::progress, .partition = StoreTable::schedulerPartition });
+    this->reader.begin();
+    this->reader.read(this->options.serverTable, "");
+    this->reader.read(StoreTable::jobs, StoreTable::intakePartition);
+    this->reader.read(StoreTable::states, StoreTable::schedulerPartition);
+    this->reader.read(StoreTable::progress, StoreTable::schedulerPartition);
 }
 
-void Scheduler::readTable(TableRead read)
+void Scheduler::tableLoaded(TableContents contents, SteadyTime now)
 {
-    const RowRange range { .table = read.table, .partition = read.partition, .from = read.from };
-    this->effects.push(ReadCall { .range = range,
-        .timeout = storeTimeout,
-        .done = [this, read = std::move(read), generation = this->loadGeneration](const ReadResult& result) mutable {
-            if (generation != this->loadGeneration || !this->leader.isLeader())
-                return;
-            const auto* page = std::get_if<RowPage>(&result);
-            if (!page) {
-                this->failedReads.push_back(std::move(read));
-                this->nextReadRetry = this->clock() + readRetryPause;
-                return;
-            }
-            if (read.position == 0)
-                read.position = page->version;
-            read.collected.insert(read.collected.end(), page->rows.begin(), page->rows.end());
-            if (page->more && !page->rows.empty()) {
-                read.from = keyAfter(page->rows.back().key.key);
-                this->readTable(std::move(read));
-            } else {
-                this->tableLoaded(read.table, std::move(read.collected), read.position, this->clock());
-            }
-        } });
-}
-
-void Scheduler::retryReads(SteadyTime now)
-{
-    if (now < this->nextReadRetry || !this->leader.isLeader())
+    if (!this->leader.isLeader())
         return;
-    for (TableRead& read : std::exchange(this->failedReads, {}))
-        this->readTable(std::move(read));
-}
-
-void Scheduler::tableLoaded(const std::string& table, std::vector<Row> rows, RowVersion position, SteadyTime now)
-{
-    this->feeds[table].position = position;
+    this->feeds[contents.table].position = contents.position;
     if (this->loaded) {
-        if (table == this->options.serverTable)
-            this->reloadServers(rows, now);
+        if (contents.table == this->options.serverTable)
+            this->reloadServers(contents.rows, now);
         else
-            for (const Row& row : rows)
+            for (const Row& row : contents.rows)
                 this->takeJobRow(row, now);
-        this->feeds[table].open = false;
+        this->feeds[contents.table].open = false;
         return;
     }
-    this->loadedRows[table] = std::move(rows);
+    this->loadedRows[contents.table] = std::move(contents.rows);
     constexpr std::size_t tables = 4;
     if (this->loadedRows.size() == tables)
         this->finishLoad(now);
@@ -301,7 +271,7 @@
         this->effects.log(Event::HistoryLost, { { "table", table }, { "position", feed.position } });
         feed.open = true; // until the table is read
         const bool intake = table == StoreTable::jobs;
-        this->readTable({ .table = table, .partition = intake ? StoreTable::intakePartition : "" });
+        this->reader.read(table, intake ? StoreTable::intakePartition : "");
         return;
     }
     const auto* page = std::get_if<RowPage>(&result);
@@ -322,7 +292,8 @@
 void Scheduler::tick(SteadyTime now, WallTime wallNow)
 {
     this->leader.tick(now);
-    this->retryReads(now);
+    if (this->leader.isLeader())
+        this->reader.tick(now);
     if (!this->isActive() || !this->board.configuration)
         return;
     this->watch(StoreTable::jobs, this->feeds.at(StoreTable::jobs), jobFeedWait, now);
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -10,6 +10,7 @@
 #include "scheduling/servermonitor.h"
 #include "scheduling/statewriter.h"
 #include "scheduling/storeclock.h"
+#include "scheduling/tablereader.h"
 #include "scheduling/upkeepcontroller.h"
 
 #include <map>
@@ -93,20 +94,9 @@
         SteadyTime nextCall {};
     };
 
-    /// A table that is being read, page after page.
-    struct TableRead {
-        std::string table;
-        std::string partition;
-        std::string from;
-        std::vector<Row> collected;
-        RowVersion position = 0; ///< of the first page; later changes come from the feed
-    };
-
     void elected(SteadyTime now);
     void load();
-    void readTable(TableRead read);
-    void retryReads(SteadyTime now);
-    void tableLoaded(const std::string& table, std::vector<Row> rows, RowVersion position, SteadyTime now);
+    void tableLoaded(TableContents contents, SteadyTime now);
     void finishLoad(SteadyTime now);
     void watch(const std::string& table, TableFeed& feed, Duration wait, SteadyTime now);
     void feedAnswered(const std::string& table, const WatchResult& result);
@@ -127,6 +117,7 @@
     Effects effects;
     Board board;
     Leadership leader;
+    TableReader reader;
     JobTracker tracker;
     ServerMonitor monitor;
     StateWriter writer;
@@ -137,8 +128,6 @@
     UpkeepController upkeep;
     bool loaded = false;
     std::uint64_t loadGeneration = 0;
-    std::vector<TableRead> failedReads; ///< to be sent again
-    SteadyTime nextReadRetry {};
     std::map<std::string, std::vector<Row>> loadedRows;
     std::map<std::string, TableFeed> feeds;
     SteadyTime nextHousekeeping {};
