Logs and metrics tell why a waiting job is put off, and what a stop costs

New event 851, further fields in 842, 843, 845 and 850, run times and job ages as histograms, waiting steps as a gauge. No decision changes.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -219,6 +219,10 @@
     } else if (const auto* line = std::get_if<Scheduling::LogLine>(&effect)) {
         this->metrics.countEvent(line->event);
         Utils::logStructured(line->event, line->fields);
+    } else if (const auto* run = std::get_if<Scheduling::RunMeasurement>(&effect)) {
+        this->metrics.recordRun(*run);
+    } else if (const auto* job = std::get_if<Scheduling::JobMeasurement>(&effect)) {
+        this->metrics.recordJob(*job);
     }
 }
 
@@ -239,6 +243,7 @@
         .storeDirect = this->storeRoute.isDirect(),
         .jobs = this->scheduler.state().jobs.size(),
         .servers = this->scheduler.state().servers.size(),
+        .waitingSteps = Scheduling::waitingSteps(this->scheduler.state()),
         .peers = this->peers.heardWithin(heartbeatInterval * 3, now).size(),
         .storeCalls = this->store.callsMade(),
         .serverCalls = this->servers.callsMade(),
--- a/src/app/fleetmetrics.cpp
+++ b/src/app/fleetmetrics.cpp
@@ -67,6 +67,17 @@
     this->serverCalls[kind].record(latency);
 }
 
+void FleetMetrics::recordRun(const Scheduling::RunMeasurement& run)
+{
+    this->runs[run.queue].record(run.ran);
+    this->declaredRuns[run.queue].record(run.declared);
+}
+
+void FleetMetrics::recordJob(const Scheduling::JobMeasurement& job)
+{
+    this->jobs[{ job.queue, job.state, job.outlook }].record(job.age);
+}
+
 std::string FleetMetrics::text(const FleetGauges& gauges) const
 {
     std::ostringstream out;
@@ -81,6 +92,16 @@
     writeSeries(out, "wisteriahill_call_seconds", this->calls);
     writeSeries(out, "wisteriahill_store_call_seconds", this->storeCalls);
     writeSeries(out, "wisteriahill_server_call_seconds", this->serverCalls);
+    writeSeries(out, "wisteriahill_run_seconds", this->runs);
+    writeSeries(out, "wisteriahill_declared_run_seconds", this->declaredRuns);
+    out << "# TYPE wisteriahill_job_seconds histogram\n";
+    for (const auto& [labels, histogram] : this->jobs)
+        histogram.write(out, "wisteriahill_job_seconds",
+            "queue=\"" + labels[0] + "\",state=\"" + labels[1] + "\",outlook=\"" + labels[2] + "\"");
+    out << "# TYPE wisteriahill_waiting_steps gauge\n";
+    for (const auto& [labels, count] : gauges.waitingSteps)
+        out << "wisteriahill_waiting_steps{queue=\"" << labels.first << "\",outlook=\""
+            << Scheduling::outlookName(labels.second) << "\"} " << count << '\n';
     writeValue(out, "wisteriahill_configuration_version", "gauge", gauges.configurationVersion);
     writeValue(out, "wisteriahill_term", "gauge", gauges.term);
     writeValue(out, "wisteriahill_leading", "gauge", gauges.leading ? 1 : 0);
--- a/src/app/fleetmetrics.h
+++ b/src/app/fleetmetrics.h
@@ -1,11 +1,14 @@
 /// Counters and latency histograms of a daemon of the fleet, in the text format of Prometheus.
 #pragma once
 
+#include "scheduling/board.h"
+#include "scheduling/effects.h"
 #include "scheduling/intake.h"
 #include "utils/eventcatalogue.h"
 #include "utils/latencyhistogram.h"
 #include "utils/steadytime.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,6 +24,7 @@
     bool storeDirect = false;
     std::size_t jobs = 0;
     std::size_t servers = 0;
+    Scheduling::WaitingSteps waitingSteps;
     std::size_t peers = 0;
     std::uint64_t storeCalls = 0;
     std::uint64_t serverCalls = 0;
@@ -41,16 +45,26 @@
     void recordStoreCall(const std::string& kind, Utils::Duration latency);
     void recordServerCall(const std::string& kind, Utils::Duration latency);
 
+    /// A run of a task ended as done.
+    void recordRun(const Scheduling::RunMeasurement& run);
+
+    /// A job has ended.
+    void recordJob(const Scheduling::JobMeasurement& job);
+
     std::string text(const FleetGauges& gauges) const;
 
 private:
     using Series = std::map<std::string, Utils::LatencyHistogram>;
+    using Labels = std::array<std::string, 3>;
 
     std::map<Utils::Event, std::uint64_t> events;
     std::map<std::pair<std::string, Scheduling::CallerOutcome>, std::uint64_t> outcomes;
     Series calls;
     Series storeCalls;
     Series serverCalls;
+    Series runs; ///< run times, by queue
+    Series declaredRuns; ///< what was declared for the same runs
+    std::map<Labels, Utils::LatencyHistogram> jobs; ///< ages at the end, by queue, state and outlook
 };
 
 /// The name of an outcome, for labels and logs.
--- a/src/libs/scheduling/board.cpp
+++ b/src/libs/scheduling/board.cpp
@@ -4,6 +4,32 @@
 
 namespace WisteriaHill::Scheduling {
 
+std::string outlookName(Outlook outlook)
+{
+    switch (outlook) {
+    case Outlook::OnTime:
+        return "onTime";
+    case Outlook::Late:
+        return "late";
+    case Outlook::TooLate:
+        return "tooLate";
+    }
+    return "unknown";
+}
+
+std::optional<Duration> Run::ranFor(SteadyTime now) const
+{
+    if (!this->activeSince)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(now - *this->activeSince);
+}
+
+Utils::Json ranMs(const Run& run, SteadyTime now)
+{
+    const std::optional<Duration> ran = run.ranFor(now);
+    return ran ? Utils::Json(ran->count()) : Utils::Json();
+}
+
 void Board::setConfiguration(std::shared_ptr<const FleetConfiguration> inForce)
 {
     this->configuration = std::move(inForce);
@@ -35,4 +61,20 @@
     return this->jobs.at(name.jobId).record.specification.steps.at(static_cast<std::size_t>(name.step));
 }
 
+WaitingSteps waitingSteps(const Board& board)
+{
+    WaitingSteps waiting;
+    for (const auto& [id, job] : board.jobs) {
+        if (job.ended())
+            continue;
+        for (const auto& [index, occurrence] : job.occurrences) {
+            for (const Step& step : occurrence.steps) {
+                if (step.ready && step.done + step.running < static_cast<int>(step.tasks.size()))
+                    ++waiting[{ job.record.pathPrefix, step.outlook }];
+            }
+        }
+    }
+    return waiting;
+}
+
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -5,6 +5,7 @@
 #include "scheduling/serverorders.h"
 #include "scheduling/statestore.h"
 #include "scheduling/unstoredsuccesses.h"
+#include "utils/checkedjson.h"
 
 #include <map>
 #include <memory>
@@ -22,6 +23,16 @@
     Stopping, ///< to be stopped; its end is awaited
 };
 
+/// What a job's client can still get.
+enum class Outlook {
+    OnTime, ///< may end within its objective
+    Late, ///< will miss its objective, but is still of use
+    TooLate, ///< is of no use to its client any more
+};
+
+/// Lower-case name of an outlook, for logs and metrics.
+std::string outlookName(Outlook outlook);
+
 /// One run of a task on a backend server.
 struct Run {
     int attempt = 0;
@@ -30,6 +41,8 @@
     RunPhase phase = RunPhase::Recording;
     SteadyTime phaseSince {};
     std::string checkpoint; ///< that the start carries
+    bool adopted = false; ///< an earlier scheduler started it, so that its age is not known
+    std::optional<SteadyTime> activeSince; ///< when the server confirmed it; unset for an adopted run
     int percent = 0;
     SteadyTime progressedAt {}; ///< when percent last moved
     std::int64_t load = 0;
@@ -40,8 +53,14 @@
     std::optional<SteadyTime> stopConfirmedAt; ///< the server will not start the run any more
     std::string stopReason;
     std::string ticket; ///< of placement advice
+
+    /// How long it has been at work; nothing when that is not known.
+    std::optional<Duration> ranFor(SteadyTime now) const;
 };
 
+/// How long a run has been at work, for logs; null when that is not known.
+Utils::Json ranMs(const Run& run, SteadyTime now);
+
 enum class TaskPhase { Waiting, Running, Done };
 
 struct Task {
@@ -67,6 +86,7 @@
     SteadyTime readySince {}; ///< when its prerequisites were met
     int lastFailedAttempt = 0; ///< of a gang
     bool ready = false;
+    Outlook outlook = Outlook::OnTime; ///< in the last planning pass in which it waited
     std::map<std::string, Ticket> tickets; ///< by server, of queues with placement advice
     std::set<std::string> deniedServers; ///< the advice for a step doesn't change
 };
@@ -167,4 +187,9 @@
     const StepSpecification& stepOf(const TaskName& name) const;
 };
 
+/// Steps with tasks that wait for room, by queue and by their outlook in the last planning pass.
+using WaitingSteps = std::map<std::pair<std::string, Outlook>, std::size_t>;
+
+WaitingSteps waitingSteps(const Board& board);
+
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/effects.h
+++ b/src/libs/scheduling/effects.h
@@ -49,7 +49,23 @@
     std::function<void(UpkeepResult)> done;
 };
 
-using Effect = std::variant<CommitCall, ReadCall, WatchCall, ServerCall, AdviceCall, UpkeepCall, LogLine>;
+/// How long a run took that ended as done, for the metrics.
+struct RunMeasurement {
+    std::string queue;
+    Duration ran { 0 };
+    Duration declared { 0 };
+};
+
+/// A job that has ended, for the metrics.
+struct JobMeasurement {
+    std::string queue;
+    std::string state;
+    std::string outlook; ///< whether it ended within its objective
+    Duration age { 0 };
+};
+
+using Effect = std::variant<CommitCall, ReadCall, WatchCall, ServerCall, AdviceCall, UpkeepCall, LogLine,
+    RunMeasurement, JobMeasurement>;
 
 /// Collects effects in order. Thread safety: none.
 class Effects {
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/jobtracker.h"
 
+#include "scheduling/outlook.h"
 #include "scheduling/placement.h"
 #include "scheduling/rowcodec.h"
 
@@ -103,6 +104,7 @@
             ++step.running;
             job.begun = true;
             task.run->phaseSince = now;
+            task.run->adopted = true;
             const TaskName name { jobId, index, static_cast<int>(number), static_cast<int>(position) };
             this->board.servers[task.run->server].occupants[name] = countedNeed(specificationOf(job, name.step));
             if (job.ended())
@@ -158,9 +160,7 @@
     job.stateDirty = true;
     this->board.dirtyJobs.insert(job.record.id);
     job.finishedAt = now;
-    this->effects.log(Event::JobEnded,
-        { { "job", job.record.id }, { "state", jobStateName(state) }, { "reason", reason },
-            { "ageMs", std::chrono::duration_cast<Duration>(now - job.acceptedAt).count() } });
+    this->reportEnd(job, reason, now);
     for (auto& [index, occurrence] : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             for (std::size_t task = 0; task < occurrence.steps[step].tasks.size(); ++task)
@@ -170,6 +170,26 @@
     }
 }
 
+void JobTracker::reportEnd(const Job& job, const std::string& reason, SteadyTime now)
+{
+    const auto age = std::chrono::duration_cast<Duration>(now - job.acceptedAt);
+    Utils::Json fields { { "job", job.record.id }, { "queue", job.record.pathPrefix },
+        { "account", job.record.account }, { "state", jobStateName(job.state) }, { "reason", reason },
+        { "ageMs", age.count() } };
+    // The occurrences of a scheduled job are due at times of their own.
+    if (job.queue && job.record.specification.occurrences == 0) {
+        const Forecast forecast
+            = forecastFor(job, *job.queue, job.record.specification.steps.size(), job.acceptedAt, now);
+        fields["outlook"] = outlookName(forecast.outlook);
+        fields["objectiveMs"] = forecast.objective.count();
+        this->effects.push(JobMeasurement { .queue = job.record.pathPrefix,
+            .state = jobStateName(job.state),
+            .outlook = outlookName(forecast.outlook),
+            .age = age });
+    }
+    this->effects.log(Event::JobEnded, std::move(fields));
+}
+
 void JobTracker::requestStop(const TaskName& name, const std::string& reason, SteadyTime now)
 {
     Task* task = this->board.findTask(name);
@@ -192,6 +212,8 @@
     task->run->phase = RunPhase::Active;
     task->run->phaseSince = now;
     task->run->progressedAt = now;
+    if (!task->run->adopted)
+        task->run->activeSince = now;
     Job& job = this->board.jobs.at(name.jobId);
     job.begun = true;
     this->updateJob(job, now);
@@ -219,7 +241,9 @@
     this->effects.log(Event::RunEnded,
         { { "task", formatTaskName(ended.task) }, { "attempt", ended.attempt }, { "server", server.address.id },
             { "incarnation", server.incarnation }, { "end", runEndName(ended.end) }, { "number", ended.number },
-            { "stopReason", task->run->stopReason } });
+            { "stopReason", task->run->stopReason }, { "percent", task->run->percent },
+            { "ranMs", ranMs(*task->run, now) }, { "declaredMs", specification.estimate.count() },
+            { "checkpoint", ended.checkpoint } });
 
     if (ended.end == RunEnd::Done) {
         this->board.unstoredSuccesses.seen(
@@ -227,6 +251,9 @@
         server.failedJobs.clear();
         server.avoidUntil = {};
         server.lastDoneAt = now;
+        if (const std::optional<Duration> ran = task->run->ranFor(now))
+            this->effects.push(
+                RunMeasurement { .queue = job.record.pathPrefix, .ran = *ran, .declared = specification.estimate });
         server.occupants.erase(ended.task);
         if (specification.longRunning && !specification.gang)
             this->requeue(ended.task, step, *task, now);
--- a/src/libs/scheduling/outlook.cpp
+++ b/src/libs/scheduling/outlook.cpp
@@ -15,7 +15,7 @@
 /// Declared run time of the steps on the longest path that begins at `first` or later.
 Duration longestPath(const JobSpecification& job, std::size_t first)
 {
-    if (job.steps.size() == 1)
+    if (job.steps.size() == 1 && first == 0)
         return job.steps.front().estimate;
     std::vector<Duration> ends(job.steps.size(), Duration(0));
     Duration longest { 0 };
@@ -31,15 +31,17 @@
 
 } // namespace
 
-Outlook outlookOf(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now)
+Forecast forecastFor(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now)
 {
     const Duration whole = longestPath(job.record.specification, 0);
     const Duration rest = step == 0 ? whole : longestPath(job.record.specification, step);
-    const auto objective = std::chrono::duration_cast<Duration>(whole * queue.stretchFactor) + queue.targetDuration;
-    const auto expected = std::chrono::duration_cast<Duration>(now - since) + rest;
-    if (expected <= objective)
-        return Outlook::OnTime;
-    return expected <= objective * uselessMultiple ? Outlook::Late : Outlook::TooLate;
+    Forecast forecast { .declared = whole,
+        .expectedEnd = std::chrono::duration_cast<Duration>(now - since) + rest,
+        .objective = std::chrono::duration_cast<Duration>(whole * queue.stretchFactor) + queue.targetDuration };
+    if (forecast.expectedEnd > forecast.objective)
+        forecast.outlook
+            = forecast.expectedEnd <= forecast.objective * uselessMultiple ? Outlook::Late : Outlook::TooLate;
+    return forecast;
 }
 
 int standing(int priority, Outlook outlook)
--- a/src/libs/scheduling/outlook.h
+++ b/src/libs/scheduling/outlook.h
@@ -5,16 +5,17 @@
 
 namespace WisteriaHill::Scheduling {
 
-/// What a job's client can still get.
-enum class Outlook {
-    OnTime, ///< may end within its objective
-    Late, ///< will miss its objective, but is still of use
-    TooLate, ///< is of no use to its client any more
+/// When a job will end, compared with how long its client values it. Times count from when the job, or its occurrence,
+/// became due.
+struct Forecast {
+    Duration declared { 0 }; ///< run time of the longest path of steps, as the client declared it
+    Duration expectedEnd { 0 }; ///< if the step in question begins now
+    Duration objective { 0 }; ///< an end by then is on time
+    Outlook outlook = Outlook::OnTime;
 };
 
-/// Compares the time since `since`, when the job or its occurrence became due, and the declared time of the steps from
-/// `step` on with the objective of the queue.
-Outlook outlookOf(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now);
+/// The forecast for a job whose steps from `step` on are still to be run; none when `step` is their number.
+Forecast forecastFor(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now);
 
 /// Place in the order of service; lower goes first. Answers overload: work that is late already gives way to work of
 /// the next priority that can still be on time, and work that is of no use any more to everything.
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -52,8 +52,11 @@
     this->excludeAvoided
         = static_cast<double>(avoided) <= largestAvoidedShare * static_cast<double>(pass.servers.size());
     this->reserve.apply(pass, units);
-    for (const WaitingUnit& unit : units)
+    for (const WaitingUnit& unit : units) {
+        if (unit.forecast.outlook != unit.state->outlook)
+            plan.outlookChanges.push_back({ unit.taskName(0), unit.forecast });
         this->placeUnit(pass, unit, plan);
+    }
     return plan;
 }
 
@@ -173,7 +176,7 @@
         if (unconstrained)
             this->failedShapes.push_back(shape);
     }
-    if (unit.outlook != Outlook::TooLate || unit.urgency == Urgency::Guaranteed)
+    if (unit.forecast.outlook != Outlook::TooLate || unit.urgency == Urgency::Guaranteed)
         this->waitForRoom(pass, unit, anyRack, plan);
 }
 
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -22,9 +22,16 @@
     std::string forJob;
 };
 
+/// A waiting step that does better or worse for its client than in the last pass.
+struct OutlookChange {
+    TaskName step; ///< index 0
+    Forecast forecast;
+};
+
 struct Plan {
     std::vector<PlannedStart> starts;
     std::vector<PlannedStop> stops;
+    std::vector<OutlookChange> outlookChanges;
 };
 
 struct PlannerOptions {
--- a/src/libs/scheduling/planningpass.cpp
+++ b/src/libs/scheduling/planningpass.cpp
@@ -38,7 +38,7 @@
 bool goesBefore(const WaitingUnit& left, const WaitingUnit& right)
 {
     const auto key = [](const WaitingUnit& unit) {
-        return std::tuple(unit.urgency != Urgency::Guaranteed, standing(unit.queue->priority, unit.outlook),
+        return std::tuple(unit.urgency != Urgency::Guaranteed, standing(unit.queue->priority, unit.forecast.outlook),
             unit.job->acceptedAt, std::string_view(unit.job->record.id), unit.step);
     };
     return key(left) < key(right);
@@ -118,7 +118,7 @@
                     .queue = job.queue,
                     .step = static_cast<int>(number),
                     .urgency = this->urgencyOf(job),
-                    .outlook = outlookOf(
+                    .forecast = forecastFor(
                         job, *job.queue, number, scheduled ? occurrence.createdAt : job.acceptedAt, this->now) };
                 for (int task = 0; task < total; ++task) {
                     if (step.tasks[static_cast<std::size_t>(task)].phase == TaskPhase::Waiting)
--- a/src/libs/scheduling/planningpass.h
+++ b/src/libs/scheduling/planningpass.h
@@ -24,7 +24,7 @@
     const Queue* queue = nullptr;
     int step = 0;
     Urgency urgency = Urgency::Ordinary;
-    Outlook outlook = Outlook::OnTime;
+    Forecast forecast;
     std::vector<int> waiting;
 
     TaskName taskName(int index) const { return { this->job->record.id, this->occurrence->index, this->step, index }; }
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -104,6 +104,7 @@
     void takeServerRow(const Row& row, SteadyTime now);
     void reloadServers(const std::vector<Row>& rows, SteadyTime now);
     void schedule(SteadyTime now);
+    void noteOutlook(const OutlookChange& change, SteadyTime now);
     void startRun(const PlannedStart& start, SteadyTime now);
     void decisionsStored(const StoredDecisions& decisions, SteadyTime now);
     void forgetOldJobs(SteadyTime now);
--- a/src/libs/scheduling/urgentreserve.cpp
+++ b/src/libs/scheduling/urgentreserve.cpp
@@ -31,7 +31,7 @@
         }
     }
     for (const WaitingUnit& unit : units) {
-        if (unit.urgency != Urgency::Ordinary && unit.outlook == Outlook::OnTime)
+        if (unit.urgency != Urgency::Ordinary && unit.forecast.outlook == Outlook::OnTime)
             this->load[unit.queue->service].urgent
                 += unit.specification->perTask.accelerators * static_cast<std::int64_t>(unit.waiting.size());
     }
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -159,6 +159,9 @@
     EventDescription { Event::OrderUnanswered, Warning, "OrderUnanswered",
         "A backend server did not answer an order, which may be carried out late.", "Check the server if it lasts." },
     EventDescription { Event::JobEnded, Information, "JobEnded", "A job has ended.", "See the reason." },
+    EventDescription { Event::OutlookChanged, Information, "OutlookChanged",
+        "A job that waits does better or worse for its client than before; its place in the queue changes.",
+        "Compare declaredMs with the run times of its queue." },
     EventDescription {
         Event::ServerFound, Information, "ServerFound", "A backend server has a new entry in the store.", "None." },
     EventDescription { Event::ServerDraining, Information, "ServerDraining",
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -83,6 +83,7 @@
     StrayRun = 848,
     OrderUnanswered = 849,
     JobEnded = 850,
+    OutlookChanged = 851,
     ServerFound = 860,
     ServerDraining = 861,
     ServerEntryGone = 862,
