Failing tests: the order of service trusts the declared run time

Both are reproduced on the fake clock with jobs of one queue that run alike and declare run times from a tenth to four times of that.

--- a/tests/auto/scheduling/tst_scheduler_load.cpp
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -25,6 +25,26 @@
     return step;
 }
 
+/// Ordinary jobs of one task that run for `time` and declare anything from a tenth to four times of it.
+void teachRunTimes(SchedulerBench& bench, Duration time)
+{
+    for (int index = 0; index < 16; ++index) {
+        const std::string id = "earlier-" + std::to_string(index);
+        bench.setRunTime(id, time);
+        bench.submit(id, "ordinary", { makeStep(1, 2, time * (1 + index % 4 * 13) / 10) });
+    }
+    bench.run(time + 1s);
+}
+
+/// Jobs of the background queue, as many as fill the service again and again for a while.
+void keepBusyWithBackground(SchedulerBench& bench, const std::string& name, Duration time)
+{
+    for (Duration passed { 0 }; passed < time; passed += 500ms) {
+        bench.submit(name + std::to_string(passed.count()), "background", { makeStep(16, 1, 1500ms) });
+        bench.run(500ms);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a guaranteed job starts within the bound on a service that is full of others' work")
@@ -153,3 +173,35 @@
     }
     CHECK(racks.size() == 1);
 }
+
+TEST_CASE("a gang that declares a far too short run time is not given up while it can still be of use")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    teachRunTimes(bench, 5s);
+    bench.submit("first", "ordinary", { gangStep(8, 8, 5s) });
+    bench.run(300ms);
+    bench.setRunTime("gang", 5s);
+    bench.submit("gang", "ordinary", { gangStep(8, 8, 500ms) });
+    const SteadyTime submitted = bench.now();
+    keepBusyWithBackground(bench, "background-", 12s);
+    CHECK(bench.runUntil("gang", JobState::Completed, 4s));
+    CHECK(bench.now() - submitted <= 16s); // three times its run time and 1 s more
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a gang that declares a far too long run time does not go before one that can still be on time")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    teachRunTimes(bench, 5s);
+    bench.submit("long", "ordinary", { gangStep(8, 8, 14s) });
+    bench.run(300ms);
+    bench.setRunTime("old", 5s);
+    bench.submit("old", "ordinary", { gangStep(8, 8, 20s) });
+    bench.run(4s);
+    bench.submit("new", "ordinary", { gangStep(8, 8, 5s) });
+    CHECK(bench.runUntil("new", JobState::Completed, 16s)); // three times its run time and 1 s more
+    CHECK(bench.runUntil("old", JobState::Completed, 8s));
+    CHECK(bench.violations().empty());
+}
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -172,6 +172,9 @@
 
 Duration SchedulerBench::workOf(const TaskName& task) const
 {
+    const auto known = this->runTimes.find(task.jobId);
+    if (known != this->runTimes.end())
+        return known->second;
     return this->submitted.at(task.jobId).specification.steps.at(static_cast<std::size_t>(task.step)).estimate;
 }
 
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -38,6 +38,9 @@
         const std::vector<Scheduling::StepSpecification>& steps, const std::string& account = "mill");
     void cancel(const std::string& id);
 
+    /// Tasks of the job take this long, whatever it declares.
+    void setRunTime(const std::string& id, Scheduling::Duration time) { this->runTimes[id] = time; }
+
     /// Stores a job whose first occurrence is due after `delay`.
     void submitScheduled(const std::string& id, const std::vector<Scheduling::StepSpecification>& steps,
         int occurrences, Scheduling::Duration delay, Scheduling::Duration interval);
@@ -154,6 +157,7 @@
     std::set<std::pair<std::size_t, std::string>> cuts;
     std::set<std::size_t> isolated;
     std::map<std::string, Scheduling::JobRecord> submitted;
+    std::map<std::string, Scheduling::Duration> runTimes; ///< of jobs that declare another
     std::map<Scheduling::TaskName, std::set<int>> seenAttempts;
     std::map<std::string, Scheduling::SteadyTime> upkeepEnds; ///< of servers that are down
     std::map<std::string, std::set<std::int64_t>> upkeepsDone;
