The outlook of a job goes by the run times of its queue, not by the declared one alone

Cause: the order of service takes a job for hopeless when its declared run time says so. The declared times of renders are off by a factor of 0.08 to 6.9 (5th and 95th percentile). Class of fault: an input of the client's that is documented as a rough hint decided without being checked against what was observed. Change: RunTimes learns a regression of run times on declared ones for each queue; the forecast and the evacuation of draining servers use it. The scheduler stores what it has learned, and its successor reads it.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "scheduling/fleetconfiguration.h"
+#include "scheduling/runtimes.h"
 #include "scheduling/serverorders.h"
 #include "scheduling/statestore.h"
 #include "scheduling/unstoredsuccesses.h"
@@ -172,6 +173,8 @@
     std::shared_ptr<const FleetConfiguration> configuration;
     std::map<std::string, Job> jobs;
     std::map<std::string, BackendServer> servers;
+    RunTimes runTimes; ///< learned from runs that ended as done
+    bool runTimesDirty = false; ///< differ from the stored rows
     UnstoredSuccesses unstoredSuccesses; ///< kept when the leadership is lost
     std::set<std::string> dirtyJobs; ///< jobs with rows that differ from the stored ones
     bool advisedQueues = false; ///< some queue needs placement advice
--- a/src/libs/scheduling/evacuation.cpp
+++ b/src/libs/scheduling/evacuation.cpp
@@ -15,8 +15,11 @@
 bool Evacuation::endsBefore(const TaskName& name, const Run& run, SteadyTime bound, SteadyTime now) const
 {
     const auto ran = now - run.phaseSince;
-    if (run.percent <= 0 || run.percent > wholePercent)
-        return now + this->board.stepOf(name).estimate < bound;
+    if (run.percent <= 0 || run.percent > wholePercent) {
+        const Queue* queue = this->board.jobs.at(name.jobId).queue;
+        const Duration declared = this->board.stepOf(name).estimate;
+        return now + (queue ? this->board.runTimes.expected(queue->name, declared) : declared) < bound;
+    }
     return now + ran * (wholePercent - run.percent) / run.percent < bound;
 }
 
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -178,8 +178,8 @@
         { "ageMs", age.count() } };
     // The occurrences of a scheduled job are due at times of their own.
     if (job.queue && job.record.specification.occurrences == 0) {
-        const Forecast forecast
-            = forecastFor(job, *job.queue, job.record.specification.steps.size(), job.acceptedAt, now);
+        const Forecast forecast = forecastFor(
+            this->board.runTimes, job, *job.queue, job.record.specification.steps.size(), job.acceptedAt, now);
         fields["outlook"] = outlookName(forecast.outlook);
         fields["objectiveMs"] = forecast.objective.count();
         this->effects.push(JobMeasurement { .queue = job.record.pathPrefix,
@@ -251,9 +251,7 @@
         server.failedJobs.clear();
         server.avoidUntil = {};
         server.lastDoneAt = now;
-        if (const std::optional<Duration> ran = task->run->ranFor(now))
-            this->effects.push(
-                RunMeasurement { .queue = job.record.pathPrefix, .ran = *ran, .declared = specification.estimate });
+        this->learnRunTime(server, job, ended.task, *task->run, now);
         server.occupants.erase(ended.task);
         if (specification.longRunning && !specification.gang)
             this->requeue(ended.task, step, *task, now);
@@ -271,6 +269,31 @@
     this->updateJob(job, now);
 }
 
+void JobTracker::learnRunTime(
+    const BackendServer& server, const Job& job, const TaskName& name, const Run& run, SteadyTime now)
+{
+    const std::optional<Duration> ran = run.ranFor(now);
+    const StepSpecification& specification = specificationOf(job, name.step);
+    if (!ran || !job.queue || specification.longRunning)
+        return;
+    this->effects.push(
+        RunMeasurement { .queue = job.record.pathPrefix, .ran = *ran, .declared = specification.estimate });
+    // A run that went on from a checkpoint, or away from its data or rack, tells little of another's time.
+    const Step& step = job.occurrences.at(name.occurrence).steps.at(static_cast<std::size_t>(name.step));
+    const bool inOneRack = std::ranges::all_of(step.tasks, [&](const Task& member) {
+        if (!member.run)
+            return true;
+        const auto found = this->board.servers.find(member.run->server);
+        return found != this->board.servers.end() && found->second.rack == server.rack;
+    });
+    if (!run.checkpoint.empty() || (!specification.dataRack.empty() && specification.dataRack != server.rack)
+        || (specification.sameRack && !inOneRack))
+        return;
+    const double weight = specification.gang ? 1.0 : 1.0 / specification.taskCount;
+    this->board.runTimes.learn(job.queue->name, specification.estimate, *ran, weight);
+    this->board.runTimesDirty = true;
+}
+
 void JobTracker::successReported(const ReportedSuccess& success, SteadyTime now)
 {
     TaskName name;
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -78,6 +78,8 @@
     void updateReadiness(const Job& job, Occurrence& occurrence, SteadyTime now);
     void updateJob(Job& job, SteadyTime now);
     void endJob(Job& job, JobState state, const std::string& reason, SteadyTime now);
+    void learnRunTime(
+        const BackendServer& server, const Job& job, const TaskName& name, const Run& run, SteadyTime now);
     void reportEnd(const Job& job, const std::string& reason, SteadyTime now);
     void releaseOccupant(const TaskName& name, const std::string& server);
 
--- a/src/libs/scheduling/outlook.cpp
+++ b/src/libs/scheduling/outlook.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/outlook.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace WisteriaHill::Scheduling {
 
@@ -12,18 +13,18 @@
 constexpr int lateSetback = 3;
 constexpr int tooLateSetback = 100;
 
-/// Declared run time of the steps on the longest path that begins at `first` or later.
-Duration longestPath(const JobSpecification& job, std::size_t first)
+/// Run time of the steps on the longest path that begins at `first` or later. `runTime` gives that of a step.
+template <typename RunTime> Duration longestPath(const JobSpecification& job, std::size_t first, RunTime runTime)
 {
     if (job.steps.size() == 1 && first == 0)
-        return job.steps.front().estimate;
+        return runTime(job.steps.front());
     std::vector<Duration> ends(job.steps.size(), Duration(0));
     Duration longest { 0 };
     for (std::size_t index = first; index < job.steps.size(); ++index) {
         Duration begin { 0 };
         for (const int earlier : job.steps[index].prerequisites)
             begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-        ends[index] = begin + job.steps[index].estimate;
+        ends[index] = begin + runTime(job.steps[index]);
         longest = std::max(longest, ends[index]);
     }
     return longest;
@@ -31,11 +32,15 @@
 
 } // namespace
 
-Forecast forecastFor(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now)
+Forecast forecastFor(
+    const RunTimes& runTimes, const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now)
 {
-    const Duration whole = longestPath(job.record.specification, 0);
-    const Duration rest = step == 0 ? whole : longestPath(job.record.specification, step);
-    Forecast forecast { .declared = whole,
+    const JobSpecification& specification = job.record.specification;
+    const auto expected = [&](const StepSpecification& one) { return runTimes.expected(queue.name, one.estimate); };
+    const Duration whole = longestPath(specification, 0, expected);
+    const Duration rest = step == 0 ? whole : longestPath(specification, step, expected);
+    Forecast forecast { .declared = longestPath(specification, 0, std::mem_fn(&StepSpecification::estimate)),
+        .expected = whole,
         .expectedEnd = std::chrono::duration_cast<Duration>(now - since) + rest,
         .objective = std::chrono::duration_cast<Duration>(whole * queue.stretchFactor) + queue.targetDuration };
     if (forecast.expectedEnd > forecast.objective)
--- a/src/libs/scheduling/outlook.h
+++ b/src/libs/scheduling/outlook.h
@@ -9,13 +9,15 @@
 /// became due.
 struct Forecast {
     Duration declared { 0 }; ///< run time of the longest path of steps, as the client declared it
+    Duration expected { 0 }; ///< the same as the runs of the queue let expect
     Duration expectedEnd { 0 }; ///< if the step in question begins now
     Duration objective { 0 }; ///< an end by then is on time
     Outlook outlook = Outlook::OnTime;
 };
 
 /// The forecast for a job whose steps from `step` on are still to be run; none when `step` is their number.
-Forecast forecastFor(const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now);
+Forecast forecastFor(
+    const RunTimes& runTimes, const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now);
 
 /// Place in the order of service; lower goes first. Answers overload: work that is late already gives way to work of
 /// the next priority that can still be on time, and work that is of no use any more to everything.
--- /dev/null
+++ b/src/libs/scheduling/planlog.cpp
@@ -0,0 +1,57 @@
+#include "scheduling/planlog.h"
+
+namespace WisteriaHill::Scheduling {
+
+using Utils::Event;
+
+namespace {
+
+/// Bounds the lines about idle accelerators; a pass may follow every 15 ms.
+constexpr Duration idleNoteInterval { 1000 };
+
+} // namespace
+
+void PlanLog::note(const Plan& plan, SteadyTime now)
+{
+    this->noteIdle(plan, now);
+    for (const OutlookChange& change : plan.outlookChanges)
+        this->noteOutlook(change, now);
+    for (const PlannedStop& stop : plan.stops)
+        this->noteStop(stop, now);
+}
+
+void PlanLog::noteOutlook(const OutlookChange& change, SteadyTime now)
+{
+    Job& job = this->board.jobs.at(change.step.jobId);
+    Step& step = job.occurrences.at(change.step.occurrence).stepAt(change.step.step);
+    this->effects.log(Event::OutlookChanged,
+        { { "job", job.record.id }, { "occurrence", change.step.occurrence }, { "step", change.step.step },
+            { "queue", job.record.pathPrefix }, { "outlook", outlookName(change.forecast.outlook) },
+            { "previous", outlookName(step.outlook) },
+            { "ageMs", std::chrono::duration_cast<Duration>(now - job.acceptedAt).count() },
+            { "declaredMs", change.forecast.declared.count() }, { "expectedMs", change.forecast.expected.count() },
+            { "expectedEndMs", change.forecast.expectedEnd.count() },
+            { "objectiveMs", change.forecast.objective.count() },
+            { "configuration", this->board.configuration->version } });
+    step.outlook = change.forecast.outlook;
+}
+
+void PlanLog::noteStop(const PlannedStop& stop, SteadyTime now)
+{
+    const Run& run = *this->board.findTask(stop.task)->run;
+    this->effects.log(Event::RunPreempted,
+        { { "task", formatTaskName(stop.task) }, { "forJob", stop.forJob }, { "attempt", run.attempt },
+            { "server", run.server }, { "percent", run.percent }, { "ranMs", ranMs(run, now) } });
+}
+
+void PlanLog::noteIdle(const Plan& plan, SteadyTime now)
+{
+    if (plan.waitingUnits == 0 || plan.idle.total() == 0 || now < this->nextIdleNote)
+        return;
+    this->nextIdleNote = now + idleNoteInterval;
+    this->effects.log(Event::AcceleratorsIdle,
+        { { "waitingSteps", plan.waitingUnits }, { "claimed", plan.idle.claimed }, { "held", plan.idle.held },
+            { "open", plan.idle.open }, { "configuration", this->board.configuration->version } });
+}
+
+} // namespace WisteriaHill::Scheduling
--- /dev/null
+++ b/src/libs/scheduling/planlog.h
@@ -0,0 +1,31 @@
+/// Logs what a planning pass has found: changed outlooks, runs that make room, accelerators that stay idle.
+#pragma once
+
+#include "scheduling/effects.h"
+#include "scheduling/planner.h"
+
+namespace WisteriaHill::Scheduling {
+
+/// Thread safety: none.
+class PlanLog {
+public:
+    PlanLog(Board& board, Effects& effects)
+        : board(board)
+        , effects(effects)
+    {
+    }
+
+    /// Logs a plan before it is carried out, and keeps the outlooks of the waiting steps on the blackboard.
+    void note(const Plan& plan, SteadyTime now);
+
+private:
+    void noteOutlook(const OutlookChange& change, SteadyTime now);
+    void noteStop(const PlannedStop& stop, SteadyTime now);
+    void noteIdle(const Plan& plan, SteadyTime now);
+
+    Board& board;
+    Effects& effects;
+    SteadyTime nextIdleNote {};
+};
+
+} // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/planningpass.cpp
+++ b/src/libs/scheduling/planningpass.cpp
@@ -118,8 +118,8 @@
                     .queue = job.queue,
                     .step = static_cast<int>(number),
                     .urgency = this->urgencyOf(job),
-                    .forecast = forecastFor(
-                        job, *job.queue, number, scheduled ? occurrence.createdAt : job.acceptedAt, this->now) };
+                    .forecast = forecastFor(this->board.runTimes, job, *job.queue, number,
+                        scheduled ? occurrence.createdAt : job.acceptedAt, this->now) };
                 for (int task = 0; task < total; ++task) {
                     if (step.tasks[static_cast<std::size_t>(task)].phase == TaskPhase::Waiting)
                         unit.waiting.push_back(task);
--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -207,6 +207,24 @@
     return found == states.end() ? std::nullopt : std::optional(*found);
 }
 
+std::string encodeRunTimes(const RunTimeSums& sums)
+{
+    return Json {
+        { "weight", sums.weight }, { "x", sums.x }, { "y", sums.y }, { "xx", sums.xx }, { "xy", sums.xy }
+    }.dump();
+}
+
+std::optional<RunTimeSums> decodeRunTimes(const std::string& text)
+{
+    return decodeObject<RunTimeSums>(text, [](const Json& json) {
+        return RunTimeSums { .weight = json.at("weight").get<double>(),
+            .x = json.at("x").get<double>(),
+            .y = json.at("y").get<double>(),
+            .xx = json.at("xx").get<double>(),
+            .xy = json.at("xy").get<double>() };
+    });
+}
+
 std::string encodeProgress(const Occurrence& occurrence)
 {
     Json steps = Json::array();
--- a/src/libs/scheduling/rowcodec.h
+++ b/src/libs/scheduling/rowcodec.h
@@ -42,6 +42,9 @@
 std::string encodeState(JobState state);
 std::optional<JobState> decodeState(const std::string& text);
 
+std::string encodeRunTimes(const RunTimeSums& sums);
+std::optional<RunTimeSums> decodeRunTimes(const std::string& text);
+
 /// The tasks of one occurrence with their attempts, failures, checkpoints and runs.
 std::string encodeProgress(const Occurrence& occurrence);
 
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -80,6 +80,8 @@
     this->board.jobs.clear();
     this->board.dirtyJobs.clear();
     this->board.servers.clear();
+    this->board.runTimes.clear();
+    this->board.runTimesDirty = false;
     this->loadedRows.clear();
     this->feeds.clear();
     this->planner.reset();
@@ -97,6 +99,7 @@
     this->reader.read(StoreTable::jobs, StoreTable::intakePartition);
     this->reader.read(StoreTable::states, StoreTable::schedulerPartition);
     this->reader.read(StoreTable::progress, StoreTable::schedulerPartition);
+    this->reader.read(StoreTable::runTimes, StoreTable::schedulerPartition);
 }
 
 void Scheduler::tableLoaded(TableContents contents, SteadyTime now)
@@ -114,7 +117,7 @@
         return;
     }
     this->loadedRows[contents.table] = std::move(contents.rows);
-    constexpr std::size_t tables = 4;
+    constexpr std::size_t tables = 5;
     if (this->loadedRows.size() == tables)
         this->finishLoad(now);
 }
@@ -123,6 +126,12 @@
 {
     for (const Row& row : this->loadedRows[this->options.serverTable])
         this->takeServerRow(row, now);
+    for (const Row& row : this->loadedRows[StoreTable::runTimes]) {
+        if (const std::optional<RunTimeSums> sums = decodeRunTimes(row.value))
+            this->board.runTimes.restore(row.key.key, *sums);
+        else
+            this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+    }
     std::map<std::string, JobState> states;
     for (const Row& row : this->loadedRows[StoreTable::states]) {
         if (const std::optional<JobState> state = decodeState(row.value))
@@ -358,7 +367,7 @@
             { "queue", job.record.pathPrefix }, { "outlook", outlookName(change.forecast.outlook) },
             { "previous", outlookName(step.outlook) },
             { "ageMs", std::chrono::duration_cast<Duration>(now - job.acceptedAt).count() },
-            { "declaredMs", change.forecast.declared.count() },
+            { "declaredMs", change.forecast.declared.count() }, { "expectedMs", change.forecast.expected.count() },
             { "expectedEndMs", change.forecast.expectedEnd.count() },
             { "objectiveMs", change.forecast.objective.count() },
             { "configuration", this->board.configuration->version } });
--- a/src/libs/scheduling/statestore.h
+++ b/src/libs/scheduling/statestore.h
@@ -116,6 +116,7 @@
 inline constexpr const char* jobs = "jobs"; ///< written by entry hosts
 inline constexpr const char* progress = "progress"; ///< written by the scheduler
 inline constexpr const char* states = "states"; ///< written by the scheduler
+inline constexpr const char* runTimes = "runtimes"; ///< by queue; written by the scheduler
 inline constexpr const char* leadership = "leadership"; ///< written by candidates and the scheduler
 inline constexpr const char* members = "members"; ///< written by each daemon
 inline constexpr const char* schedulerPartition = "scheduler";
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t bytesPerTransaction = 500'000; ///< the store takes 1 MB of base64
 constexpr std::size_t removalsPerTransaction = 20; ///< leaves room for decisions
 constexpr Duration renewalInterval { 400 }; ///< well under the time that followers wait for a change
+/// Run times go with a transaction that is sent anyway, this often: a successor learns the rest again.
+constexpr Duration runTimesInterval { 2000 };
 constexpr Duration storeTimeout { 800 };
 constexpr Duration retryPause { 50 };
 
@@ -108,6 +110,18 @@
     this->removals.erase(this->removals.begin(), this->removals.begin() + static_cast<std::ptrdiff_t>(removable));
 }
 
+void StateWriter::collectRunTimes(Batch& batch, SteadyTime now)
+{
+    const std::map<std::string, RunTimeSums>& queues = this->board.runTimes.all();
+    if (!this->board.runTimesDirty || now - this->runTimesStoredAt < runTimesInterval
+        || batch.transaction.writes.size() + batch.transaction.removals.size() + queues.size() > entriesPerTransaction)
+        return;
+    this->board.runTimesDirty = false;
+    this->runTimesStoredAt = now;
+    for (const auto& [queue, sums] : queues)
+        batch.transaction.writes.push_back({ schedulerRow(StoreTable::runTimes, queue), encodeRunTimes(sums) });
+}
+
 void StateWriter::flush(SteadyTime now)
 {
     if (this->open || !this->leadership.isLeader() || now < this->retryAt)
@@ -128,6 +142,7 @@
             return;
         batch.decisions.ends.clear();
     }
+    this->collectRunTimes(batch, now);
     batch.row = this->leadership.currentRow();
     ++batch.row.serial;
     if (this->released)
--- a/src/libs/scheduling/statewriter.h
+++ b/src/libs/scheduling/statewriter.h
@@ -70,6 +70,7 @@
     };
 
     void collect(Batch& batch);
+    void collectRunTimes(Batch& batch, SteadyTime now);
     void collectOccurrence(Batch& batch, const std::string& jobId, Occurrence& occurrence);
     void send(Batch batch);
     void answered(Batch& batch, const CommitResult& result);
@@ -85,6 +86,7 @@
     std::optional<Batch> unsettled; ///< had no answer; is sent again until it is settled
     SteadyTime retryAt {};
     SteadyTime storedAt {};
+    SteadyTime runTimesStoredAt {};
     std::vector<RecordedStart> starts;
     std::vector<RowKey> removals;
     std::function<void()> released;
--- a/tests/auto/scheduling/tst_scheduler_load.cpp
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -190,6 +190,23 @@
     CHECK(bench.violations().empty());
 }
 
+TEST_CASE("a successor knows what its predecessor had learned of run times")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    teachRunTimes(bench, 5s);
+    bench.run(2500ms);
+    bench.killDaemon(bench.leader());
+    bench.run(4s);
+    bench.submit("first", "ordinary", { gangStep(8, 8, 5s) });
+    bench.run(300ms);
+    bench.setRunTime("gang", 5s);
+    bench.submit("gang", "ordinary", { gangStep(8, 8, 500ms) });
+    keepBusyWithBackground(bench, "background-", 12s);
+    CHECK(bench.runUntil("gang", JobState::Completed, 4s));
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("a gang that declares a far too long run time does not go before one that can still be on time")
 {
     SchedulerBench bench({});
