A line and a count of the accelerators that stay idle while work waits

On-call could not see why work waits on a service with idle accelerators. Event 852, at most once a second: idle on servers that drain for waiting gangs, on those held ready for urgent work, on others. The lines about a plan move to PlanLog. No decision changes.

--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -57,9 +57,22 @@
             plan.outlookChanges.push_back({ unit.taskName(0), unit.forecast });
         this->placeUnit(pass, unit, plan);
     }
+    plan.idle = this->idleAccelerators(pass);
     return plan;
 }
 
+IdleAccelerators Planner::idleAccelerators(const PlanningPass& pass) const
+{
+    IdleAccelerators idle;
+    for (const PlacementServer& server : pass.servers) {
+        std::int64_t& part = this->claimed.contains(server.id) ? idle.claimed
+            : server.heldReady                                 ? idle.held
+                                                               : idle.open;
+        part += server.free.accelerators;
+    }
+    return idle;
+}
+
 void Planner::expireClearings(const Board& board, SteadyTime now)
 {
     std::erase_if(this->clearings, [&](const auto& entry) {
@@ -176,6 +189,7 @@
         if (unconstrained)
             this->failedShapes.push_back(shape);
     }
+    ++plan.waitingUnits;
     if (unit.forecast.outlook != Outlook::TooLate || unit.urgency == Urgency::Guaranteed)
         this->waitForRoom(pass, unit, anyRack, plan);
 }
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -28,10 +28,21 @@
     Forecast forecast;
 };
 
+/// Accelerators of a pass after it has placed what fits.
+struct IdleAccelerators {
+    std::int64_t claimed = 0; ///< on servers that drain for gangs that wait
+    std::int64_t held = 0; ///< on servers that are held ready for urgent work
+    std::int64_t open = 0; ///< on other servers
+
+    std::int64_t total() const { return this->claimed + this->held + this->open; }
+};
+
 struct Plan {
     std::vector<PlannedStart> starts;
     std::vector<PlannedStop> stops;
     std::vector<OutlookChange> outlookChanges;
+    IdleAccelerators idle;
+    std::size_t waitingUnits = 0; ///< steps with tasks that found no room
 };
 
 struct PlannerOptions {
@@ -94,6 +105,7 @@
     bool makeRoom(PlanningPass& pass, const WaitingUnit& unit, bool inOneRack, Plan& plan);
     static ClearingChoice cheapestClearing(
         PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates);
+    IdleAccelerators idleAccelerators(const PlanningPass& pass) const;
     void claimServers(const PlanningPass& pass, const WaitingUnit& unit);
     /// Work that can be stopped without loss, urgent work, and any work while most of the service is idle.
     bool mayUseHeldReady(const WaitingUnit& unit) const;
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -37,6 +37,7 @@
     , monitor(this->board, this->effects, this->tracker, this->options.servers)
     , writer(this->board, this->effects, this->leader)
     , planner(this->options.planner)
+    , planLog(this->board, this->effects)
     , evacuation(this->board, this->tracker, this->options.servers.stopTime)
     , advice(this->board, this->effects)
     , pace(this->board, this->effects)
@@ -344,13 +345,8 @@
         this->board, [this](const BackendServer& server) { return this->monitor.isUsable(server); }, now);
     const SteadyTime done = this->clock();
     this->earliestSchedule = done + std::max<SteadyTime::duration>(scheduleInterval, (done - now) * restPerWork);
-    for (const OutlookChange& change : plan.outlookChanges)
-        this->noteOutlook(change, now);
+    this->planLog.note(plan, now);
     for (const PlannedStop& stop : plan.stops) {
-        const Run& run = *this->board.findTask(stop.task)->run;
-        this->effects.log(Event::RunPreempted,
-            { { "task", formatTaskName(stop.task) }, { "forJob", stop.forJob }, { "attempt", run.attempt },
-                { "server", run.server }, { "percent", run.percent }, { "ranMs", ranMs(run, now) } });
         this->tracker.requestStop(stop.task, "preempted for " + stop.forJob, now);
         this->monitor.orderStop(stop.task, now);
     }
@@ -358,22 +354,6 @@
         this->startRun(start, now);
 }
 
-void Scheduler::noteOutlook(const OutlookChange& change, SteadyTime now)
-{
-    Job& job = this->board.jobs.at(change.step.jobId);
-    Step& step = job.occurrences.at(change.step.occurrence).stepAt(change.step.step);
-    this->effects.log(Event::OutlookChanged,
-        { { "job", job.record.id }, { "occurrence", change.step.occurrence }, { "step", change.step.step },
-            { "queue", job.record.pathPrefix }, { "outlook", outlookName(change.forecast.outlook) },
-            { "previous", outlookName(step.outlook) },
-            { "ageMs", std::chrono::duration_cast<Duration>(now - job.acceptedAt).count() },
-            { "declaredMs", change.forecast.declared.count() }, { "expectedMs", change.forecast.expected.count() },
-            { "expectedEndMs", change.forecast.expectedEnd.count() },
-            { "objectiveMs", change.forecast.objective.count() },
-            { "configuration", this->board.configuration->version } });
-    step.outlook = change.forecast.outlook;
-}
-
 void Scheduler::startRun(const PlannedStart& start, SteadyTime now)
 {
     Job& job = this->board.jobs.at(start.task.jobId);
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -6,6 +6,7 @@
 #include "scheduling/jobtracker.h"
 #include "scheduling/leadership.h"
 #include "scheduling/pacecontroller.h"
+#include "scheduling/planlog.h"
 #include "scheduling/planner.h"
 #include "scheduling/servermonitor.h"
 #include "scheduling/statewriter.h"
@@ -104,7 +105,6 @@
     void takeServerRow(const Row& row, SteadyTime now);
     void reloadServers(const std::vector<Row>& rows, SteadyTime now);
     void schedule(SteadyTime now);
-    void noteOutlook(const OutlookChange& change, SteadyTime now);
     void startRun(const PlannedStart& start, SteadyTime now);
     void decisionsStored(const StoredDecisions& decisions, SteadyTime now);
     void forgetOldJobs(SteadyTime now);
@@ -123,6 +123,7 @@
     ServerMonitor monitor;
     StateWriter writer;
     Planner planner;
+    PlanLog planLog;
     Evacuation evacuation;
     AdviceController advice;
     PaceController pace;
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -162,6 +162,9 @@
     EventDescription { Event::OutlookChanged, Information, "OutlookChanged",
         "A job that waits does better or worse for its client than before; its place in the queue changes.",
         "Compare declaredMs with the run times of its queue." },
+    EventDescription { Event::AcceleratorsIdle, Information, "AcceleratorsIdle",
+        "Work waits while accelerators are idle; written at most once a second.",
+        "See what they are kept for; the rest fits no task that waits." },
     EventDescription {
         Event::ServerFound, Information, "ServerFound", "A backend server has a new entry in the store.", "None." },
     EventDescription { Event::ServerDraining, Information, "ServerDraining",
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -84,6 +84,7 @@
     OrderUnanswered = 849,
     JobEnded = 850,
     OutlookChanged = 851,
+    AcceleratorsIdle = 852,
     ServerFound = 860,
     ServerDraining = 861,
     ServerEntryGone = 862,
