On an overloaded service the newest ordinary job that can be on time goes first

Cause: among ordinary jobs that can still be on time the oldest went first, so each began when it had used up its slack waiting; whatever delayed its run (members stopped for urgent work, a slow server, a gang gathered anew) made it late, and the next one too. Class of fault: oldest first under overload spends all capacity on work that is about to fail. Change: newest first among ordinary work that can be on time; guaranteed, urgent and late work stay oldest first. The order is code of its own, serviceorder.h.

--- a/src/libs/scheduling/outlook.cpp
+++ b/src/libs/scheduling/outlook.cpp
@@ -9,9 +9,6 @@
 
 /// Beyond this multiple of the objective a result is of no use.
 constexpr int uselessMultiple = 3;
-/// Late work is worth about a fifth to a third of the same work on time: less than on-time work of the next priority.
-constexpr int lateSetback = 3;
-constexpr int tooLateSetback = 100;
 
 /// Run time of the steps on the longest path that begins at `first` or later. `runTime` gives that of a step.
 template <typename RunTime> Duration longestPath(const JobSpecification& job, std::size_t first, RunTime runTime)
@@ -49,10 +46,4 @@
     return forecast;
 }
 
-int standing(int priority, Outlook outlook)
-{
-    const int setback = outlook == Outlook::OnTime ? 0 : outlook == Outlook::Late ? lateSetback : tooLateSetback;
-    return 2 * priority + setback;
-}
-
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/outlook.h
+++ b/src/libs/scheduling/outlook.h
@@ -19,8 +19,4 @@
 Forecast forecastFor(
     const RunTimes& runTimes, const Job& job, const Queue& queue, std::size_t step, SteadyTime since, SteadyTime now);
 
-/// Place in the order of service; lower goes first. Answers overload: work that is late already gives way to work of
-/// the next priority that can still be on time, and work that is of no use any more to everything.
-int standing(int priority, Outlook outlook);
-
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/planningpass.cpp
+++ b/src/libs/scheduling/planningpass.cpp
@@ -1,8 +1,9 @@
 #include "scheduling/planningpass.h"
 
+#include "scheduling/serviceorder.h"
+
 #include <algorithm>
 #include <map>
-#include <string_view>
 #include <tuple>
 
 namespace WisteriaHill::Scheduling {
@@ -34,16 +35,6 @@
     return members * cores * (restartCostMs + age) * (step.savesProgress ? savedShare : 1);
 }
 
-/// Guaranteed work first, whatever its outlook; then by standing, then the oldest.
-bool goesBefore(const WaitingUnit& left, const WaitingUnit& right)
-{
-    const auto key = [](const WaitingUnit& unit) {
-        return std::tuple(unit.urgency != Urgency::Guaranteed, standing(unit.queue->priority, unit.forecast.outlook),
-            unit.job->acceptedAt, std::string_view(unit.job->record.id), unit.step);
-    };
-    return key(left) < key(right);
-}
-
 } // namespace
 
 std::set<std::string> guaranteedJobs(const Board& board)
@@ -128,7 +119,7 @@
             }
         }
     }
-    std::ranges::sort(units, goesBefore);
+    std::ranges::sort(units, servedBefore);
     return units;
 }
 
--- a/tests/auto/scheduling/tst_scheduler_load.cpp
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace WisteriaHill::Scheduling;
 using namespace WisteriaHill::TestSupport;
 using namespace std::chrono_literals;
@@ -222,3 +224,59 @@
     CHECK(bench.runUntil("old", JobState::Completed, 8s));
     CHECK(bench.violations().empty());
 }
+
+namespace {
+
+/// Ordinary gangs of one task a server on a service that cannot serve them all, with urgent work that stops some of
+/// them. The share that ends within the objective of three times the run time and 1 s more.
+double shareOfGangsInTime(unsigned int seed)
+{
+    constexpr std::size_t count = 60;
+    constexpr Duration runTime = 4s;
+    std::minstd_rand random(seed);
+    const auto between = [&](int least, int most) { return least + static_cast<int>(random() % (most - least + 1)); };
+    SchedulerBench bench({ .racks = 4, .serversPerRack = 4 });
+    bench.run(2s);
+    std::map<std::string, SteadyTime> waiting;
+    SteadyTime nextGang = bench.now();
+    SteadyTime nextUrgent = bench.now() + 2s;
+    std::size_t gangs = 0;
+    int urgent = 0;
+    int inTime = 0;
+    while (gangs < count || !waiting.empty()) {
+        if (gangs < count && bench.now() >= nextGang) {
+            const std::string id = "gang-" + std::to_string(gangs++);
+            StepSpecification step = gangStep(between(1, 6), 1 << between(0, 3), runTime * between(2, 20) / 10);
+            step.perTask.memoryMb = 300'000;
+            step.savesProgress = random() % 2 == 0;
+            bench.setRunTime(id, runTime * between(7, 13) / 10);
+            bench.submit(id, "ordinary", { step });
+            waiting[id] = bench.now();
+            nextGang = bench.now() + Duration(between(200, 600));
+        }
+        if (bench.now() >= nextUrgent) {
+            bench.submit("urgent-" + std::to_string(urgent++), "urgent", { gangStep(between(1, 4), 8, 1s) });
+            nextUrgent = bench.now() + Duration(between(500, 1500));
+        }
+        bench.run(50ms);
+        std::erase_if(waiting, [&](const auto& gang) {
+            const bool over = bench.now() - gang.second > runTime * 3 + 1s;
+            const bool completed = bench.storedState(gang.first) == JobState::Completed;
+            inTime += completed && !over ? 1 : 0;
+            return completed || over;
+        });
+    }
+    CHECK(bench.violations().empty());
+    return static_cast<double>(inTime) / static_cast<double>(count);
+}
+
+} // namespace
+
+TEST_CASE("gangs on an overloaded service do not all miss their objective behind older ones")
+{
+    constexpr double highestFloor = 0.32; // of a class of ordinary gangs on the days that the users' bench has drawn
+    for (unsigned int seed = 1; seed <= 12; ++seed) {
+        CAPTURE(seed);
+        CHECK(shareOfGangsInTime(seed) >= highestFloor);
+    }
+}
