A gang is stopped whole, and urgent work clears the servers of one gang before it breaks another

Cause: servers to clear were chosen one by one by their own loss, though the members of a gang end together; so one urgent gang broke several. And only the named member was stopped: the servers of the others were kept until its end was listed, and their room was not counted, so that the next urgent job broke another gang. Class of fault: a cost that several choices share was counted for each of them. Change: the search counts the room of a gang that it has chosen to stop, and of runs that are being stopped, as free; requestStop stops all members at once (each saves), also when a server is drained or a run stands still. Tests, failed before: "an urgent gang that needs two servers stops one gang and not one member each of two", "the servers of a gang are not kept for another stop time after one member made room for urgent work".

--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -202,6 +202,8 @@
     task->run->nextOrderAt = now;
     if (neverOrdered)
         this->runLost(name, RunLoss::NeverStarted, now);
+    if (this->board.stepOf(name).gang)
+        this->stopGang(name, reason, now);
 }
 
 void JobTracker::runConfirmed(const TaskName& name, SteadyTime now)
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -48,7 +48,8 @@
     /// Returns the task of a run that is surely over to the queue.
     void runLost(const TaskName& name, RunLoss loss, SteadyTime now);
 
-    /// Asks for a run's end. Does nothing when the task isn't running or its run is being stopped.
+    /// Asks for a run's end, and for that of the whole gang with a member. Does nothing when the task isn't running or
+    /// its run is being stopped.
     void requestStop(const TaskName& name, const std::string& reason, SteadyTime now);
 
     /// Marks a run as confirmed by its backend server.
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/advicecontroller.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace WisteriaHill::Scheduling {
 
@@ -270,48 +271,78 @@
 Planner::ClearingChoice Planner::cheapestClearing(
     PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates)
 {
-    const Resources need = countedNeed(*unit.specification);
-    struct Option {
-        double loss = 0;
-        std::size_t server = 0;
-        std::vector<const TaskName*> stops;
-    };
-    std::vector<Option> offers;
-    for (const std::size_t index : candidates) {
-        Resources free = pass.servers[index].free;
-        Option offer { .server = index };
-        const std::vector<PossibleVictim>& victims = pass.victims(index);
-        auto next = victims.begin();
-        while (true) {
-            for (; !free.holds(need) && next != victims.end(); ++next) {
-                if (next->urgency <= unit.urgency || next->name->jobId == unit.job->record.id
-                    || (next->losesGang && unit.urgency != Urgency::Guaranteed))
-                    continue;
-                free += next->need;
-                offer.loss += next->loss;
-                offer.stops.push_back(next->name);
-            }
-            if (!free.holds(need))
-                break;
-            free -= need;
-            offers.push_back(offer);
-            if (unit.specification->maximumPerServer == 1)
-                break;
-        }
-    }
     const std::size_t wanted = unit.waiting.size();
-    if (offers.size() < wanted && unit.specification->gang)
-        return {};
-    std::ranges::sort(offers, {}, &Option::loss);
-    offers.resize(std::min(offers.size(), wanted));
+    const int maximumPerServer = unit.specification->maximumPerServer;
+    ClearingSearch search { .need = countedNeed(*unit.specification) };
     ClearingChoice choice;
-    for (Option& offer : offers) {
-        choice.loss += offer.loss;
-        choice.servers.emplace_back(offer.server, std::move(offer.stops));
+    while (choice.servers.size() < wanted) {
+        std::optional<ClearingOffer> best;
+        for (const std::size_t index : candidates) {
+            if (maximumPerServer > 0 && search.chosenOn(index) >= maximumPerServer)
+                continue;
+            std::optional<ClearingOffer> offer = offerOf(pass, unit, search, index);
+            if (offer && (!best || offer->loss < best->loss))
+                best = std::move(offer);
+        }
+        if (!best)
+            break;
+        search.take(*best);
+        choice.loss += best->loss;
+        std::vector<const TaskName*> stops;
+        for (const PossibleVictim* victim : best->stops)
+            stops.push_back(victim->name);
+        choice.servers.emplace_back(best->server, std::move(stops));
     }
+    if (choice.servers.size() < wanted && unit.specification->gang)
+        return {};
     return choice;
 }
 
+std::optional<Planner::ClearingOffer> Planner::offerOf(
+    PlanningPass& pass, const WaitingUnit& unit, const ClearingSearch& search, std::size_t server)
+{
+    Resources free = pass.servers[server].free;
+    free += pass.beingFreed(server);
+    for (int count = search.chosenOn(server); count > 0; --count)
+        free -= search.need;
+    const std::vector<PossibleVictim>& victims = pass.victims(server);
+    for (const PossibleVictim& victim : victims) {
+        if (search.stops(victim))
+            free += victim.need;
+    }
+    ClearingOffer offer { .server = server };
+    for (auto next = victims.begin(); !free.holds(search.need) && next != victims.end(); ++next) {
+        if (next->urgency <= unit.urgency || next->name->jobId == unit.job->record.id || search.stops(*next)
+            || (next->losesGang && unit.urgency != Urgency::Guaranteed))
+            continue;
+        free += next->need;
+        offer.loss += next->loss;
+        offer.stops.push_back(&*next);
+    }
+    return free.holds(search.need) ? std::optional(std::move(offer)) : std::nullopt;
+}
+
+int Planner::ClearingSearch::chosenOn(std::size_t server) const
+{
+    const auto found = this->chosen.find(server);
+    return found == this->chosen.end() ? 0 : found->second;
+}
+
+bool Planner::ClearingSearch::stops(const PossibleVictim& victim) const
+{
+    return this->stoppedTasks.contains(victim.name) || (victim.gang && this->stoppedGangs.contains(victim.gang));
+}
+
+void Planner::ClearingSearch::take(const ClearingOffer& offer)
+{
+    ++this->chosen[offer.server];
+    for (const PossibleVictim* victim : offer.stops) {
+        this->stoppedTasks.insert(victim->name);
+        if (victim->gang)
+            this->stoppedGangs.insert(victim->gang);
+    }
+}
+
 bool Planner::makeRoom(PlanningPass& pass, const WaitingUnit& unit, bool inOneRack, Plan& plan)
 {
     if (this->ownsClearing(unit))
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -5,6 +5,8 @@
 #include "scheduling/urgentreserve.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +96,26 @@
         std::vector<std::pair<std::size_t, std::vector<const TaskName*>>> servers;
     };
 
+    /// Room for one task on a server, and what has to be stopped for it.
+    struct ClearingOffer {
+        double loss = 0;
+        std::size_t server = 0;
+        std::vector<const PossibleVictim*> stops;
+    };
+
+    /// What a search for servers to clear has settled on so far. The members of a gang end together, so that the room
+    /// of all is to be had for the loss of one.
+    struct ClearingSearch {
+        Resources need; ///< of one task
+        std::map<std::size_t, int> chosen; ///< tasks by server
+        std::set<const TaskName*> stoppedTasks;
+        std::set<const Step*> stoppedGangs;
+
+        int chosenOn(std::size_t server) const;
+        bool stops(const PossibleVictim& victim) const;
+        void take(const ClearingOffer& offer);
+    };
+
     void expireClearings(const Board& board, SteadyTime now);
     std::vector<std::size_t> candidatesFor(const PlanningPass& pass, const WaitingUnit& unit) const;
     static std::vector<std::size_t> provenAmong(
@@ -106,6 +128,8 @@
     static ClearingChoice cheapestClearing(
         PlanningPass& pass, const WaitingUnit& unit, const std::vector<std::size_t>& candidates);
     IdleAccelerators idleAccelerators(const PlanningPass& pass) const;
+    static std::optional<ClearingOffer> offerOf(
+        PlanningPass& pass, const WaitingUnit& unit, const ClearingSearch& search, std::size_t server);
     void claimServers(const PlanningPass& pass, const WaitingUnit& unit);
     /// Work that can be stopped without loss, urgent work, and any work while most of the service is idle.
     bool mayUseHeldReady(const WaitingUnit& unit) const;
--- a/src/libs/scheduling/planningpass.cpp
+++ b/src/libs/scheduling/planningpass.cpp
@@ -77,8 +77,7 @@
             .lastChoice = now < server.avoidUntil });
         this->entries.push_back(&server);
     }
-    this->victimsByServer.resize(this->servers.size());
-    this->victimsGathered.resize(this->servers.size());
+    this->occupancies.resize(this->servers.size());
 }
 
 Urgency PlanningPass::urgencyOf(const Job& job) const
@@ -123,30 +122,36 @@
     return units;
 }
 
-const std::vector<PossibleVictim>& PlanningPass::victims(std::size_t server)
+const PlanningPass::Occupancy& PlanningPass::occupancyOf(std::size_t server)
 {
-    std::vector<PossibleVictim>& victims = this->victimsByServer[server];
-    if (this->victimsGathered[server])
-        return victims;
-    this->victimsGathered[server] = true;
+    Occupancy& occupancy = this->occupancies[server];
+    if (occupancy.gathered)
+        return occupancy;
+    occupancy.gathered = true;
     for (const auto& [name, need] : this->entries[server]->occupants) {
         const auto job = this->board.jobs.find(name.jobId);
-        if (job == this->board.jobs.end() || job->second.ended())
-            continue;
-        const auto step = static_cast<std::size_t>(name.step);
-        const Task& task
-            = job->second.occurrences.at(name.occurrence).steps.at(step).tasks.at(static_cast<std::size_t>(name.index));
-        if (!task.run || task.run->phase == RunPhase::Stopping || task.run->server != this->servers[server].id)
+        const Step* step = nullptr;
+        const Run* run = nullptr;
+        if (job != this->board.jobs.end() && !job->second.ended()) {
+            step = &job->second.occurrences.at(name.occurrence).steps.at(static_cast<std::size_t>(name.step));
+            const Task& task = step->tasks.at(static_cast<std::size_t>(name.index));
+            run = task.run && task.run->server == this->servers[server].id ? &*task.run : nullptr;
+        }
+        if (!run || run->phase == RunPhase::Stopping) {
+            occupancy.beingFreed += need;
             continue;
-        const StepSpecification& specification = job->second.record.specification.steps.at(step);
-        victims.push_back({ .name = &name,
+        }
+        const StepSpecification& specification
+            = job->second.record.specification.steps.at(static_cast<std::size_t>(name.step));
+        occupancy.victims.push_back({ .name = &name,
             .urgency = this->urgencyOf(job->second),
-            .loss = lossOf(specification, *task.run, this->now),
+            .loss = lossOf(specification, *run, this->now),
             .need = need,
-            .losesGang = specification.gang && !specification.savesProgress });
+            .losesGang = specification.gang && !specification.savesProgress,
+            .gang = specification.gang ? step : nullptr });
     }
-    std::ranges::sort(victims, {}, &PossibleVictim::loss);
-    return victims;
+    std::ranges::sort(occupancy.victims, {}, &PossibleVictim::loss);
+    return occupancy;
 }
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/planningpass.h
+++ b/src/libs/scheduling/planningpass.h
@@ -37,6 +37,7 @@
     double loss = 0; ///< of work, in core milliseconds; of the whole gang for its members
     Resources need;
     bool losesGang = false; ///< a whole gang loses its work with it
+    const Step* gang = nullptr; ///< that ends with it; null for a task of its own
 };
 
 /// Reads the board; valid while the board does not change. Thread safety: none.
@@ -55,7 +56,11 @@
     std::vector<WaitingUnit> waitingUnits() const;
 
     /// Runs on a server of which more urgent work may take the room. Gathered at the first call.
-    const std::vector<PossibleVictim>& victims(std::size_t server);
+    const std::vector<PossibleVictim>& victims(std::size_t server) { return this->occupancyOf(server).victims; }
+
+    /// What runs on a server that are being stopped, or that belong to no task any more, will leave within a stop's
+    /// time.
+    const Resources& beingFreed(std::size_t server) { return this->occupancyOf(server).beingFreed; }
 
     Urgency urgencyOf(const Job& job) const;
     const Board& state() const { return this->board; }
@@ -65,8 +70,16 @@
     const Board& board;
     SteadyTime now;
     std::set<std::string> guaranteed;
-    std::vector<std::vector<PossibleVictim>> victimsByServer;
-    std::vector<bool> victimsGathered;
+    /// The runs of one server, seen from work that needs their room.
+    struct Occupancy {
+        bool gathered = false;
+        std::vector<PossibleVictim> victims; ///< least loss first
+        Resources beingFreed;
+    };
+
+    const Occupancy& occupancyOf(std::size_t server);
+
+    std::vector<Occupancy> occupancies; ///< by server
 };
 
 /// The jobs of priority 0 that lie within the guarantees of their accounts.
--- a/tests/auto/scheduling/tst_scheduler_load.cpp
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -280,3 +280,44 @@
         CHECK(shareOfGangsInTime(seed) >= highestFloor);
     }
 }
+
+TEST_CASE("an urgent gang that needs two servers stops one gang and not one member each of two")
+{
+    SchedulerBench bench({ .racks = 2, .serversPerRack = 2 });
+    bench.run(2s);
+    StepSpecification gang = gangStep(2, 4, 30s);
+    gang.perTask.memoryMb = 300'000; // one on a server
+    gang.savesProgress = true;
+    gang.dataRack = "rack-1";
+    bench.submit("older", "ordinary", { gang });
+    bench.run(300ms);
+    gang.dataRack = "rack-0";
+    bench.submit("newer", "ordinary", { gang });
+    StepSpecification small = makeStep(1, 2, 30s);
+    small.savesProgress = true;
+    small.dataRack = "rack-0";
+    bench.submit("small", "ordinary", { small });
+    bench.run(500ms);
+    REQUIRE(bench.activeTasks("older") == 2);
+    REQUIRE(bench.activeTasks("newer") == 2);
+    REQUIRE(bench.activeTasks("small") == 1);
+    bench.submit("urgent", "urgent", { gangStep(2, 8, 1s) });
+    CHECK(bench.runUntilActive("urgent", 2, 2s));
+    CHECK(bench.activeTasks("older") == 2);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("the servers of a gang are not kept for another stop time after one member made room for urgent work")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 4, .stopTime = 900ms });
+    bench.run(2s);
+    StepSpecification gang = gangStep(4, 8, 30s);
+    gang.savesProgress = true;
+    bench.submit("gang", "ordinary", { gang });
+    bench.run(500ms);
+    bench.submit("first", "urgent", { gangStep(1, 8, 5s) });
+    REQUIRE(bench.runUntilActive("first", 1, 1500ms));
+    bench.submit("second", "urgent", { gangStep(3, 8, 5s) }, "shop-a");
+    CHECK(bench.runUntilActive("second", 3, 500ms));
+    CHECK(bench.violations().empty());
+}
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Duration maximumLease { 6000 };
-constexpr Duration stopTime { 200 };
 constexpr std::int64_t wholePercent = 100;
 constexpr Duration lastingWork = std::chrono::hours(1); ///< a task of at least this work is taken for a lasting one
 
@@ -85,7 +84,7 @@
     const auto running = this->active.find(order.task);
     if (running != this->active.end() && running->second.attempt == order.attempt && !running->second.stopping) {
         running->second.stopping = true;
-        running->second.stopLeft = stopTime;
+        running->second.stopLeft = this->stopTime;
     }
     return OrderDone { this->clock };
 }
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -45,6 +45,7 @@
 
     Scheduling::ServerEntry entry;
     std::int64_t startedAt = 0;
+    Scheduling::Duration stopTime { 200 }; ///< that a stop takes
     bool reachable = true;
     bool alive = true;
     ServerHealth health = ServerHealth::Sound;
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -66,6 +66,7 @@
                                                                      .machine = "machine-" + number,
                                                                      .capacity = serverCapacity },
                 1));
+            this->servers.back()->stopTime = this->options.stopTime;
             this->putEntry(*this->servers.back());
         }
     }
@@ -84,6 +85,7 @@
     SchedulerOptions schedulerOptions { .leadership = { .node = "daemon-" + std::to_string(index),
                                             .incarnation = daemon.life,
                                             .stagger = Duration(20 * static_cast<std::int64_t>(index)) },
+        .servers = { .stopTime = this->options.stopTime },
         .upkeep = { .waveTable = "waves",
             .wavePrefix = "wave/",
             .statusTable = "status",
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -21,6 +21,7 @@
         int daemons = 2;
         int racks = 2;
         int serversPerRack = 4;
+        Scheduling::Duration stopTime { 200 }; ///< that a run takes to stop
     };
 
     explicit SchedulerBench(Options options);
