Run times of more queues than one transaction holds are stored little by little

Found by reading the change: with more than 90 queues that run jobs, what was learned of run times would never have been stored, since all rows had to fit one transaction beside the decisions. Only queues with something new are written now, as many as there is room for.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -174,7 +174,7 @@
     std::map<std::string, Job> jobs;
     std::map<std::string, BackendServer> servers;
     RunTimes runTimes; ///< learned from runs that ended as done
-    bool runTimesDirty = false; ///< differ from the stored rows
+    std::set<std::string> dirtyRunTimes; ///< queues whose run times differ from the stored row
     UnstoredSuccesses unstoredSuccesses; ///< kept when the leadership is lost
     std::set<std::string> dirtyJobs; ///< jobs with rows that differ from the stored ones
     bool advisedQueues = false; ///< some queue needs placement advice
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -293,7 +293,7 @@
         return;
     const double weight = specification.gang ? 1.0 : 1.0 / specification.taskCount;
     this->board.runTimes.learn(job.queue->name, specification.estimate, *ran, weight);
-    this->board.runTimesDirty = true;
+    this->board.dirtyRunTimes.insert(job.queue->name);
 }
 
 void JobTracker::successReported(const ReportedSuccess& success, SteadyTime now)
--- a/src/libs/scheduling/planningpass.h
+++ b/src/libs/scheduling/planningpass.h
@@ -58,8 +58,7 @@
     /// Runs on a server of which more urgent work may take the room. Gathered at the first call.
     const std::vector<PossibleVictim>& victims(std::size_t server) { return this->occupancyOf(server).victims; }
 
-    /// What runs on a server that are being stopped, or that belong to no task any more, will leave within a stop's
-    /// time.
+    /// Room of runs that are being stopped, or that belong to no task any more: free within a stop's time.
     const Resources& beingFreed(std::size_t server) { return this->occupancyOf(server).beingFreed; }
 
     Urgency urgencyOf(const Job& job) const;
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -82,7 +82,7 @@
     this->board.dirtyJobs.clear();
     this->board.servers.clear();
     this->board.runTimes.clear();
-    this->board.runTimesDirty = false;
+    this->board.dirtyRunTimes.clear();
     this->loadedRows.clear();
     this->feeds.clear();
     this->planner.reset();
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -112,14 +112,17 @@
 
 void StateWriter::collectRunTimes(Batch& batch, SteadyTime now)
 {
-    const std::map<std::string, RunTimeSums>& queues = this->board.runTimes.all();
-    if (!this->board.runTimesDirty || now - this->runTimesStoredAt < runTimesInterval
-        || batch.transaction.writes.size() + batch.transaction.removals.size() + queues.size() > entriesPerTransaction)
+    if (this->board.dirtyRunTimes.empty() || now - this->runTimesStoredAt < runTimesInterval)
         return;
-    this->board.runTimesDirty = false;
     this->runTimesStoredAt = now;
-    for (const auto& [queue, sums] : queues)
-        batch.transaction.writes.push_back({ schedulerRow(StoreTable::runTimes, queue), encodeRunTimes(sums) });
+    const std::map<std::string, RunTimeSums>& queues = this->board.runTimes.all();
+    std::erase_if(this->board.dirtyRunTimes, [&](const std::string& queue) {
+        if (batch.transaction.writes.size() + batch.transaction.removals.size() >= entriesPerTransaction)
+            return false;
+        batch.transaction.writes.push_back(
+            { schedulerRow(StoreTable::runTimes, queue), encodeRunTimes(queues.at(queue)) });
+        return true;
+    });
 }
 
 void StateWriter::flush(SteadyTime now)
