A run of a job that declares no run time does not end the scheduler's process

What callers would have seen: the first job that ends without a declared run time (the field is optional) on a queue that has learned nothing threw std::out_of_range in the scheduler's daemon, and in each successor that saw the end. Change: learn() tells whether it took the run over, and only then is the queue marked. Test: "a job that declares no run time ends and the scheduler goes on", failed with map::at before.

--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -292,8 +292,8 @@
         || (specification.sameRack && !inOneRack))
         return;
     const double weight = specification.gang ? 1.0 : 1.0 / specification.taskCount;
-    this->board.runTimes.learn(job.queue->name, specification.estimate, *ran, weight);
-    this->board.dirtyRunTimes.insert(job.queue->name);
+    if (this->board.runTimes.learn(job.queue->name, specification.estimate, *ran, weight))
+        this->board.dirtyRunTimes.insert(job.queue->name);
 }
 
 void JobTracker::successReported(const ReportedSuccess& success, SteadyTime now)
--- a/src/libs/scheduling/runtimes.cpp
+++ b/src/libs/scheduling/runtimes.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-void RunTimes::learn(const std::string& queue, Duration declared, Duration ran, double weight)
+bool RunTimes::learn(const std::string& queue, Duration declared, Duration ran, double weight)
 {
     if (declared.count() <= 0 || ran.count() <= 0)
-        return;
+        return false;
     const double x = std::log(static_cast<double>(declared.count()));
     const double y = std::log(static_cast<double>(ran.count()));
     RunTimeSums& sums = this->queues[queue];
@@ -34,6 +34,7 @@
     sums.y += weight * y;
     sums.xx += weight * x * x;
     sums.xy += weight * x * y;
+    return true;
 }
 
 Duration RunTimes::expected(const std::string& queue, Duration declared) const
--- a/src/libs/scheduling/runtimes.h
+++ b/src/libs/scheduling/runtimes.h
@@ -27,8 +27,8 @@
 class RunTimes {
 public:
     /// Takes over a run that ended as done. `weight` is 1 for a run that tells as much as a job of its own, less for
-    /// one of several tasks with one declaration. Times of zero are ignored.
-    void learn(const std::string& queue, Duration declared, Duration ran, double weight);
+    /// one of several tasks with one declaration. False when one of the times is zero, which teaches nothing.
+    bool learn(const std::string& queue, Duration declared, Duration ran, double weight);
 
     /// The run time to expect of a task.
     Duration expected(const std::string& queue, Duration declared) const;
--- a/tests/auto/scheduling/tst_scheduler_load.cpp
+++ b/tests/auto/scheduling/tst_scheduler_load.cpp
@@ -209,6 +209,18 @@
     CHECK(bench.violations().empty());
 }
 
+TEST_CASE("a job that declares no run time ends and the scheduler goes on")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.setRunTime("job", 500ms);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 0ms) });
+    CHECK(bench.runUntil("job", JobState::Completed, 3s));
+    bench.run(3s);
+    bench.submit("next", "ordinary", { makeStep(1, 1, 500ms) });
+    CHECK(bench.runUntil("next", JobState::Completed, 3s));
+}
+
 TEST_CASE("a gang that declares a far too long run time does not go before one that can still be on time")
 {
     SchedulerBench bench({});
