HTTP client: raw sockets and Boost.Beast in place of pipelined libwebsockets calls

Cause: with kept connections each connection of libwebsockets' HTTP client holds an entry of the header pool (2,048). The scheduler keeps two connections to each of 1,100 backend servers; beyond the pool requests went out without their body and the process ended with bad_alloc or a segmentation fault. Besides, each call inserted a timer into libwebsockets' sorted list, which is walked from its head: with 1,100 open polls that took most of the scheduler's processor time. And a wait of less than a millisecond was polled.

Change: connections are raw sockets of libwebsockets, messages are encoded and parsed by Boost.Beast. A connection carries one call, and is closed unless the call ended with a complete response. A client has a limit of connections; calls beyond it take the place of the longest idle one, or wait, and end as not sent. The loop keeps its timers in an ordered map behind one timer of libwebsockets.

Ruled out: a larger pool (moves the cliff to 2,000 servers); no kept connections (one connection a call is priced and slower). Beast's eager mode skips the body limit in this version, so it is off.

--- a/src/libs/adapters/eventloop.cpp
+++ b/src/libs/adapters/eventloop.cpp
@@ -11,7 +11,7 @@
 constexpr unsigned int descriptorLimit = 4096;
 constexpr unsigned int headerPoolSize = 2048;
 constexpr unsigned int serviceBufferBytes = 65536;
-constexpr lws_usec_t usecPerMs = 1000;
+constexpr Duration waitResolution { 1 };
 
 volatile std::sig_atomic_t terminationRequested = 0;
 lws_context* contextToWake = nullptr;
@@ -30,13 +30,6 @@
 
 } // namespace
 
-struct EventLoop::Timer {
-    lws_sorted_usec_list_t entry {}; // must be the first member: timerFired() casts its address to Timer
-    EventLoop* loop = nullptr;
-    std::function<void()> action;
-    Duration interval { 0 }; ///< zero for a single-shot timer
-};
-
 EventLoop::EventLoop()
 {
     lws_set_log_level(LLL_ERR, nullptr);
@@ -49,61 +42,66 @@
     this->lwsContext = lws_create_context(&info);
     if (!this->lwsContext)
         throw std::runtime_error("cannot create the libwebsockets context of the event loop");
+    this->wakeUp.loop = this;
 }
 
 EventLoop::~EventLoop()
 {
     contextToWake = nullptr;
-    for (const std::unique_ptr<Timer>& timer : this->timers)
-        lws_sul_schedule(this->lwsContext, 0, &timer->entry, nullptr, LWS_SET_TIMER_USEC_CANCEL);
+    lws_sul_schedule(this->lwsContext, 0, &this->wakeUp.entry, nullptr, LWS_SET_TIMER_USEC_CANCEL);
     lws_context_destroy(this->lwsContext);
 }
 
-void EventLoop::schedule(Duration delay, Duration interval, std::function<void()> action)
+EventLoop::TimerId EventLoop::after(Duration delay, std::function<void()> action)
 {
-    auto timer = std::make_unique<Timer>();
-    timer->loop = this;
-    timer->action = std::move(action);
-    timer->interval = interval;
-    const lws_usec_t wait = std::max<lws_usec_t>(1, delay.count() * usecPerMs);
-    lws_sul_schedule(this->lwsContext, 0, &timer->entry, timerFired, wait);
-    this->timers.push_back(std::move(timer));
+    const TimerId timer { std::chrono::steady_clock::now() + delay, ++this->lastTimer };
+    this->timers.emplace(timer, std::move(action));
+    return timer;
 }
 
-void EventLoop::after(Duration delay, std::function<void()> action)
+void EventLoop::every(Duration interval, std::function<void()> action)
 {
-    this->schedule(delay, Duration(0), std::move(action));
+    this->after(interval, [this, interval, action = std::move(action)]() {
+        this->every(interval, action); // first, so that the interval does not grow by the action's duration
+        action();
+    });
 }
 
-void EventLoop::every(Duration interval, std::function<void()> action)
+void EventLoop::scheduleWakeUp()
 {
-    this->schedule(interval, interval, std::move(action));
+    if (this->timers.empty() || this->timers.begin()->first.first >= this->wakeUp.at)
+        return;
+    this->wakeUp.at = this->timers.begin()->first.first;
+    const auto wait = std::chrono::ceil<std::chrono::microseconds>(this->wakeUp.at - std::chrono::steady_clock::now());
+    lws_sul_schedule(this->lwsContext, 0, &this->wakeUp.entry, wakeUpFired, std::max<lws_usec_t>(1, wait.count()));
 }
 
-void EventLoop::timerFired(lws_sorted_usec_list_t* entry)
+void EventLoop::wakeUpFired(lws_sorted_usec_list_t* entry)
 {
-    auto* timer = reinterpret_cast<Timer*>(entry);
-    EventLoop* loop = timer->loop;
-    if (timer->interval.count() > 0) {
-        lws_sul_schedule(timer->loop->lwsContext, 0, &timer->entry, timerFired, timer->interval.count() * usecPerMs);
-        timer->action();
-        // libwebsockets waits next; the wait has to end only if actions were posted or the loop was stopped.
-        if (!loop->posted.empty() || !loop->running)
-            loop->wake();
-        return;
+    EventLoop* loop = reinterpret_cast<WakeUp*>(entry)->loop;
+    loop->wakeUp.at = Utils::SteadyTime::max();
+    lws_cancel_service(loop->lwsContext); // libwebsockets calls this before it waits; the timers run after the wait
+}
+
+void EventLoop::runDueTimers()
+{
+    // libwebsockets waits for whole milliseconds. Timers that are due within the next one run now, because waiting for
+    // them would be polling.
+    const Utils::SteadyTime due = std::chrono::steady_clock::now() + waitResolution;
+    while (!this->timers.empty() && this->timers.begin()->first.first <= due) {
+        const std::function<void()> action = std::move(this->timers.begin()->second);
+        this->timers.erase(this->timers.begin());
+        action();
     }
-    loop->wake();
-    const std::function<void()> action = std::move(timer->action);
-    loop->removeTimer(timer);
-    action();
 }
 
-void EventLoop::removeTimer(Timer* timer)
+void EventLoop::runPosted()
 {
-    const auto found
-        = std::ranges::find_if(this->timers, [&](const std::unique_ptr<Timer>& owned) { return owned.get() == timer; });
-    std::swap(*found, this->timers.back());
-    this->timers.pop_back();
+    while (!this->posted.empty()) {
+        const std::function<void()> action = std::move(this->posted.front());
+        this->posted.pop_front();
+        action();
+    }
 }
 
 void EventLoop::onTerminationSignal(std::function<void()> action)
@@ -124,12 +122,14 @@
 
 bool EventLoop::runOnce()
 {
-    const bool served = lws_service(this->lwsContext, 0) >= 0;
-    while (!this->posted.empty()) {
-        const std::function<void()> action = std::move(this->posted.front());
-        this->posted.pop_front();
-        action();
+    if (!this->posted.empty()) {
+        this->runPosted();
+        return true;
     }
+    this->scheduleWakeUp();
+    const bool served = lws_service(this->lwsContext, 0) >= 0;
+    this->runDueTimers();
+    this->runPosted();
     return served;
 }
 
--- a/src/libs/adapters/eventloop.h
+++ b/src/libs/adapters/eventloop.h
@@ -6,8 +6,8 @@
 #include <deque>
 #include <functional>
 #include <libwebsockets.h>
-#include <memory>
-#include <vector>
+#include <map>
+#include <utility>
 
 namespace WisteriaHill::Adapters {
 
@@ -26,8 +26,15 @@
     /// Calls `action` once, from the loop, after the current callback has returned.
     void post(std::function<void()> action) { this->posted.push_back(std::move(action)); }
 
-    /// Calls `action` once, from the loop, after `delay`.
-    void after(Duration delay, std::function<void()> action);
+    /// Identifies a timer that has not fired yet.
+    using TimerId = std::pair<Utils::SteadyTime, std::uint64_t>;
+
+    /// Calls `action` once, from the loop, after `delay` less at most 1 ms. The cost grows with the logarithm of the
+    /// number of timers.
+    TimerId after(Duration delay, std::function<void()> action);
+
+    /// Cancels a timer. Does nothing when it has fired.
+    void cancel(const TimerId& timer) { this->timers.erase(timer); }
 
     /// Calls `action` every `interval` for as long as the loop runs.
     void every(Duration interval, std::function<void()> action);
@@ -41,26 +48,32 @@
     /// Runs until stop() is called or libwebsockets fails.
     void run();
 
-    /// Waits for events and handles them, then runs the posted actions. Returns false when libwebsockets failed.
+    /// Waits for events and handles them, then runs the timers that are due and the posted actions. Does not wait when
+    /// actions are posted already. Returns false when libwebsockets failed.
     bool runOnce();
 
     void stop() { this->running = false; }
 
-    /// Ends the current or next wait for events. libwebsockets runs timers before it waits, so a timer callback that
-    /// posts an action or stops the loop has to call this.
-    void wake() { lws_cancel_service(this->lwsContext); }
-
     lws_context* context() const { return this->lwsContext; }
 
 private:
-    struct Timer;
-    static void timerFired(lws_sorted_usec_list_t* entry);
-    void schedule(Duration delay, Duration interval, std::function<void()> action);
-    void removeTimer(Timer* timer);
+    /// libwebsockets keeps its timers in a sorted list, so all timers of the loop share one of them.
+    struct WakeUp {
+        lws_sorted_usec_list_t entry {}; // must be the first member: wakeUpFired() casts its address to WakeUp
+        EventLoop* loop = nullptr;
+        Utils::SteadyTime at = Utils::SteadyTime::max();
+    };
+
+    static void wakeUpFired(lws_sorted_usec_list_t* entry);
+    void runDueTimers();
+    void runPosted();
+    void scheduleWakeUp();
 
     lws_context* lwsContext = nullptr;
     bool running = true;
-    std::vector<std::unique_ptr<Timer>> timers;
+    WakeUp wakeUp;
+    std::map<TimerId, std::function<void()>> timers;
+    std::uint64_t lastTimer = 0;
     std::deque<std::function<void()>> posted;
     std::function<void()> terminationAction;
     std::function<void()> reloadAction;
--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -1,7 +1,11 @@
 #include "adapters/httpclient.h"
 
 #include <algorithm>
-#include <array>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <chrono>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -9,51 +13,91 @@
 
 namespace {
 
-constexpr std::size_t bodyChunkBytes = 16'384;
-constexpr std::size_t readBufferBytes = 16'384;
-constexpr std::size_t requestOverheadBytes = 160;
-constexpr lws_usec_t usecPerMs = 1000;
-constexpr int maximumHeaderValueBytes = 2048;
-constexpr int keepAliveSeconds = 60; ///< an idle connection is closed after this time
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
 
-constexpr std::array answerHeaders { HeaderName::outcome, HeaderName::reason, HeaderName::retryAfterMs,
-    HeaderName::replayed, HeaderName::notRun, HeaderName::busySlots, HeaderName::leaving };
+constexpr std::chrono::seconds keepAliveTime { 60 }; ///< an idle connection is closed after this time
+constexpr std::size_t writeChunkBytes = 16'384;
+constexpr unsigned int httpVersion = 11;
+constexpr const char* protocolName = "http-client";
 
-std::string tokenValue(lws* wsi, lws_token_indexes token)
+std::string endpointOf(const HttpCall& call) { return call.address + ':' + std::to_string(call.port); }
+
+/// Encodes the request, preceded by the LWS_PRE bytes that libwebsockets reserves.
+std::string encodeRequest(const HttpCall& call)
 {
-    std::array<char, maximumHeaderValueBytes> value {};
-    const int length = lws_hdr_copy(wsi, value.data(), static_cast<int>(value.size()), token);
-    return length > 0 ? std::string(value.data(), static_cast<std::size_t>(length)) : std::string();
+    Http::request<Http::string_body> request;
+    request.version(httpVersion);
+    request.method_string(call.method);
+    request.target(call.path);
+    request.set(Http::field::host, call.address);
+    for (const auto& [name, value] : call.headers)
+        request.set(name, value);
+    if (call.method == "POST" || call.method == "PUT")
+        request.content_length(call.body.size());
+    request.body() = call.body;
+    std::string bytes(LWS_PRE, '\0');
+    Http::request_serializer<Http::string_body> serializer(request);
+    Beast::error_code error;
+    while (!serializer.is_done()) {
+        serializer.next(error, [&](Beast::error_code&, const auto& buffers) {
+            for (const auto buffer : Beast::buffers_range_ref(buffers))
+                bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+            serializer.consume(Beast::buffer_bytes(buffers));
+        });
+    }
+    return bytes;
+}
+
+HttpResponse toResponse(Http::response<Http::string_body> message)
+{
+    HttpResponse response { .status = static_cast<int>(message.result_int()), .contentType = {} };
+    for (const auto& field : message) {
+        std::string name(field.name_string());
+        std::ranges::transform(name, name.begin(), [](unsigned char letter) { return std::tolower(letter); });
+        response.headers[name] = std::string(field.value());
+    }
+    response.contentType = response.header(HeaderName::contentType);
+    response.body = std::move(message.body());
+    return response;
 }
 
 } // namespace
 
 struct HttpClient::Transaction {
-    lws_sorted_usec_list_t timer {}; // must be the first member: onTimeout() casts its address to Transaction
-    HttpClient* client = nullptr;
-    lws* wsi = nullptr;
     HttpCall call;
     CompletionHandler done;
-    HttpResponse response;
-    std::size_t written = 0; ///< number of bytes of the request body that were written
-    bool handshakeSent = false;
-    bool oversized = false;
-    bool finished = false;
+    EventLoop::TimerId timer;
+    Connection* connection = nullptr; ///< null while the call waits for a connection
+    bool sent = false; ///< at least one byte of the request may have been sent
+};
+
+struct HttpClient::Connection {
+    HttpClient* client = nullptr;
+    lws* wsi = nullptr;
+    std::string endpoint;
+    Transaction* transaction = nullptr; ///< null while the connection is idle
+    bool idle = false;
+    Utils::SteadyTime idleSince {};
+    std::list<Connection*>::iterator age; ///< position in idleByAge while idle
+    std::string unwritten; ///< request being written, after LWS_PRE reserved bytes; empty when all is written
+    std::size_t writePosition = 0; ///< in `unwritten`, of the next byte to write
+    std::optional<Http::response_parser<Http::string_body>> parser;
+    std::string unparsed; ///< received bytes that the parser has not consumed
 };
 
 HttpClient::HttpClient(EventLoop& loop, HttpClientOptions options)
     : loop(loop)
     , options(options)
 {
-    this->protocols[0].name = "http-client";
+    this->protocols[0].name = protocolName;
     this->protocols[0].callback = callback;
     this->protocols[0].user = this;
     lws_context_creation_info info {};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.protocols = this->protocols;
-    info.vhost_name = "http-client";
+    info.vhost_name = protocolName;
     info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
-    info.keepalive_timeout = keepAliveSeconds;
     this->vhost = lws_create_vhost(loop.context(), &info);
     if (!this->vhost)
         throw std::runtime_error("cannot create the libwebsockets virtual host of the HTTP client");
@@ -61,171 +105,272 @@
 
 HttpClient::~HttpClient()
 {
-    for (Transaction* transaction : this->openTransactions) {
-        lws_sul_schedule(this->loop.context(), 0, &transaction->timer, nullptr, LWS_SET_TIMER_USEC_CANCEL);
-        if (transaction->wsi)
-            lws_set_opaque_user_data(transaction->wsi, nullptr);
-        delete transaction;
+    for (const auto& [transaction, owned] : this->transactions)
+        this->loop.cancel(transaction->timer);
+    for (const auto& [connection, owned] : this->connections) {
+        if (connection->wsi)
+            lws_set_opaque_user_data(connection->wsi, nullptr);
     }
 }
 
 void HttpClient::send(HttpCall call, CompletionHandler done)
 {
-    auto* transaction = new Transaction;
-    transaction->client = this;
-    transaction->call = std::move(call);
-    transaction->done = std::move(done);
-    this->openTransactions.insert(transaction);
-    lws_sul_schedule(this->loop.context(), 0, &transaction->timer, onTimeout,
-        std::max<lws_usec_t>(1, transaction->call.timeout.count() * usecPerMs));
+    auto owned = std::make_unique<Transaction>();
+    Transaction& transaction = *owned;
+    this->transactions.emplace(&transaction, std::move(owned));
+    transaction.call = std::move(call);
+    transaction.done = std::move(done);
+    transaction.timer
+        = this->loop.after(transaction.call.timeout, [this, &transaction]() { this->handleTimeout(transaction); });
+    if (!this->waiting.empty() || !this->start(transaction))
+        this->waiting.push_back(&transaction);
+}
+
+bool HttpClient::start(Transaction& transaction)
+{
+    if (Connection* connection = this->takeIdle(endpointOf(transaction.call))) {
+        connection->transaction = &transaction;
+        transaction.connection = connection;
+        this->sendRequest(*connection);
+        return true;
+    }
+    if (this->connections.size() >= this->options.maximumConnections) {
+        if (this->idleByAge.empty())
+            return false;
+        this->close(*this->idleByAge.front());
+    }
+    this->connect(transaction);
+    return true;
+}
+
+void HttpClient::startWaiting()
+{
+    while (!this->waiting.empty()) {
+        Transaction* next = this->waiting.front();
+        this->waiting.pop_front(); // first, because start() can end calls, which calls this again
+        if (!this->start(*next)) {
+            this->waiting.push_front(next);
+            return;
+        }
+    }
+}
+
+void HttpClient::connect(Transaction& transaction)
+{
+    auto owned = std::make_unique<Connection>();
+    Connection& connection = *owned;
+    this->connections.emplace(&connection, std::move(owned));
+    connection.client = this;
+    connection.endpoint = endpointOf(transaction.call);
+    connection.transaction = &transaction;
+    transaction.connection = &connection;
 
     lws_client_connect_info info {};
     info.context = this->loop.context();
     info.vhost = this->vhost;
-    info.address = transaction->call.address.c_str();
-    info.host = transaction->call.address.c_str();
-    info.origin = transaction->call.address.c_str();
-    info.port = transaction->call.port;
-    info.path = transaction->call.path.c_str();
-    info.method = transaction->call.method.c_str();
-    info.alpn = "http/1.1";
-    info.local_protocol_name = "http-client";
-    if (this->options.keepConnections)
-        info.ssl_connection = LCCSCF_PIPELINE;
-    info.opaque_user_data = transaction;
-    info.pwsi = &transaction->wsi;
-    if (!lws_client_connect_via_info(&info) && !transaction->finished) {
-        transaction->wsi = nullptr;
-        this->finish(*transaction, HttpClientError::NotSent);
+    info.address = transaction.call.address.c_str();
+    info.host = info.address;
+    info.origin = info.address;
+    info.port = transaction.call.port;
+    info.path = "/";
+    info.method = "RAW";
+    info.local_protocol_name = protocolName;
+    info.opaque_user_data = &connection;
+    lws* wsi = lws_client_connect_via_info(&info);
+    // A connection that failed at once has been reported to the callback and removed.
+    if (!this->connections.contains(&connection))
+        return;
+    connection.wsi = wsi;
+    if (!wsi)
+        this->handleClosed(connection);
+}
+
+HttpClient::Connection* HttpClient::takeIdle(const std::string& endpoint)
+{
+    const auto found = this->idleByEndpoint.find(endpoint);
+    if (found == this->idleByEndpoint.end())
+        return nullptr;
+    Connection* connection = found->second.back();
+    this->removeIdle(*connection);
+    return connection;
+}
+
+void HttpClient::addIdle(Connection& connection)
+{
+    connection.idle = true;
+    connection.idleSince = std::chrono::steady_clock::now();
+    connection.age = this->idleByAge.insert(this->idleByAge.end(), &connection);
+    this->idleByEndpoint[connection.endpoint].push_back(&connection);
+    while (connection.idleSince - this->idleByAge.front()->idleSince > keepAliveTime)
+        this->close(*this->idleByAge.front());
+}
+
+void HttpClient::removeIdle(Connection& connection)
+{
+    connection.idle = false;
+    this->idleByAge.erase(connection.age);
+    const auto found = this->idleByEndpoint.find(connection.endpoint);
+    std::erase(found->second, &connection);
+    if (found->second.empty())
+        this->idleByEndpoint.erase(found);
+}
+
+void HttpClient::sendRequest(Connection& connection)
+{
+    Transaction& transaction = *connection.transaction;
+    connection.unwritten = encodeRequest(transaction.call);
+    connection.writePosition = LWS_PRE;
+    connection.parser.emplace();
+    connection.parser->body_limit(transaction.call.maximumAnswer);
+    transaction.sent = true;
+    this->sentBytes += connection.unwritten.size() - LWS_PRE;
+    this->writeMore(connection);
+}
+
+void HttpClient::writeMore(Connection& connection)
+{
+    while (connection.writePosition < connection.unwritten.size() && lws_partial_buffered(connection.wsi) == 0) {
+        const std::size_t chunk = std::min(writeChunkBytes, connection.unwritten.size() - connection.writePosition);
+        auto* begin = reinterpret_cast<unsigned char*>(connection.unwritten.data()) + connection.writePosition;
+        if (lws_write(connection.wsi, begin, chunk, LWS_WRITE_RAW) < 0) {
+            Transaction& transaction = *connection.transaction;
+            this->close(connection);
+            this->finish(transaction, HttpClientError::Truncated);
+            this->startWaiting();
+            return;
+        }
+        connection.writePosition += chunk; // libwebsockets keeps what the socket does not take of a chunk
     }
+    if (connection.writePosition < connection.unwritten.size())
+        lws_callback_on_writable(connection.wsi);
+    else
+        connection.unwritten.clear();
 }
 
-void HttpClient::finish(Transaction& transaction, HttpCallResult result)
+void HttpClient::receive(Connection& connection, const char* data, std::size_t length)
 {
-    if (std::exchange(transaction.finished, true))
+    this->receivedBytes += length;
+    if (!connection.transaction) { // an idle connection must not receive anything
+        this->close(connection);
+        this->startWaiting();
         return;
-    lws_sul_schedule(this->loop.context(), 0, &transaction.timer, nullptr, LWS_SET_TIMER_USEC_CANCEL);
-    if (transaction.wsi)
-        lws_set_opaque_user_data(transaction.wsi, nullptr);
-    this->openTransactions.erase(&transaction);
-    Transaction* owned = &transaction;
-    this->loop.post([owned, done = std::move(transaction.done), result = std::move(result)]() mutable {
-        delete owned;
-        done(std::move(result));
-    });
-}
-
-void HttpClient::onTimeout(lws_sorted_usec_list_t* entry)
-{
-    auto* transaction = reinterpret_cast<Transaction*>(entry);
-    lws* wsi = transaction->wsi;
-    const HttpClientError error = transaction->handshakeSent ? HttpClientError::TimedOut : HttpClientError::NotSent;
-    transaction->client->loop.wake();
-    transaction->client->finish(*transaction, error);
-    if (wsi)
-        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-}
-
-int HttpClient::addHeaders(lws* wsi, Transaction& transaction, unsigned char** position, unsigned char* end)
-{
-    const HttpCall& call = transaction.call;
-    for (const auto& [name, value] : call.headers) {
-        const std::string withColon = name + ":";
-        if (lws_add_http_header_by_name(wsi, reinterpret_cast<const unsigned char*>(withColon.c_str()),
-                reinterpret_cast<const unsigned char*>(value.c_str()), static_cast<int>(value.size()), position, end))
-            return -1;
     }
-    transaction.handshakeSent = true;
-    transaction.client->sentBytes += requestOverheadBytes + call.path.size() + call.body.size();
-    if (call.method != "POST" && call.method != "PUT")
-        return 0;
-    const std::string length = std::to_string(call.body.size());
-    if (lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-            reinterpret_cast<const unsigned char*>(length.c_str()), static_cast<int>(length.size()), position, end))
-        return -1;
-    if (!call.body.empty()) {
-        lws_client_http_body_pending(wsi, 1);
-        lws_callback_on_writable(wsi);
+    connection.unparsed.append(data, length);
+    Beast::error_code error;
+    while (!connection.unparsed.empty() && !connection.parser->is_done() && !error) {
+        const std::size_t consumed = connection.parser->put(
+            boost::asio::buffer(connection.unparsed.data(), connection.unparsed.size()), error);
+        connection.unparsed.erase(0, consumed);
+        if (consumed == 0)
+            break;
+    }
+    if (connection.parser->is_done()) {
+        this->complete(connection);
+        return;
     }
-    return 0;
+    if (!error || error == Http::error::need_more)
+        return;
+    Transaction& transaction = *connection.transaction;
+    this->close(connection);
+    this->finish(
+        transaction, error == Http::error::body_limit ? HttpClientError::Oversized : HttpClientError::Truncated);
+    this->startWaiting();
 }
 
-int HttpClient::writeBody(lws* wsi, Transaction& transaction)
+void HttpClient::complete(Connection& connection)
 {
-    const std::string& body = transaction.call.body;
-    if (transaction.written >= body.size())
-        return 0;
-    const std::size_t chunk = std::min(bodyChunkBytes, body.size() - transaction.written);
-    const bool last = transaction.written + chunk == body.size();
-    std::vector<unsigned char> buffer(LWS_PRE + chunk);
-    std::copy_n(body.data() + transaction.written, chunk, buffer.data() + LWS_PRE);
-    if (lws_write(wsi, buffer.data() + LWS_PRE, chunk, last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0)
-        return -1;
-    transaction.written += chunk;
-    if (last)
-        lws_client_http_body_pending(wsi, 0);
+    Transaction& transaction = *std::exchange(connection.transaction, nullptr);
+    transaction.connection = nullptr;
+    const bool keep = this->options.keepConnections && connection.parser->keep_alive() && connection.unparsed.empty()
+        && connection.unwritten.empty() && lws_partial_buffered(connection.wsi) == 0;
+    HttpResponse response = toResponse(connection.parser->release());
+    if (keep) {
+        connection.parser.reset();
+        this->addIdle(connection);
+    } else {
+        this->close(connection);
+    }
+    this->finish(transaction, std::move(response));
+    this->startWaiting();
+}
+
+void HttpClient::handleClosed(Connection& connection)
+{
+    Transaction* transaction = std::exchange(connection.transaction, nullptr);
+    connection.wsi = nullptr; // libwebsockets destroys it
+    if (!transaction) {
+        this->close(connection);
+        this->startWaiting();
+        return;
+    }
+    transaction->connection = nullptr;
+    HttpCallResult result = transaction->sent ? HttpClientError::Truncated : HttpClientError::NotSent;
+    if (connection.parser && connection.parser->got_some()) {
+        // A response without a length ends with its connection.
+        Beast::error_code error;
+        connection.parser->put_eof(error);
+        if (!error && connection.parser->is_done())
+            result = toResponse(connection.parser->release());
+    }
+    this->connections.erase(&connection);
+    this->finish(*transaction, std::move(result));
+    this->startWaiting();
+}
+
+void HttpClient::handleTimeout(Transaction& transaction)
+{
+    if (transaction.connection)
+        this->close(*transaction.connection);
     else
-        lws_callback_on_writable(wsi);
-    return 0;
-}
-
-void HttpClient::readResponseHead(lws* wsi, Transaction& transaction)
-{
-    HttpResponse& response = transaction.response;
-    response.status = static_cast<int>(lws_http_client_http_response(wsi));
-    response.contentType = tokenValue(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
-    response.headers[HeaderName::retryAfter] = tokenValue(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
-    response.headers[HeaderName::entityTag] = tokenValue(wsi, WSI_TOKEN_HTTP_ETAG);
-    for (const char* name : answerHeaders) {
-        const std::string withColon = std::string(name) + ":";
-        std::array<char, maximumHeaderValueBytes> value {};
-        const int length = lws_hdr_custom_copy(
-            wsi, value.data(), static_cast<int>(value.size()), withColon.c_str(), static_cast<int>(withColon.size()));
-        if (length > 0)
-            response.headers[name] = std::string(value.data(), static_cast<std::size_t>(length));
+        std::erase(this->waiting, &transaction);
+    this->finish(transaction, transaction.sent ? HttpClientError::TimedOut : HttpClientError::NotSent);
+    this->startWaiting();
+}
+
+void HttpClient::close(Connection& connection)
+{
+    if (connection.idle)
+        this->removeIdle(connection);
+    if (connection.transaction)
+        connection.transaction->connection = nullptr;
+    if (connection.wsi) {
+        lws_set_opaque_user_data(connection.wsi, nullptr);
+        lws_set_timeout(connection.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
+    this->connections.erase(&connection);
+}
+
+void HttpClient::finish(Transaction& transaction, HttpCallResult result)
+{
+    this->loop.cancel(transaction.timer);
+    this->loop.post(
+        [done = std::move(transaction.done), result = std::move(result)]() mutable { done(std::move(result)); });
+    this->transactions.erase(&transaction);
 }
 
 int HttpClient::callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length)
 {
-    auto* transaction = static_cast<Transaction*>(lws_get_opaque_user_data(wsi));
-    if (!transaction)
-        return reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP ? -1 : lws_callback_http_dummy(wsi, reason, user, in, length);
-    HttpClient& client = *transaction->client;
+    auto* connection = static_cast<Connection*>(lws_get_opaque_user_data(wsi));
+    if (!connection)
+        return reason == LWS_CALLBACK_RAW_RX ? -1 : lws_callback_http_dummy(wsi, reason, user, in, length);
+    HttpClient& client = *connection->client;
 
     switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
-        auto** position = static_cast<unsigned char**>(in);
-        return addHeaders(wsi, *transaction, position, *position + length);
-    }
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return writeBody(wsi, *transaction);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        readResponseHead(wsi, *transaction);
+    case LWS_CALLBACK_RAW_CONNECTED:
+        connection->wsi = wsi;
+        client.sendRequest(*connection);
         return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
-        std::array<char, LWS_PRE + readBufferBytes> buffer {};
-        char* position = buffer.data() + LWS_PRE;
-        int available = static_cast<int>(readBufferBytes);
-        return lws_http_client_read(wsi, &position, &available) < 0 ? -1 : 0;
-    }
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        client.receivedBytes += length;
-        if (transaction->response.body.size() + length > transaction->call.maximumAnswer) {
-            client.finish(*transaction, HttpClientError::Oversized);
-            return -1;
-        }
-        transaction->response.body.append(static_cast<const char*>(in), length);
+    case LWS_CALLBACK_RAW_WRITEABLE:
+        client.writeMore(*connection);
+        return 0;
+    case LWS_CALLBACK_RAW_RX:
+        client.receive(*connection, static_cast<const char*>(in), length);
         return 0;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        client.receivedBytes += requestOverheadBytes;
-        client.finish(*transaction, std::move(transaction->response));
-        return client.options.keepConnections ? 0 : -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+    case LWS_CALLBACK_RAW_CLOSE:
     case LWS_CALLBACK_WSI_DESTROY:
-        transaction->wsi = nullptr;
-        client.finish(*transaction, transaction->handshakeSent ? HttpClientError::Truncated : HttpClientError::NotSent);
+        lws_set_opaque_user_data(wsi, nullptr);
+        client.handleClosed(*connection);
         return 0;
     default:
         return lws_callback_http_dummy(wsi, reason, user, in, length);
--- a/src/libs/adapters/httpclient.h
+++ b/src/libs/adapters/httpclient.h
@@ -1,15 +1,18 @@
-/// An HTTP/1.1 client on the event loop. By default each call opens its own connection. A client that keeps connections
-/// reuses a connection once its call has ended, and closes a connection whose call timed out.
+/// An HTTP/1.1 client on the event loop. Sockets belong to libwebsockets, messages are encoded and parsed by
+/// Boost.Beast.
 #pragma once
 
 #include "adapters/eventloop.h"
 #include "adapters/httpmessage.h"
 #include "utils/result.h"
 
+#include <cstdint>
+#include <deque>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 namespace WisteriaHill::Adapters {
@@ -22,26 +25,30 @@
     std::string path;
     HttpHeaders headers;
     std::string body;
-    Duration timeout { 0 };
+    Duration timeout { 0 }; ///< includes the wait for a connection
     std::size_t maximumAnswer = 8'388'608; ///< largest accepted response body, in bytes
 };
 
 struct HttpClientOptions {
-    /// Keeps connections for further calls to the same address. At most one call per address may be open at a time,
-    /// because a call would otherwise wait for the response to the one before.
+    /// Keeps a connection for further calls to the same address once its call has ended. Otherwise each call opens its
+    /// own connection.
     bool keepConnections = false;
+    /// Most connections that are open at once. A call beyond them closes the connection that has been idle longest, or
+    /// waits until a call ends.
+    std::size_t maximumConnections = 1024;
 };
 
 enum class HttpClientError {
     NotSent, ///< no byte of the request was sent
-    Truncated, ///< the connection ended before the complete response arrived
+    Truncated, ///< the connection ended before the complete response arrived, or the response was malformed
     TimedOut, ///< the request was sent, but no complete response arrived in time
     Oversized, ///< the response body is larger than HttpCall::maximumAnswer
 };
 
 using HttpCallResult = Utils::Result<HttpResponse, HttpClientError>;
 
-/// Thread safety: none; all calls and callbacks on the loop's thread.
+/// A connection carries one call at a time and is closed when a call does not end with a complete response, so an
+/// answer never reaches another call. Thread safety: none; all calls and callbacks on the loop's thread.
 class HttpClient {
 public:
     using CompletionHandler = std::function<void(HttpCallResult)>;
@@ -55,26 +62,49 @@
     /// Sends the call. `done` is called exactly once, from the loop, at the latest when the timeout ends.
     void send(HttpCall call, CompletionHandler done);
 
-    /// Bytes sent since the start: the bodies and paths, plus an estimate for the headers of each request.
+    /// Bytes of requests sent since the start.
     std::uint64_t bytesSent() const { return this->sentBytes; }
-    /// Bytes received since the start: the bodies, plus an estimate for the headers of each response.
+    /// Bytes of responses received since the start.
     std::uint64_t bytesReceived() const { return this->receivedBytes; }
 
+    std::size_t openConnections() const { return this->connections.size(); }
+    /// Calls that wait for a connection because the maximum number is open.
+    std::size_t waitingCalls() const { return this->waiting.size(); }
+
 private:
     struct Transaction;
+    struct Connection;
 
     static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
-    static int addHeaders(lws* wsi, Transaction& transaction, unsigned char** position, unsigned char* end);
-    static int writeBody(lws* wsi, Transaction& transaction);
-    static void readResponseHead(lws* wsi, Transaction& transaction);
-    static void onTimeout(lws_sorted_usec_list_t* entry);
+    /// Gives the transaction a connection. Returns false when it has to wait for one.
+    bool start(Transaction& transaction);
+    void startWaiting();
+    void connect(Transaction& transaction);
+    /// Takes an idle connection to the address out of the idle ones; null when there is none.
+    Connection* takeIdle(const std::string& endpoint);
+    void addIdle(Connection& connection);
+    void removeIdle(Connection& connection);
+    void sendRequest(Connection& connection);
+    /// Writes what the socket takes of the request.
+    void writeMore(Connection& connection);
+    void receive(Connection& connection, const char* data, std::size_t length);
+    /// Ends the connection's call with the parsed response and keeps or closes the connection.
+    void complete(Connection& connection);
+    void handleClosed(Connection& connection);
+    void handleTimeout(Transaction& transaction);
+    /// Closes the connection after the current callback and forgets it.
+    void close(Connection& connection);
     void finish(Transaction& transaction, HttpCallResult result);
 
     EventLoop& loop;
     HttpClientOptions options;
     lws_protocols protocols[2] {};
     lws_vhost* vhost = nullptr;
-    std::unordered_set<Transaction*> openTransactions;
+    std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
+    std::unordered_map<std::string, std::vector<Connection*>> idleByEndpoint;
+    std::list<Connection*> idleByAge; ///< longest idle first
+    std::unordered_map<Transaction*, std::unique_ptr<Transaction>> transactions;
+    std::deque<Transaction*> waiting; ///< in order of arrival
     std::uint64_t sentBytes = 0;
     std::uint64_t receivedBytes = 0;
 };
