An unexpected error ends a daemon in order, and a cancelled job's advice does no harm

Cause: AdviceController::handleAnswer looked up the occurrence of a job that was cancelled while its advice call was open; after the progress is removed this throws std::out_of_range, which nothing caught, and the scheduler's process ended. Found by reading.

Change: Board::findStep() answers null for a step that is gone. The event loop catches exceptions of actions and of handlers of requests and datagrams; the daemon logs UnexpectedError (112), releases the leadership, finishes its calls and exits with status 3. A request whose handler throws gets 500. A stop no longer waits for the release of a leadership that was lost meanwhile.

Ruled out: catching in main only: the exception would pass through libwebsockets' frames and the leadership would stay held until its row's timeout.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -137,13 +137,25 @@
             { "port", this->settings.callers.port }, { "incarnation", this->peers.own().incarnation } });
 }
 
-void FleetDaemon::run()
+bool FleetDaemon::run()
 {
+    this->loop.onError([this](const std::exception& error) { this->handleUnexpectedError(error); });
     this->loop.every(tickInterval, [this]() { this->tick(); });
     this->loop.onTerminationSignal([this]() { this->beginStop(); });
     this->loop.onReloadSignal([this]() { this->reloadSettings(); });
     this->loop.run();
     Utils::logStructured(Event::DaemonStopped, Json::object());
+    return !this->failed;
+}
+
+void FleetDaemon::handleUnexpectedError(const std::exception& error)
+{
+    Utils::logStructured(Event::UnexpectedError,
+        { { "reason", error.what() }, { "leading", this->scheduler.leadership().isLeader() },
+            { "term", this->scheduler.leadership().knownTerm() } });
+    this->runningEffects = false;
+    this->failed = true;
+    this->beginStop();
 }
 
 Duration FleetDaemon::wallOffset(SteadyTime now) const
@@ -409,7 +421,8 @@
 {
     const SteadyTime now = steadyNow();
     const bool noticePeriodOver = now - this->stopBegan > stopNotice;
-    if ((noticePeriodOver && this->leadershipReleased && this->callers.openCalls() == 0)
+    const bool released = this->leadershipReleased || !this->scheduler.leadership().isLeader();
+    if ((noticePeriodOver && released && this->callers.openCalls() == 0)
         || now - this->stopBegan > this->settings.stopBound - stopReserve) {
         this->loop.stop();
         return;
--- a/src/app/fleetdaemon.h
+++ b/src/app/fleetdaemon.h
@@ -32,8 +32,8 @@
     FleetDaemon(const FleetDaemon&) = delete;
     FleetDaemon& operator=(const FleetDaemon&) = delete;
 
-    /// Serves until a graceful stop is complete.
-    void run();
+    /// Serves until a graceful stop is complete. Returns false when an unexpected error caused the stop.
+    bool run();
 
 private:
     using SteadyTime = Utils::SteadyTime;
@@ -57,6 +57,7 @@
     Scheduling::AnswerCallback withLatencyRecorded(const char* kind, Scheduling::AnswerCallback answer);
     bool isReady(SteadyTime now) const;
     void beginStop();
+    void handleUnexpectedError(const std::exception& error);
     void exitWhenIdle();
     void reloadSettings();
     Scheduling::WallTime agreedWallTime(SteadyTime now) const;
@@ -86,6 +87,7 @@
     bool stopping = false;
     bool leadershipReleased = false; ///< set during a stop; a follower sets it at once
     bool runningEffects = false;
+    bool failed = false; ///< an unexpected error caused the stop
 };
 
 } // namespace WisteriaHill::App
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -27,12 +27,14 @@
   -h --help        Show this text.
   --version        Show the version.
 
-Exit status: 0 after a graceful stop, 1 when an address cannot be listened on, 2 when the settings have faults.
+Exit status: 0 after a graceful stop, 1 when an address cannot be listened on, 2 when the settings have faults,
+3 after a stop that an unexpected error caused.
 )";
 
 constexpr int exitOk = 0;
 constexpr int exitCannotRun = 1;
 constexpr int exitBadSettings = 2;
+constexpr int exitUnexpectedError = 3;
 
 int reportFaults(const Utils::JsonFaults& faults)
 {
@@ -58,11 +60,11 @@
     Utils::initialiseEventLog({ .processName = settings.node, .level = settings.logLevel, .structured = true });
     try {
         App::FleetDaemon daemon(settings, path);
-        daemon.run();
+        const bool expected = daemon.run();
         // Every response is written by now, or the stop bound is near. Destroying libwebsockets' context would wait for
         // connections that servers keep open; the system closes them with the process.
         std::cout.flush();
-        std::_Exit(exitOk);
+        std::_Exit(expected ? exitOk : exitUnexpectedError);
     } catch (const std::runtime_error& error) {
         Utils::logStructured(Utils::Event::ListenFailed, { { "reason", error.what() } });
         return exitCannotRun;
--- a/src/libs/adapters/datagramlink.cpp
+++ b/src/libs/adapters/datagramlink.cpp
@@ -35,7 +35,8 @@
 } // namespace
 
 DatagramLink::DatagramLink(EventLoop& loop, const DatagramAddress& localAddress, ReceivedHandler receivedHandler)
-    : receivedHandler(std::move(receivedHandler))
+    : loop(loop)
+    , receivedHandler(std::move(receivedHandler))
 {
     this->protocols[0].name = "datagram";
     this->protocols[0].callback = callback;
@@ -72,7 +73,7 @@
         return 0;
     auto* link = static_cast<DatagramLink*>(protocol->user);
     link->receivedBytes += length;
-    link->receivedHandler(std::string(static_cast<const char*>(in), length));
+    link->loop.guarded([&]() { link->receivedHandler(std::string(static_cast<const char*>(in), length)); });
     return 0;
 }
 
--- a/src/libs/adapters/datagramlink.h
+++ b/src/libs/adapters/datagramlink.h
@@ -34,6 +34,7 @@
 private:
     static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
 
+    EventLoop& loop;
     ReceivedHandler receivedHandler;
     lws_protocols protocols[2] {};
     lws_vhost* vhost = nullptr;
--- a/src/libs/adapters/eventloop.cpp
+++ b/src/libs/adapters/eventloop.cpp
@@ -52,6 +52,19 @@
     lws_context_destroy(this->lwsContext);
 }
 
+void EventLoop::guarded(const std::function<void()>& action)
+{
+    if (!this->errorHandler) {
+        action();
+        return;
+    }
+    try {
+        action();
+    } catch (const std::exception& error) {
+        this->errorHandler(error);
+    }
+}
+
 EventLoop::TimerId EventLoop::after(Duration delay, std::function<void()> action)
 {
     const TimerId timer { std::chrono::steady_clock::now() + delay, ++this->lastTimer };
@@ -91,7 +104,7 @@
     while (!this->timers.empty() && this->timers.begin()->first.first <= due) {
         const std::function<void()> action = std::move(this->timers.begin()->second);
         this->timers.erase(this->timers.begin());
-        action();
+        this->guarded(action);
     }
 }
 
@@ -100,7 +113,7 @@
     while (!this->posted.empty()) {
         const std::function<void()> action = std::move(this->posted.front());
         this->posted.pop_front();
-        action();
+        this->guarded(action);
     }
 }
 
@@ -135,15 +148,16 @@
 
 void EventLoop::run()
 {
+    this->running = true;
     while (this->running && this->runOnce()) {
         if (reloadRequested != 0 && this->reloadAction) {
             reloadRequested = 0;
-            this->reloadAction();
+            this->guarded(this->reloadAction);
         }
         if (terminationRequested == 0 || !this->terminationAction)
             continue;
         terminationRequested = 0;
-        this->terminationAction();
+        this->guarded(this->terminationAction);
     }
 }
 
--- a/src/libs/adapters/eventloop.h
+++ b/src/libs/adapters/eventloop.h
@@ -4,6 +4,7 @@
 #include "utils/steadytime.h"
 
 #include <deque>
+#include <exception>
 #include <functional>
 #include <libwebsockets.h>
 #include <map>
@@ -45,6 +46,14 @@
     /// Calls `action` from the loop soon after SIGHUP.
     void onReloadSignal(std::function<void()> action);
 
+    /// `handler` is called with an exception that an action or a handler of received messages has thrown. Without a
+    /// handler such an exception leaves run().
+    void onError(std::function<void(const std::exception&)> handler) { this->errorHandler = std::move(handler); }
+
+    /// Calls `action` and passes an exception that it throws to the handler of onError(). Callbacks from libwebsockets
+    /// use this, because an exception must not pass through its functions.
+    void guarded(const std::function<void()>& action);
+
     /// Runs until stop() is called or libwebsockets fails.
     void run();
 
@@ -52,6 +61,7 @@
     /// actions are posted already. Returns false when libwebsockets failed.
     bool runOnce();
 
+    /// Ends run() after the current callback. run() may be called again.
     void stop() { this->running = false; }
 
     lws_context* context() const { return this->lwsContext; }
@@ -77,6 +87,7 @@
     std::deque<std::function<void()>> posted;
     std::function<void()> terminationAction;
     std::function<void()> reloadAction;
+    std::function<void(const std::exception&)> errorHandler;
 };
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/adapters/httpserver.cpp
+++ b/src/libs/adapters/httpserver.cpp
@@ -112,7 +112,8 @@
 
 HttpServer::HttpServer(
     EventLoop& loop, HttpServerOptions givenOptions, RequestHandler handler, DisconnectHandler disconnectHandler)
-    : options(std::move(givenOptions))
+    : loop(loop)
+    , options(std::move(givenOptions))
     , handler(std::move(handler))
     , disconnectHandler(std::move(disconnectHandler))
 {
@@ -216,7 +217,14 @@
         return;
     session.exchange->handedOver = true;
     lws_set_timeout(session.exchange->wsi, NO_PENDING_TIMEOUT, 0);
-    this->handler(session.exchange->id, std::move(session.exchange->request));
+    const HttpExchangeId id = session.exchange->id;
+    bool handled = false;
+    this->loop.guarded([&]() {
+        this->handler(id, std::move(session.exchange->request));
+        handled = true;
+    });
+    if (!handled)
+        this->respond(id, { .status = Utils::HttpStatus::internalServerError });
 }
 
 void HttpServer::respond(HttpExchangeId id, HttpResponse response)
@@ -306,7 +314,7 @@
     session.exchange = nullptr;
     this->exchanges.erase(id);
     if (unanswered && this->disconnectHandler)
-        this->disconnectHandler(id);
+        this->loop.guarded([&]() { this->disconnectHandler(id); });
 }
 
 } // namespace WisteriaHill::Adapters
--- a/src/libs/adapters/httpserver.h
+++ b/src/libs/adapters/httpserver.h
@@ -29,9 +29,9 @@
     using RequestHandler = std::function<void(HttpExchangeId, HttpRequest)>;
     using DisconnectHandler = std::function<void(HttpExchangeId)>;
 
-    /// `handler` is called with each complete request; `disconnectHandler` is called when the connection ends before
-    /// respond() was called for that request. Throws std::runtime_error when the server cannot listen on the address.
-    /// The loop must outlive the server.
+    /// `handler` is called with each complete request, which gets status 500 when the handler throws;
+    /// `disconnectHandler` is called when the connection ends before respond() was called for that request. Throws
+    /// std::runtime_error when the server cannot listen on the address. The loop must outlive the server.
     HttpServer(
         EventLoop& loop, HttpServerOptions options, RequestHandler handler, DisconnectHandler disconnectHandler = {});
     ~HttpServer();
@@ -62,6 +62,7 @@
     int writeHeaders(lws* wsi, Exchange& exchange);
     void onClosed(Session& session);
 
+    EventLoop& loop;
     HttpServerOptions options;
     RequestHandler handler;
     DisconnectHandler disconnectHandler;
--- a/src/libs/scheduling/advicecontroller.cpp
+++ b/src/libs/scheduling/advicecontroller.cpp
@@ -119,10 +119,10 @@
                 { "busy", std::get<AdviceError>(result) == AdviceError::Busy } });
         return;
     }
-    const auto job = this->board.jobs.find(request.step.jobId);
-    if (job == this->board.jobs.end())
-        return;
-    Step& step = job->second.occurrences.at(request.step.occurrence).stepAt(request.step.step);
+    Step* known = this->board.findStep(request.step);
+    if (!known)
+        return; // the job has ended in the meantime
+    Step& step = *known;
     std::set<std::string> denied(request.servers.begin(), request.servers.end());
     for (const auto& [server, ticket] : answer->allowed) {
         denied.erase(server);
--- a/src/libs/scheduling/board.cpp
+++ b/src/libs/scheduling/board.cpp
@@ -39,7 +39,7 @@
         job.queue = this->configuration->queueOf(job.record);
 }
 
-Task* Board::findTask(const TaskName& name)
+Step* Board::findStep(const TaskName& name)
 {
     const auto job = this->jobs.find(name.jobId);
     if (job == this->jobs.end())
@@ -50,7 +50,15 @@
     std::vector<Step>& steps = occurrence->second.steps;
     if (name.step < 0 || static_cast<std::size_t>(name.step) >= steps.size())
         return nullptr;
-    std::vector<Task>& tasks = steps[static_cast<std::size_t>(name.step)].tasks;
+    return &steps[static_cast<std::size_t>(name.step)];
+}
+
+Task* Board::findTask(const TaskName& name)
+{
+    Step* step = this->findStep(name);
+    if (!step)
+        return nullptr;
+    std::vector<Task>& tasks = step->tasks;
     if (name.index < 0 || static_cast<std::size_t>(name.index) >= tasks.size())
         return nullptr;
     return &tasks[static_cast<std::size_t>(name.index)];
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -183,6 +183,9 @@
     /// Puts a configuration in force and updates the queue of every job.
     void setConfiguration(std::shared_ptr<const FleetConfiguration> inForce);
 
+    /// Null when the step's occurrence is not known. The task's index is ignored.
+    Step* findStep(const TaskName& name);
+
     /// Null when the task is not known.
     Task* findTask(const TaskName& name);
 
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -25,6 +25,10 @@
         "The settings file has faults; the process exits with status 2.", "Correct the setting at each path named." },
     EventDescription { Event::ListenFailed, Error, "ListenFailed",
         "The process cannot listen on an address and exits with status 1.", "Free the port or change the setting." },
+    EventDescription { Event::UnexpectedError, Error, "UnexpectedError",
+        "A handler failed with an error that it does not expect. The daemon releases the leadership, finishes its open "
+        "calls and exits with status 3.",
+        "Report the reason with the lines before it; the host's process starts again by itself." },
     EventDescription { Event::MemberJoined, Information, "MemberJoined",
         "The first heartbeat of another entry host arrived.", "None." },
     EventDescription { Event::MemberLost, Warning, "MemberLost",
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -18,6 +18,7 @@
     StopBoundReached = 104,
     SettingsInvalid = 110,
     ListenFailed = 111,
+    UnexpectedError = 112,
     MemberJoined = 200,
     MemberLost = 201,
     MemberReplaced = 202,
--- a/tests/auto/scheduling/tst_scheduler_contracts.cpp
+++ b/tests/auto/scheduling/tst_scheduler_contracts.cpp
@@ -37,6 +37,22 @@
     CHECK(bench.runUntil("job", JobState::Completed, 3s));
 }
 
+TEST_CASE("a job that is cancelled while its advice call is open does no harm")
+{
+    SchedulerBench bench({});
+    bench.advisedServers = { "server-0-1" };
+    bench.adviceDelay = 1500ms;
+    bench.run(1000ms);
+    bench.submit("cancelled", "advised", { makeStep(1, 1, 500ms) });
+    bench.run(300ms);
+    REQUIRE(bench.adviceCalls == 1);
+    bench.cancel("cancelled");
+    bench.run(2000ms); // the job's occurrences are removed before the answer arrives
+    bench.submit("next", "advised", { makeStep(1, 1, 500ms) });
+    CHECK(bench.runUntil("next", JobState::Completed, 6000ms));
+    CHECK(bench.startsOf("cancelled") == 0);
+}
+
 TEST_CASE("a step that the advice allows on no server waits without repeated requests")
 {
     SchedulerBench bench({});
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -248,7 +248,7 @@
             answer.allowed.emplace_back(server, "ticket");
     }
     this->answer(
-        daemon, [done = call.done, answer]() { done(answer); }, Duration(50));
+        daemon, [done = call.done, answer]() { done(answer); }, this->adviceDelay);
 }
 
 void SchedulerBench::requestUpkeep(
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -31,6 +31,7 @@
     std::set<std::string> advisedServers; ///< that the placement advice allows for every step
     int storeReads = 0; ///< by all daemons, including rejected ones
     int adviceCalls = 0;
+    Scheduling::Duration adviceDelay { 50 }; ///< until the placement advice answers
     int maximumMachinesDown = 0; ///< most machines that upkeep took down at once
 
     /// Stores a job, as an entry host does after its client's call. Queues: "urgent", "ordinary", "background",
