Slow progress, pauses and unreadable rows neither repeat work nor stop the fleet

Found and mended: - A run that shows no new percent for 4.5 s was stopped, so any task of more than 7.5 minutes was started again for ever (18 starts of two tasks in 40 s). The time-out follows the expected run time, only the time up to the server's last answer counts, a gap in the answers starts it anew, and each stop of a task doubles it. - For the same reason a leader that was paused for 4 s stopped all work when it went on (24 starts instead of 6). - An unreadable leadership row left the fleet without a leader for good. It is claimed after the usual time, under a term that no earlier one can exceed. - A job with an unreadable state or progress row ran again from its beginning. It is not scheduled, and logged. - Planning and upkeep orders wait until the store has confirmed the leadership again: a paused leader has no permission, and work stopped while nothing can be stored is lost for nothing.

The fake server renews a lease when a poll arrives, as real ones do, not when its wait ends.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -68,10 +68,10 @@
     TaskPhase phase = TaskPhase::Waiting;
     int attempts = 0; ///< number of runs so far
     int failures = 0; ///< number of runs that failed by themselves; a gang counts in its first task
+    int stalls = 0; ///< number of runs stopped for lack of progress; a gang counts in its first task
     std::string checkpoint; ///< newest known checkpoint; a gang keeps it in its first task
     std::optional<Run> run; ///< current run; set while the phase is Running
     SteadyTime waitingSince {};
-    SteadyTime atWorkSince {}; ///< unused
 };
 
 /// Permission by the placement advice to run a step's tasks on one server.
@@ -117,7 +117,6 @@
     std::set<std::string> failedOn; ///< ids of servers on which runs of the job failed
     bool begun = false; ///< a task has started
     bool stateDirty = false; ///< `state` is not stored yet
-    bool unfit = false; ///< unused
 
     bool ended() const
     {
--- a/src/libs/scheduling/leadership.cpp
+++ b/src/libs/scheduling/leadership.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/leadership.h"
 
+#include <algorithm>
+
 namespace WisteriaHill::Scheduling {
 
 using Utils::Event;
@@ -11,6 +13,7 @@
 constexpr Duration initialReadPeriod { 1000 };
 constexpr Duration initialReadInterval { 50 };
 constexpr Duration storeTimeout { 800 };
+constexpr const char* unreadableHolder = "?"; ///< of a row that cannot be decoded; the row is claimed after its timeout
 
 } // namespace
 
@@ -86,10 +89,12 @@
         return;
     }
     const Row& read = page->rows.front();
-    const std::optional<LeadershipRow> previous = decodeLeadership(read.value);
+    std::optional<LeadershipRow> previous = decodeLeadership(read.value);
     if (!previous) {
         this->effects.log(Event::RowUnreadable, { { "table", read.key.table }, { "key", read.key.key } });
-        return;
+        // Each term takes a transaction, so no term is higher than the row's version.
+        previous = LeadershipRow { .holder = unreadableHolder,
+            .term = std::max<FencingToken>(this->highestTerm, static_cast<FencingToken>(read.version)) };
     }
     if (this->observedVersion != read.version) {
         this->observedVersion = read.version;
@@ -112,10 +117,11 @@
     this->effects.push(CommitCall {
         .transaction = { .expected = { { rowKey(), expected } }, .writes = { { rowKey(), encodeLeadership(wanted) } } },
         .timeout = storeTimeout,
-        .done = [this, wanted](const CommitResult& result) { this->handleClaimResult(wanted, result); } });
+        .done = [this, wanted, sentAt = this->clock()](
+                    const CommitResult& result) { this->handleClaimResult(wanted, sentAt, result); } });
 }
 
-void Leadership::handleClaimResult(const LeadershipRow& wanted, const CommitResult& result)
+void Leadership::handleClaimResult(const LeadershipRow& wanted, SteadyTime sentAt, const CommitResult& result)
 {
     this->callOpen = false;
     const SteadyTime now = this->clock();
@@ -136,6 +142,7 @@
         return;
     this->row = wanted;
     this->version = *written;
+    this->confirmedAt = sentAt;
     this->highestTerm = wanted.term;
     this->role = LeadershipRole::Leader;
     this->leader = this->options.node;
--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -59,11 +59,19 @@
     const LeadershipRow& currentRow() const { return this->row; }
     RowVersion currentVersion() const { return this->version; }
 
-    /// Records the row as a transaction of this leader has written it.
-    void rowWritten(LeadershipRow written, RowVersion writtenVersion)
+    /// Records the row as a transaction of this leader, which was sent at `sentAt`, has written it.
+    void rowWritten(LeadershipRow written, RowVersion writtenVersion, SteadyTime sentAt)
     {
         this->row = std::move(written);
         this->version = writtenVersion;
+        this->confirmedAt = sentAt;
+    }
+
+    /// True while no other daemon can have claimed the row. False in a leader that was paused, or whose transactions
+    /// get no answers, until the store has confirmed the row again.
+    bool isConfirmed(SteadyTime now) const
+    {
+        return this->isLeader() && now - this->confirmedAt < this->options.rowTimeout;
     }
 
     static RowKey rowKey() { return { StoreTable::leadership, StoreTable::schedulerPartition, "scheduler" }; }
@@ -72,7 +80,7 @@
     void readRow(SteadyTime now);
     void handleRow(const ReadResult& result);
     void claim(RowVersion expected, const LeadershipRow& previous);
-    void handleClaimResult(const LeadershipRow& wanted, const CommitResult& result);
+    void handleClaimResult(const LeadershipRow& wanted, SteadyTime sentAt, const CommitResult& result);
 
     Effects& effects;
     LeadershipOptions options;
@@ -91,6 +99,7 @@
     bool vacant = false;
     LeadershipRow row;
     RowVersion version = 0;
+    SteadyTime confirmedAt {}; ///< when the transaction that last wrote the row was sent
 };
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -20,8 +20,12 @@
 /// After a planning pass the event loop is free for polls, orders and heartbeats for this multiple of the pass's
 /// duration.
 constexpr int pauseFactor = 4;
-/// A run without progress for this long counts as stalled.
+/// A run counts as stalled after this time without progress, or after a few times the expected time of one percent of
+/// its work, if that is longer.
 constexpr Duration stallTimeout { 4500 };
+constexpr int stallPercents = 3;
+/// Each stop of a task as stalled doubles the time for its next run, in case it makes slow progress; up to 2^this.
+constexpr int maximumStallDoublings = 10;
 constexpr Duration stallAvoidancePeriod { 8000 };
 
 } // namespace
@@ -46,6 +50,7 @@
 {
     this->advice.setClock(this->clock);
     this->upkeep.setClock(this->clock);
+    this->upkeep.setPermission([this](SteadyTime now) { return this->leader.isConfirmed(now); });
     this->monitor.setFrequentPollCondition([this](const BackendServer& server) { return this->pace.isMixed(server); });
     this->leader.setClock(this->clock);
     this->monitor.setClock(this->clock);
@@ -86,6 +91,7 @@
     this->board.runTimes.clear();
     this->board.dirtyRunTimes.clear();
     this->loadedRows.clear();
+    this->unreadableJobs.clear();
     this->feeds.clear();
     this->planner.reset();
     this->advice.begin();
@@ -133,48 +139,74 @@
         if (const std::optional<RunTimeSums> sums = decodeRunTimes(row.value))
             this->board.runTimes.restore(row.key.key, *sums);
         else
-            this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+            this->reportUnreadable(row);
     }
+    this->loadJobs(now);
+    this->loadProgress(now);
+    for (const Row& row : this->loadedRows[StoreTable::jobs]) {
+        if (jobOfCancelKey(row.key.key))
+            this->applyJobRow(row, now);
+    }
+    this->loadedRows.clear();
+    this->loaded = true;
+    for (auto& [id, server] : this->board.servers)
+        server.address.id = id;
+    this->applySuccesses(this->board.unstoredSuccesses.takeAll(), now); // successes from an earlier term of this daemon
+    this->monitor.begin(this->leader.term(), now);
+    this->effects.log(Event::SchedulerLoaded,
+        { { "term", this->leader.term() }, { "jobs", this->board.jobs.size() },
+            { "servers", this->board.servers.size() },
+            { "configuration", this->board.configuration ? this->board.configuration->version : 0 } });
+}
+
+void Scheduler::reportUnreadable(const Row& row)
+{
+    this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+}
+
+void Scheduler::loadJobs(SteadyTime now)
+{
     std::map<std::string, JobState> states;
     for (const Row& row : this->loadedRows[StoreTable::states]) {
-        if (const std::optional<JobState> state = decodeState(row.value))
+        if (const std::optional<JobState> state = decodeState(row.value)) {
             states[row.key.key] = *state;
+        } else {
+            this->reportUnreadable(row);
+            this->unreadableJobs.insert(row.key.key);
+        }
     }
-    std::vector<Row> cancelled;
     for (const Row& row : this->loadedRows[StoreTable::jobs]) {
-        if (jobOfCancelKey(row.key.key)) {
-            cancelled.push_back(row);
+        if (jobOfCancelKey(row.key.key) || this->unreadableJobs.contains(row.key.key))
             continue;
-        }
         const std::optional<JobRecord> record = decodeJob(row.value);
         if (!record) {
-            this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+            this->reportUnreadable(row);
             continue;
         }
         const auto state = states.find(record->id);
         this->tracker.addJob(*record, state == states.end() ? JobState::Queued : state->second,
             this->toSteadyTime(record->acceptedAt, now), now);
     }
+}
+
+void Scheduler::loadProgress(SteadyTime now)
+{
     for (const Row& row : this->loadedRows[StoreTable::progress]) {
         const std::size_t dot = row.key.key.rfind('.');
         const std::string jobId = row.key.key.substr(0, dot);
+        if (this->unreadableJobs.contains(jobId))
+            continue;
         const bool known = dot != std::string::npos && this->board.jobs.contains(jobId);
         const int index = known ? std::atoi(row.key.key.c_str() + dot + 1) : 0;
-        if (!known || !this->tracker.restoreOccurrence(jobId, index, row.value, now))
-            this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+        if (known && this->tracker.restoreOccurrence(jobId, index, row.value, now))
+            continue;
+        this->reportUnreadable(row);
+        if (known) {
+            this->unreadableJobs.insert(jobId);
+            this->board.dirtyJobs.erase(jobId);
+            this->tracker.removeJob(jobId);
+        }
     }
-    for (const Row& row : cancelled)
-        this->applyJobRow(row, now);
-    this->loadedRows.clear();
-    this->loaded = true;
-    for (auto& [id, server] : this->board.servers)
-        server.address.id = id;
-    this->applySuccesses(this->board.unstoredSuccesses.takeAll(), now); // successes from an earlier term of this daemon
-    this->monitor.begin(this->leader.term(), now);
-    this->effects.log(Event::SchedulerLoaded,
-        { { "term", this->leader.term() }, { "jobs", this->board.jobs.size() },
-            { "servers", this->board.servers.size() },
-            { "configuration", this->board.configuration ? this->board.configuration->version : 0 } });
 }
 
 SteadyTime Scheduler::toSteadyTime(StoreTime accepted, SteadyTime now) const
@@ -191,11 +223,11 @@
         this->tracker.cancelJob(*cancelled, now);
         return;
     }
-    if (this->board.jobs.contains(row.key.key))
+    if (this->board.jobs.contains(row.key.key) || this->unreadableJobs.contains(row.key.key))
         return;
     const std::optional<JobRecord> record = decodeJob(row.value);
     if (!record) {
-        this->effects.log(Event::RowUnreadable, { { "table", row.key.table }, { "key", row.key.key } });
+        this->reportUnreadable(row);
         return;
     }
     this->effects.log(Event::JobTaken,
@@ -334,7 +366,8 @@
     const bool ticketsChanged = this->advice.takeChanged();
     if (this->monitor.takeChanged() || ticketsChanged)
         this->nextSchedule = std::min(this->nextSchedule, now);
-    if (now >= this->nextSchedule && now >= this->earliestSchedule)
+    // Without a confirmed leadership nothing can be stored, so work stopped for others' sake would be lost for nothing.
+    if (now >= this->nextSchedule && now >= this->earliestSchedule && this->leader.isConfirmed(now))
         this->schedule(now);
     this->watch(StoreTable::jobs, this->feeds.at(StoreTable::jobs), jobFeedWait, now);
     this->writer.flush(now);
@@ -406,6 +439,17 @@
         this->monitor.acknowledgeEnds(ends.server, ends.lastNumber, ends.incarnation, now);
 }
 
+Duration Scheduler::stallTimeoutOf(const TaskName& name) const
+{
+    const Job& job = this->board.jobs.at(name.jobId);
+    const Duration declared = this->board.stepOf(name).estimate;
+    const Duration expected = job.queue ? this->board.runTimes.expected(job.queue->name, declared) : declared;
+    const Step& step = job.occurrences.at(name.occurrence).steps.at(static_cast<std::size_t>(name.step));
+    const bool gang = this->board.stepOf(name).gang;
+    const int stalls = step.tasks.at(gang ? 0 : static_cast<std::size_t>(name.index)).stalls;
+    return std::max(stallTimeout, expected * stallPercents / 100) * (1 << std::min(stalls, maximumStallDoublings));
+}
+
 void Scheduler::stopStalledRuns(SteadyTime now)
 {
     for (auto& [id, server] : this->board.servers) {
@@ -414,15 +458,21 @@
         std::vector<TaskName> stalled;
         for (const auto& [name, need] : server.occupants) {
             const Task* task = this->board.findTask(name);
+            // Progress is judged by what the server has listed, so only the time up to its last answer counts.
             if (task && task->run && task->run->phase == RunPhase::Active
-                && now - task->run->progressedAt >= stallTimeout && !this->board.stepOf(name).longRunning)
+                && server.clockReadAt - task->run->progressedAt >= stallTimeout
+                && server.clockReadAt - task->run->progressedAt >= this->stallTimeoutOf(name)
+                && !this->board.stepOf(name).longRunning)
                 stalled.push_back(name);
         }
         for (const TaskName& name : stalled) {
             server.avoidUntil = now + stallAvoidancePeriod;
             this->effects.log(Event::RunStalled,
                 { { "task", formatTaskName(name) }, { "server", id },
-                    { "percent", this->board.findTask(name)->run->percent } });
+                    { "percent", this->board.findTask(name)->run->percent },
+                    { "timeoutMs", this->stallTimeoutOf(name).count() } });
+            const bool gang = this->board.stepOf(name).gang;
+            ++this->board.findTask({ name.jobId, name.occurrence, name.step, gang ? 0 : name.index })->stalls;
             this->tracker.requestStop(name, "no progress", now);
         }
     }
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace WisteriaHill::Scheduling {
@@ -100,6 +101,9 @@
     void loadTables();
     void handleTable(TableContents contents, SteadyTime now);
     void finishLoad(SteadyTime now);
+    void loadJobs(SteadyTime now);
+    void loadProgress(SteadyTime now);
+    void reportUnreadable(const Row& row);
     void watch(const std::string& table, TableFeed& feed, Duration wait, SteadyTime now);
     void handleFeedResult(const std::string& table, const WatchResult& result);
     void applyJobRow(const Row& row, SteadyTime now);
@@ -111,6 +115,8 @@
     void removeExpiredJobs(SteadyTime now);
     SteadyTime toSteadyTime(StoreTime accepted, SteadyTime now) const;
     void stopStalledRuns(SteadyTime now);
+    /// How long the task's run may go without progress. Precondition: the task is known.
+    Duration stallTimeoutOf(const TaskName& name) const;
 
     SchedulerOptions options;
     ServerEntryDecoder decodeServer;
@@ -132,6 +138,8 @@
     bool loaded = false;
     std::uint64_t loadGeneration = 0;
     std::map<std::string, std::vector<Row>> loadedRows;
+    /// Ids of jobs with a row that cannot be decoded. They are not scheduled, since their tasks may be done already.
+    std::set<std::string> unreadableJobs;
     std::map<std::string, TableFeed> feeds;
     SteadyTime nextHousekeeping {};
     SteadyTime nextSchedule {};
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -21,6 +21,8 @@
 constexpr Duration orderRetryPause { 50 };
 /// Orders are sent as soon as they are decided; the sweep resends those that failed or had no answer.
 constexpr Duration orderSweepInterval { 50 };
+/// Answers of a server arrive at least this often unless it is unreachable or this daemon was paused.
+constexpr Duration longestAnswerInterval = pollWait + pollTimeoutMargin;
 constexpr Duration failedPollPause { 150 };
 /// A server that answered this recently cannot have restarted since; a restart takes longer.
 constexpr Duration answerFreshness { 200 };
@@ -218,6 +220,7 @@
         this->changed = true;
     server.unansweredPolls = 0;
     server.fenced = true;
+    const bool afterGap = now - server.clockReadAt > longestAnswerInterval;
     server.clock = answer.clock;
     server.clockReadAt = now;
     if (server.incarnation != answer.startedAt)
@@ -231,7 +234,7 @@
         server.lastProcessedEnd = ended.number;
         this->changed = true;
     }
-    this->reconcileRuns(server, answer, poll.sentAt, now);
+    this->reconcileRuns(server, answer, poll.sentAt, afterGap, now);
     server.nextPollAt = needsPolling(server) ? now : now + idlePollInterval;
     if (server.lastProcessedEnd > server.lastStoredEnd && server.lastStoredEnd == server.lastDiscardedEnd)
         server.nextPollAt = SteadyTime::max(); // acknowledgeEnds() sets it once the end records are stored
@@ -271,12 +274,13 @@
     this->changed = true;
 }
 
-void ServerMonitor::reconcileRuns(BackendServer& server, const PollAnswer& answer, SteadyTime sentAt, SteadyTime now)
+void ServerMonitor::reconcileRuns(
+    BackendServer& server, const PollAnswer& answer, SteadyTime sentAt, bool afterGap, SteadyTime now)
 {
     std::map<TaskName, int> reportedAttempts;
     for (const ActiveRun& active : answer.active) {
         reportedAttempts[active.task] = active.attempt;
-        this->updateRun(server, active, now);
+        this->updateRun(server, active, afterGap, now);
     }
     const std::map<TaskName, Resources> occupants = server.occupants;
     for (const auto& [name, need] : occupants) {
@@ -293,7 +297,7 @@
     }
 }
 
-void ServerMonitor::updateRun(BackendServer& server, const ActiveRun& active, SteadyTime now)
+void ServerMonitor::updateRun(BackendServer& server, const ActiveRun& active, bool afterGap, SteadyTime now)
 {
     Task* task = this->board.findTask(active.task);
     const bool current
@@ -321,7 +325,7 @@
             : *task;
         checkpointOwner.checkpoint = active.checkpoint;
     }
-    if (run.percent != active.percent)
+    if (run.percent != active.percent || afterGap)
         run.progressedAt = now;
     run.percent = active.percent;
     run.load = active.load;
@@ -400,10 +404,11 @@
         this->fenced(now);
         return;
     }
-    BackendServer& refusing = this->board.servers.at(server);
-    refusing.pollSoon = true;
-    if (refusal == OrderRefusal::NoCapacity || refusal == OrderRefusal::Unhealthy)
-        refusing.avoidUntil = now + refusalAvoidancePeriod;
+    if (const auto refusing = this->board.servers.find(server); refusing != this->board.servers.end()) {
+        refusing->second.pollSoon = true;
+        if (refusal == OrderRefusal::NoCapacity || refusal == OrderRefusal::Unhealthy)
+            refusing->second.avoidUntil = now + refusalAvoidancePeriod;
+    }
     Run& run = *this->board.findTask(name)->run;
     if (refusal == OrderRefusal::Outdated) {
         // The next poll lists the end of the run, or the run was stopped before it started.
@@ -457,7 +462,8 @@
     run->nextOrderAt = now + this->options.stopTime + orderTimeout;
     if (!run->stopConfirmedAt)
         run->stopConfirmedAt = now;
-    this->board.servers.at(run->server).pollSoon = true;
+    if (const auto server = this->board.servers.find(run->server); server != this->board.servers.end())
+        server->second.pollSoon = true;
 }
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -68,8 +68,10 @@
     void handlePollResult(const std::string& id, std::uint64_t serial, const SentPoll& poll, const OrderResult& result);
     void processPollAnswer(BackendServer& server, const PollAnswer& answer, const SentPoll& poll, SteadyTime now);
     void handleRestart(BackendServer& server, const PollAnswer& answer, SteadyTime sentAt, SteadyTime now);
-    void reconcileRuns(BackendServer& server, const PollAnswer& answer, SteadyTime sentAt, SteadyTime now);
-    void updateRun(BackendServer& server, const ActiveRun& active, SteadyTime now);
+    /// With `afterGap` the server gave no answer for so long that an unchanged progress says nothing.
+    void reconcileRuns(
+        BackendServer& server, const PollAnswer& answer, SteadyTime sentAt, bool afterGap, SteadyTime now);
+    void updateRun(BackendServer& server, const ActiveRun& active, bool afterGap, SteadyTime now);
     void handleStartResult(const TaskName& name, int attempt, const std::string& server, const OrderResult& result);
     void handleStartRefusal(const TaskName& name, const std::string& server, OrderRefusal refusal, SteadyTime now);
     void handleStopResult(const TaskName& name, int attempt, const OrderResult& result);
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -159,6 +159,8 @@
 void StateWriter::send(Batch batch)
 {
     this->transactionOpen = true;
+    if (!batch.sentAt)
+        batch.sentAt = this->clock();
     const Transaction transaction = batch.transaction;
     this->effects.push(CommitCall { .transaction = transaction,
         .timeout = storeTimeout,
@@ -197,7 +199,7 @@
 void StateWriter::handleCommitted(const Batch& batch, RowVersion version, SteadyTime now)
 {
     this->storedAt = now;
-    this->leadership.rowWritten(batch.row, version);
+    this->leadership.rowWritten(batch.row, version, *batch.sentAt);
     for (const auto& [id, state] : batch.states) {
         const auto job = this->board.jobs.find(id);
         if (job != this->board.jobs.end())
--- a/src/libs/scheduling/statewriter.h
+++ b/src/libs/scheduling/statewriter.h
@@ -65,6 +65,7 @@
 private:
     struct Batch {
         std::uint64_t generation = 0;
+        std::optional<SteadyTime> sentAt; ///< when the transaction was sent for the first time
         Transaction transaction;
         LeadershipRow row;
         StoredDecisions decisions;
--- a/src/libs/scheduling/upkeepcontroller.cpp
+++ b/src/libs/scheduling/upkeepcontroller.cpp
@@ -75,7 +75,6 @@
         return;
     Wave& added = this->waves[wave->number];
     added.wave = *wave;
-    added.seenAt = now;
     for (const std::string& machine : wave->machines)
         added.machines[machine] = { .since = now };
     this->effects.log(Event::WaveBegun,
@@ -168,7 +167,7 @@
         if (!server || server->occupants.empty())
             machine.stage = Stage::Ordering;
     }
-    if (machine.stage == Stage::Ordering && !machine.callOpen && now >= machine.nextCall)
+    if (machine.stage == Stage::Ordering && !machine.callOpen && now >= machine.nextCall && this->mayOrder(now))
         this->sendOrder(wave, id, machine);
     if (machine.stage == Stage::Down) {
         const bool returned = server && server->incarnation != machine.incarnation && server->incarnation != 0;
--- a/src/libs/scheduling/upkeepcontroller.h
+++ b/src/libs/scheduling/upkeepcontroller.h
@@ -43,6 +43,10 @@
     /// Sets the source of the current time. To be called before the first tick().
     void setClock(std::function<SteadyTime()> handler) { this->clock = std::move(handler); }
 
+    /// `handler` returns true while no other daemon can have become the leader. Upkeep orders are sent only then,
+    /// because the machines' service may not compare tokens.
+    void setPermission(std::function<bool(SteadyTime)> handler) { this->mayOrder = std::move(handler); }
+
     /// Begins a term. The machines whose upkeep was ordered in earlier terms are read from the store.
     void begin(const std::string& holder, FencingToken token);
 
@@ -62,7 +66,6 @@
     struct Wave {
         UpkeepWave wave;
         std::map<std::string, Machine> machines;
-        SteadyTime seenAt {};
         bool statusStored = false; ///< the current status is stored
         bool statusCallOpen = false;
         bool progressRead = false;
@@ -91,6 +94,7 @@
     Evacuation& evacuation;
     UpkeepOptions options;
     std::function<SteadyTime()> clock;
+    std::function<bool(SteadyTime)> mayOrder;
     std::string holder;
     FencingToken token = 0;
     std::uint64_t generation = 0;
--- /dev/null
+++ b/tests/auto/scheduling/tst_scheduler_handover.cpp
@@ -0,0 +1,173 @@
+// Silent servers, hand-overs between leaders, paused leaders and unreadable rows: work must neither run twice nor be
+// given up.
+
+#include "support/schedulerbench.h"
+
+#include "scheduling/rowcodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill::Scheduling;
+using namespace WisteriaHill::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One percent of the progress of a run of this time takes longer than the stall time-out.
+constexpr Duration slowWork = 10min;
+/// One percent takes 3 s.
+constexpr Duration longWork = 5min;
+
+void killLeader(SchedulerBench& bench)
+{
+    const std::size_t leader = bench.leader();
+    bench.killDaemon(leader);
+    bench.startDaemon(leader);
+}
+
+} // namespace
+
+TEST_CASE("a run whose progress takes long to show is not stopped again and again")
+{
+    struct Case {
+        Duration declared;
+        int mostStarts; ///< of two tasks
+    };
+    // With a wrong or missing declaration a slow run cannot be told from a stalled one at first.
+    const Case given = GENERATE(Case { slowWork, 2 }, Case { 0ms, 4 }, Case { 3s, 4 });
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(2, 1, given.declared) });
+    bench.setRunTime("job", slowWork);
+    REQUIRE(bench.runUntilActive("job", 2, 1s));
+    bench.run(40s);
+    CHECK(bench.activeTasks("job") == 2);
+    CHECK(bench.startsOf("job") <= given.mostStarts);
+}
+
+TEST_CASE("work on a server that was silent for less than its lease goes on")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, longWork) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    bench.run(5s);
+    FakeServer& silent = bench.serverRunning("job");
+    for (int time = 0; time < 3; ++time) {
+        silent.reachable = false;
+        bench.run(3s);
+        silent.reachable = true;
+        bench.run(2s);
+    }
+    CHECK(bench.activeTasks("job") == 1);
+    CHECK(bench.startsOf("job") == 1);
+}
+
+TEST_CASE("a leader that was paused without a successor stops no work when it goes on")
+{
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(6, 1, longWork) });
+    REQUIRE(bench.runUntilActive("job", 6, 1s));
+    for (int time = 0; time < 3; ++time) {
+        bench.run(3300ms);
+        bench.pauseDaemon(0);
+        bench.run(4s);
+        bench.resumeDaemon(0);
+    }
+    bench.run(3s);
+    CHECK(bench.activeTasks("job") == 6);
+    CHECK(bench.startsOf("job") == 6);
+}
+
+TEST_CASE("a leader that was paused orders no upkeep after its permission has expired")
+{
+    for (int delay = 0; delay < 40; ++delay) {
+        SchedulerBench bench({});
+        bench.run(2s);
+        bench.requestUpkeep(1, { 0, 1, 2, 3, 4, 5, 6, 7 }, 2, 20s);
+        bench.run(2500ms + 70ms * delay);
+        const std::size_t first = bench.leader();
+        REQUIRE(first < 2);
+        bench.pauseDaemon(first);
+        bench.run(4s);
+        bench.resumeDaemon(first);
+        bench.run(2s);
+        INFO("paused after " << 70 * delay << " ms of the wave");
+        CHECK(bench.violations().empty());
+    }
+}
+
+TEST_CASE("two leaders around a hand-over start no task twice")
+{
+    for (int delay = 0; delay < 12; ++delay) {
+        SchedulerBench bench({ .daemons = 3 });
+        bench.run(2s);
+        for (int job = 0; job < 12; ++job)
+            bench.submit("job-" + std::to_string(job), "ordinary", { makeStep(6, 1, 1500ms) });
+        bench.run(30ms * delay);
+        const std::size_t first = bench.leader();
+        bench.pauseDaemon(first);
+        bench.run(1600ms + 20ms * delay);
+        bench.resumeDaemon(first);
+        for (int job = 0; job < 12; ++job)
+            CHECK(bench.runUntil("job-" + std::to_string(job), JobState::Completed, 20s));
+        CHECK(bench.violations().empty());
+    }
+}
+
+TEST_CASE("a leader that starts again uses neither a server that left nor one that drains")
+{
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    FakeServer& left = bench.server(0);
+    FakeServer& draining = bench.server(1);
+    bench.removeEntry(left);
+    draining.entry.draining = true;
+    bench.putEntry(draining);
+    bench.run(1s);
+    killLeader(bench);
+    bench.run(3s);
+    bench.submit("job", "ordinary", { makeStep(48, 1, 1s) });
+    REQUIRE(bench.runUntil("job", JobState::Completed, 10s));
+    CHECK(left.done.empty());
+    CHECK(draining.done.empty());
+}
+
+TEST_CASE("an unreadable leadership row does not leave the fleet without a leader")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("before", "ordinary", { makeStep(1, 1, 500ms) });
+    REQUIRE(bench.runUntil("before", JobState::Completed, 3s));
+    bench.killDaemon(0);
+    bench.killDaemon(1);
+    bench.store.put(Leadership::rowKey(), "neither a holder nor a term");
+    bench.startDaemon(0);
+    bench.startDaemon(1);
+    bench.run(3s);
+    bench.submit("after", "ordinary", { makeStep(1, 1, 500ms) });
+    CHECK(bench.runUntil("after", JobState::Completed, 5s));
+}
+
+TEST_CASE("a job with an unreadable row does not run again, and other jobs are served")
+{
+    const bool stateRow = GENERATE(true, false);
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    StepSpecification second = makeStep(1, 1, 60s);
+    second.prerequisites = { 0 };
+    bench.submit("job", "ordinary", { makeStep(2, 1, 500ms), second });
+    bench.run(1500ms);
+    REQUIRE(bench.startsOf("job") == 3);
+    bench.killDaemon(0);
+    if (stateRow)
+        bench.store.put({ StoreTable::states, StoreTable::schedulerPartition, "job" }, "\x01garbage");
+    else
+        bench.store.put({ StoreTable::progress, StoreTable::schedulerPartition, progressKey("job", 0) }, "garbage");
+    bench.startDaemon(0);
+    bench.run(5s);
+    bench.submit("next", "ordinary", { makeStep(1, 1, 500ms) });
+    CHECK(bench.runUntil("next", JobState::Completed, 5s));
+    CHECK(bench.startsOf("job") == 3);
+}
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -62,6 +62,7 @@
     this->active[order.task]
         = { .attempt = order.attempt, .work = work, .leaseEnd = std::min(order.leaseEnd, this->clock + maximumLease) };
     this->needs[order.task] = need;
+    this->leaseEnd = std::max(this->leaseEnd, std::min(order.leaseEnd, this->clock + maximumLease));
     for (auto& [name, task] : this->active)
         task.leaseEnd = std::max(task.leaseEnd, std::min(order.leaseEnd, this->clock + maximumLease));
     this->report({ .kind = RunEvent::Kind::Started, .task = order.task, .attempt = order.attempt });
@@ -100,15 +101,21 @@
     return latencyMs;
 }
 
+void FakeServer::renewLease(const PollOrder& order)
+{
+    if (!this->alive || !this->reachable || order.token < this->highestToken || !order.leaseEnd)
+        return;
+    this->leaseEnd = std::max(this->leaseEnd, std::min(*order.leaseEnd, this->clock + maximumLease));
+    for (auto& [name, task] : this->active)
+        task.leaseEnd = std::max(task.leaseEnd, std::min(*order.leaseEnd, this->clock + maximumLease));
+}
+
 OrderResult FakeServer::poll(const PollOrder& order)
 {
     if (order.token < this->highestToken)
         return OrderRefusal::Fenced;
     this->highestToken = order.token;
-    if (order.leaseEnd) {
-        for (auto& [name, task] : this->active)
-            task.leaseEnd = std::max(task.leaseEnd, std::min(*order.leaseEnd, this->clock + maximumLease));
-    }
+    this->renewLease(order);
     std::erase_if(this->ended, [&](const EndedRun& run) {
         if (run.number > order.acknowledged)
             return false;
@@ -155,6 +162,10 @@
     if (!this->alive)
         return;
     this->clock += time;
+    if (this->clock >= this->leaseEnd) {
+        for (const EndedRun& unread : this->ended)
+            this->done.erase(unread.task);
+    }
     const std::map<TaskName, ActiveTask> before = this->active;
     for (const auto& [name, unused] : before) {
         ActiveTask& task = this->active.at(name);
@@ -193,6 +204,7 @@
     this->lastNumber = 0;
     this->highestToken = 0;
     this->clock = ServerTime(0);
+    this->leaseEnd = ServerTime(0);
 }
 
 bool FakeServer::hasEndAfter(std::int64_t acknowledged) const
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -56,12 +56,18 @@
     int startsToDelay = 0; ///< so many of the next starts get no answer; releaseDelayedStarts() executes them
     std::map<Scheduling::TaskName, ActiveTask> active;
     std::function<void(const RunEvent&)> onRunEvent; ///< may be empty
-    std::set<Scheduling::TaskName> done; ///< tasks that succeeded here and whose end record no restart has lost
+    /// Tasks that succeeded here, unless a restart has lost the end record, or the server's lease lapsed before the
+    /// record was acknowledged: such a task may be started again.
+    std::set<Scheduling::TaskName> done;
+    Scheduling::ServerTime leaseEnd { 0 }; ///< latest lease end that any order has granted
 
     /// Executes an order. `need` and `work`, the run time, belong to the task of a start; other orders ignore them.
     Scheduling::OrderResult handle(
         const Scheduling::ServerOrder& order, const Scheduling::Resources& need, Scheduling::Duration work);
 
+    /// Renews the lease as a poll does when it arrives, before it waits for an end.
+    void renewLease(const Scheduling::PollOrder& order);
+
     /// Executes the delayed starts.
     void releaseDelayedStarts();
 
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -231,6 +231,9 @@
             this->performUpkeep(index, *upkeep);
         } else if (auto* call = std::get_if<ServerCall>(&effect)) {
             const auto* poll = std::get_if<PollOrder>(&call->order);
+            if (FakeServer* target = this->findServer(call->server.id);
+                poll && target && !this->cuts.contains({ index, call->server.id }))
+                target->renewLease(*poll);
             if (poll && poll->wait.count() > 0)
                 this->polls.push_back({ this->time + poll->wait, index, daemon.generation, std::move(*call) });
             else
@@ -268,6 +271,9 @@
 
 void SchedulerBench::performUpkeep(std::size_t daemon, const UpkeepCall& call)
 {
+    if (call.token < this->highestUpkeepToken)
+        this->recordedViolations.push_back("upkeep of " + call.machine + " was ordered under an outdated token");
+    this->highestUpkeepToken = std::max(this->highestUpkeepToken, call.token);
     const auto found = std::ranges::find_if(
         this->servers, [&](const auto& server) { return server->entry.machine == call.machine; });
     if (!this->upkeepsDone[call.machine].contains(call.wave)) {
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -103,7 +103,7 @@
     Scheduling::SteadyTime now() const { return this->time; }
 
     /// Violated invariants: two runs of a task at once, a start after the task was done, capacity exceeded, a machine
-    /// taken down with runs on it.
+    /// taken down with runs on it, an upkeep order under a lower token than an earlier one.
     const std::vector<std::string>& violations() const { return this->recordedViolations; }
 
 private:
@@ -166,6 +166,7 @@
     std::map<std::string, Scheduling::SteadyTime> upkeepEnds; ///< by id of the server that is down
     std::map<std::string, std::set<std::int64_t>> upkeepsDone;
     std::map<std::int64_t, Scheduling::UpkeepWave> requestedWaves;
+    Scheduling::FencingToken highestUpkeepToken = 0; ///< that the machines' service has received
     std::vector<std::string> recordedViolations;
     std::uint64_t lastGeneration = 0;
 };
