Gang members that wait for slower ones are not stopped as stalled

Cause: a gang ends together, so a member that has done its work lists 100 percent until the slowest one is done. After 4.5 s without a change the scheduler took it for stalled and stopped the whole gang.

Change: a gang member at 100 percent is not stalled; the member that is slow is still watched.

--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -24,6 +24,7 @@
 /// its work, if that is longer.
 constexpr Duration stallTimeout { 4500 };
 constexpr int stallPercents = 3;
+constexpr int completePercent = 100;
 /// Each stop of a task as stalled doubles the time for its next run, in case it makes slow progress; up to 2^this.
 constexpr int maximumStallDoublings = 10;
 constexpr Duration stallAvoidancePeriod { 8000 };
@@ -450,6 +451,20 @@
     return std::max(stallTimeout, expected * stallPercents / 100) * (1 << std::min(stalls, maximumStallDoublings));
 }
 
+bool Scheduler::isStalled(const TaskName& name, SteadyTime lastAnswer)
+{
+    const Task* task = this->board.findTask(name);
+    if (!task || !task->run || task->run->phase != RunPhase::Active)
+        return false;
+    const StepSpecification& step = this->board.stepOf(name);
+    // A gang member that has done its work waits for the slowest member.
+    if (step.longRunning || (step.gang && task->run->percent >= completePercent))
+        return false;
+    // Progress is judged by what the server has listed, so only the time up to its last answer counts.
+    const auto withoutProgress = lastAnswer - task->run->progressedAt;
+    return withoutProgress >= stallTimeout && withoutProgress >= this->stallTimeoutOf(name);
+}
+
 void Scheduler::stopStalledRuns(SteadyTime now)
 {
     for (auto& [id, server] : this->board.servers) {
@@ -457,12 +472,7 @@
             continue;
         std::vector<TaskName> stalled;
         for (const auto& [name, need] : server.occupants) {
-            const Task* task = this->board.findTask(name);
-            // Progress is judged by what the server has listed, so only the time up to its last answer counts.
-            if (task && task->run && task->run->phase == RunPhase::Active
-                && server.clockReadAt - task->run->progressedAt >= stallTimeout
-                && server.clockReadAt - task->run->progressedAt >= this->stallTimeoutOf(name)
-                && !this->board.stepOf(name).longRunning)
+            if (this->isStalled(name, server.clockReadAt))
                 stalled.push_back(name);
         }
         for (const TaskName& name : stalled) {
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -115,6 +115,8 @@
     void removeExpiredJobs(SteadyTime now);
     SteadyTime toSteadyTime(StoreTime accepted, SteadyTime now) const;
     void stopStalledRuns(SteadyTime now);
+    /// True when the task's run made no progress for too long before its server's last answer.
+    bool isStalled(const TaskName& name, SteadyTime lastAnswer);
     /// How long the task's run may go without progress. Precondition: the task is known.
     Duration stallTimeoutOf(const TaskName& name) const;
 
--- a/tests/auto/scheduling/tst_scheduler_handover.cpp
+++ b/tests/auto/scheduling/tst_scheduler_handover.cpp
@@ -171,3 +171,21 @@
     CHECK(bench.runUntil("next", JobState::Completed, 5s));
     CHECK(bench.startsOf("job") == 3);
 }
+
+TEST_CASE("gang members that wait at the end of their work for slower members are not stopped")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    StepSpecification gang = makeStep(2, 8, 2s);
+    gang.gang = true;
+    bench.submit("job", "ordinary", { gang });
+    REQUIRE(bench.runUntilActive("job", 2, 1s));
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).health = ServerHealth::WaitsAtEnd;
+    bench.run(12s);
+    CHECK(bench.activeTasks("job") == 2);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).health = ServerHealth::Healthy;
+    CHECK(bench.runUntil("job", JobState::Completed, 2s));
+    CHECK(bench.startsOf("job") == 2);
+}
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -185,7 +185,9 @@
             this->end(name, RunEnd::Failed);
             continue;
         }
-        task.timeRun += time;
+        task.timeRun = std::min(task.timeRun + time, std::max(task.work, task.timeRun));
+        if (this->health == ServerHealth::WaitsAtEnd)
+            continue;
         if (task.timeRun >= task.work)
             this->end(name, RunEnd::Done);
     }
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -12,8 +12,9 @@
 
 namespace WisteriaHill::TestSupport {
 
-/// `FailsAll` fails every run at the next advance(); on a `Stalled` server runs make no progress.
-enum class ServerHealth { Healthy, FailsAll, Stalled };
+/// `FailsAll` fails every run at the next advance(); on a `Stalled` server runs make no progress. On a `WaitsAtEnd`
+/// server they do all of their work and do not end, like gang members that wait for slower ones.
+enum class ServerHealth { Healthy, FailsAll, Stalled, WaitsAtEnd };
 
 /// A change of a run, reported through FakeServer::onRunEvent.
 struct RunEvent {
