HTTP client: the last part of a large request is sent when the socket is full

Cause: when libwebsockets could take only a part of a request's last chunk, nothing waited for the socket to become writable again, so the rest was never sent.

Ruled out: size limits of the store, a lost callback, the relay, the gate on a confirmed leadership.

Change: the connection waits to become writable as long as libwebsockets keeps a part. New event DecisionsUnstored (814): a failed transaction of the scheduler left no log line.

Tests: 'a request is sent whole wherever the buffers of its connection become full' (246 of 489 calls failed before); 'a leader without a successor goes on after a long time without the store' passed before too.

--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -241,7 +241,8 @@
         }
         connection.writePosition += chunk; // libwebsockets keeps what the socket does not take of a chunk
     }
-    if (connection.writePosition < connection.unwritten.size())
+    // What libwebsockets keeps of a chunk is sent only when the connection waits to become writable.
+    if (lws_partial_buffered(connection.wsi) != 0)
         lws_callback_on_writable(connection.wsi);
     else
         connection.unwritten.clear();
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -4,6 +4,8 @@
 
 namespace WisteriaHill::Scheduling {
 
+using Utils::Event;
+
 namespace {
 
 constexpr std::size_t entriesPerTransaction = 90; ///< the store's limit is 100, expected rows included
@@ -192,6 +194,11 @@
         this->leadership.stepDown(now, "the leadership row was changed by another daemon");
         return;
     }
+    this->effects.log(Event::DecisionsUnstored,
+        { { "entries", batch.transaction.writes.size() + batch.transaction.removals.size() },
+            { "starts", batch.decisions.starts.size() }, { "ends", batch.decisions.ends.size() },
+            { "answered", std::get<StoreError>(result) == StoreError::Rejected },
+            { "ageMs", std::chrono::duration_cast<Duration>(now - *batch.sentAt).count() } });
     this->retryAt = now + retryPause;
     this->unconfirmed = std::move(batch);
 }
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -133,6 +133,9 @@
         "This daemon is no longer the leader and stopped scheduling.", "See the reason." },
     EventDescription {
         Event::SchedulerLoaded, Information, "SchedulerLoaded", "All rows are read; scheduling begins.", "None." },
+    EventDescription { Event::DecisionsUnstored, Warning, "DecisionsUnstored",
+        "A transaction of the scheduler was rejected (answered) or got no answer; it is sent again.",
+        "Check the store if it repeats for long." },
     EventDescription { Event::ConfigurationInForce, Information, "ConfigurationInForce",
         "A newer configuration is in force in this daemon.", "None." },
     EventDescription { Event::ConfigurationUnreadable, Error, "ConfigurationUnreadable",
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -67,6 +67,7 @@
     LeadershipTaken = 811,
     LeadershipLost = 812,
     SchedulerLoaded = 813,
+    DecisionsUnstored = 814,
     ConfigurationInForce = 820,
     ConfigurationUnreadable = 821,
     RequestRefused = 830,
--- a/tests/auto/adapters/tst_httpclient.cpp
+++ b/tests/auto/adapters/tst_httpclient.cpp
@@ -203,14 +203,39 @@
 TEST_CASE("a large body and a large answer arrive whole")
 {
     Calls calls({ .keepConnections = true });
-    const std::string body(900'000, 'x');
-    calls.send("127.0.0.1", "/answer", body);
+    const std::string body(12'000'000, 'x'); // more than the socket takes at once
+    calls.client.send({ .address = "127.0.0.1",
+                          .port = calls.server.port(),
+                          .method = "POST",
+                          .path = "/answer",
+                          .body = body,
+                          .timeout = patient,
+                          .maximumAnswer = body.size() },
+        [&](HttpCallResult result) { calls.results.insert_or_assign(body, std::move(result)); });
+    ++calls.sent;
     calls.send("127.0.0.1", "/refuse", "refused");
     calls.finish();
     CHECK(calls.bodyOf(body).size() == body.size());
     CHECK(std::get<HttpResponse>(calls.results.at("refused")).status == 503);
 }
 
+TEST_CASE("a request is sent whole wherever the buffers of its connection become full")
+{
+    constexpr std::size_t step = 8192; // half a chunk, so that the last chunk of some request does not fit
+    constexpr std::size_t largest = 4'000'000;
+    constexpr int parallel = 16;
+    Calls calls({ .maximumConnections = parallel });
+    calls.server.readLate();
+    for (std::size_t size = step; size <= largest; size += step)
+        calls.send("127.0.0.1", "/refuse", std::string(size, 'x'), Duration(60'000));
+    calls.finish();
+    for (const auto& [body, result] : calls.results) {
+        INFO(body.size() << " bytes");
+        CHECK(std::holds_alternative<HttpResponse>(result));
+    }
+    CHECK(calls.server.malformedRequests() == 0);
+}
+
 TEST_CASE("whatever servers do, each call ends once, with its own answer, and unsent calls stay unsent")
 {
     constexpr int callCount = 4'000;
--- a/tests/auto/scheduling/tst_scheduler_handover.cpp
+++ b/tests/auto/scheduling/tst_scheduler_handover.cpp
@@ -189,3 +189,23 @@
     CHECK(bench.runUntil("job", JobState::Completed, 2s));
     CHECK(bench.startsOf("job") == 2);
 }
+
+TEST_CASE("a leader without a successor goes on after a long time without the store")
+{
+    const bool silent = GENERATE(true, false);
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    for (int job = 0; job < 60; ++job)
+        bench.submit("job-" + std::to_string(job), "ordinary", { makeStep(8, 1, Duration(500 + 100 * job)) });
+    bench.run(1s);
+    if (silent)
+        bench.isolate(0);
+    else
+        bench.store.down = true;
+    bench.run(8s);
+    bench.heal();
+    bench.store.down = false;
+    for (int job = 0; job < 60; ++job)
+        CHECK(bench.runUntil("job-" + std::to_string(job), JobState::Completed, 90s));
+    CHECK(bench.violations().empty());
+}
--- a/tests/support/httpstandin.cpp
+++ b/tests/support/httpstandin.cpp
@@ -2,11 +2,13 @@
 
 #include <utility> // Boost.Asio uses std::exchange without including it
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cstdlib>
+#include <optional>
 #include <vector>
 
 namespace WisteriaHill::TestSupport {
@@ -18,6 +20,8 @@
 namespace Http = boost::beast::http;
 
 constexpr unsigned int httpVersion = 11;
+constexpr std::chrono::milliseconds firstReadDelay { 15 };
+constexpr std::uint64_t maximumBodyBytes = 64'000'000;
 constexpr std::string_view latePrefix = "/late/";
 
 } // namespace
@@ -27,6 +31,7 @@
     Asio::ip::tcp::acceptor acceptor { this->context, Asio::ip::tcp::endpoint(Asio::ip::address_v4::any(), 0) };
     mutable std::mutex mutex;
     std::map<std::string, int> requests; ///< number of complete requests by body
+    std::atomic<bool> readsLate = false;
     int malformed = 0;
     int accepted = 0;
     std::vector<std::shared_ptr<Session>> silent; ///< sessions whose connections stay open without a response
@@ -42,10 +47,18 @@
     {
     }
 
+    /// Lets the client's writes fill the buffers of the connection before the first read.
+    void readLater()
+    {
+        this->timer.expires_after(firstReadDelay);
+        this->timer.async_wait([self = shared_from_this()](Beast::error_code) { self->read(); });
+    }
+
     void read()
     {
-        this->request = {};
-        Http::async_read(this->socket, this->buffer, this->request,
+        this->parser.emplace();
+        this->parser->body_limit(maximumBodyBytes);
+        Http::async_read(this->socket, this->buffer, *this->parser,
             [self = shared_from_this()](Beast::error_code error, std::size_t) { self->handleRead(error); });
     }
 
@@ -58,6 +71,7 @@
             this->server.malformed += closedByClient ? 0 : 1;
             return;
         }
+        this->request = this->parser->release();
         ++this->server.requests[this->request.body()];
         this->respond(std::string(this->request.target()));
     }
@@ -120,6 +134,7 @@
     Asio::ip::tcp::socket socket;
     Asio::steady_timer timer;
     Beast::flat_buffer buffer;
+    std::optional<Http::request_parser<Http::string_body>> parser;
     Http::request<Http::string_body> request;
 };
 
@@ -132,7 +147,11 @@
             const std::lock_guard lock(this->mutex);
             ++this->accepted;
         }
-        std::make_shared<Session>(*this, std::move(socket))->read();
+        const auto session = std::make_shared<Session>(*this, std::move(socket));
+        if (this->readsLate)
+            session->readLater();
+        else
+            session->read();
         this->accept();
     });
 }
@@ -151,6 +170,8 @@
     this->server->silent.clear();
 }
 
+void HttpStandIn::readLate() { this->server->readsLate = true; }
+
 std::uint16_t HttpStandIn::port() const { return this->server->acceptor.local_endpoint().port(); }
 
 int HttpStandIn::requestsWith(const std::string& body) const
--- a/tests/support/httpstandin.h
+++ b/tests/support/httpstandin.h
@@ -29,6 +29,9 @@
     HttpStandIn(const HttpStandIn&) = delete;
     HttpStandIn& operator=(const HttpStandIn&) = delete;
 
+    /// Lets connections accepted from now on wait before they read, so that large requests fill the buffers.
+    void readLate();
+
     std::uint16_t port() const;
     /// How often a complete request with this body arrived.
     int requestsWith(const std::string& body) const;
