--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/planlog.h"
 #include "scheduling/planner.h"
 #include "scheduling/servermonitor.h"
+#include "scheduling/stallcontroller.h"
 #include "scheduling/statewriter.h"
 #include "scheduling/storeclock.h"
 #include "scheduling/tablereader.h"
@@ -114,11 +115,6 @@
     void handleStoredDecisions(const StoredDecisions& decisions, SteadyTime now);
     void removeExpiredJobs(SteadyTime now);
     SteadyTime toSteadyTime(StoreTime accepted, SteadyTime now) const;
-    void stopStalledRuns(SteadyTime now);
-    /// True when the task's run made no progress for too long before its server's last answer.
-    bool isStalled(const TaskName& name, SteadyTime lastAnswer);
-    /// How long the task's run may go without progress. Precondition: the task is known.
-    Duration stallTimeoutOf(const TaskName& name) const;
 
     SchedulerOptions options;
     ServerEntryDecoder decodeServer;
@@ -134,6 +130,7 @@
     Planner planner;
     PlanLog planLog;
     Evacuation evacuation;
+    StallController stalls;
     AdviceController advice;
     PaceController pace;
     UpkeepController upkeep;
--- a/tests/auto/adapters/tst_httpclient.cpp
+++ b/tests/auto/adapters/tst_httpclient.cpp
@@ -203,7 +203,8 @@
 TEST_CASE("a large body and a large answer arrive whole")
 {
     Calls calls({ .keepConnections = true });
-    const std::string body(12'000'000, 'x'); // more than the socket takes at once
+    std::string body;
+    body.resize(12'000'000, 'x'); // more than the socket takes at once
     calls.client.send({ .address = "127.0.0.1",
                           .port = calls.server.port(),
                           .method = "POST",
