HTTP client: a connection that fails at once is not taken for its successor

Cause: libwebsockets can report a failed connection before the call that opens it returns. The client then starts a waiting call, whose connection can get the same address in memory, and took it for the failed one: the process read freed memory. Found by reading the change; needs a full client with waiting calls and an address without a route, or a host without descriptors.

Change: connections have serial numbers.

The test 'a request is sent whole' failed once beside other load: it opened 488 calls of up to 4 MB before it ran the loop, which took longer than the 5 s that libwebsockets gives a connection (16 calls, one for each connection, ended as not sent).

--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -74,6 +74,7 @@
 
 struct HttpClient::Connection {
     HttpClient* client = nullptr;
+    std::uint64_t serial = 0; ///< unique within the client
     lws* wsi = nullptr;
     std::string endpoint;
     Transaction* transaction = nullptr; ///< null while the connection is idle
@@ -160,6 +161,8 @@
     auto owned = std::make_unique<Connection>();
     Connection& connection = *owned;
     this->connections.emplace(&connection, std::move(owned));
+    const std::uint64_t serial = ++this->lastConnection;
+    connection.serial = serial;
     connection.client = this;
     connection.endpoint = endpointOf(transaction.call);
     connection.transaction = &transaction;
@@ -177,8 +180,10 @@
     info.local_protocol_name = protocolName;
     info.opaque_user_data = &connection;
     lws* wsi = lws_client_connect_via_info(&info);
-    // A connection that failed at once has been reported to the callback and removed.
-    if (!this->connections.contains(&connection))
+    // A connection that failed at once may have been reported to the callback and removed. Then another connection,
+    // made for a waiting call, can have its address.
+    const auto found = this->connections.find(&connection);
+    if (found == this->connections.end() || found->second->serial != serial)
         return;
     connection.wsi = wsi;
     if (!wsi)
--- a/src/libs/adapters/httpclient.h
+++ b/src/libs/adapters/httpclient.h
@@ -101,6 +101,7 @@
     lws_protocols protocols[2] {};
     lws_vhost* vhost = nullptr;
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
+    std::uint64_t lastConnection = 0; ///< serial of the newest connection
     std::unordered_map<std::string, std::vector<Connection*>> idleByEndpoint;
     std::list<Connection*> idleByAge; ///< longest idle first
     std::unordered_map<Transaction*, std::unique_ptr<Transaction>> transactions;
--- a/tests/auto/adapters/tst_httpclient.cpp
+++ b/tests/auto/adapters/tst_httpclient.cpp
@@ -200,6 +200,21 @@
     CHECK(calls.errorOf("refused") == HttpClientError::NotSent);
 }
 
+TEST_CASE("a connection that fails at once does not disturb the call that takes its place")
+{
+    Calls calls({ .keepConnections = true, .maximumConnections = 1 });
+    calls.send("127.0.0.1", "/late/50", "first");
+    for (int round = 0; round < 20; ++round) {
+        calls.send("255.255.255.255", "/answer", "unreachable " + std::to_string(round));
+        calls.send(loopbackAddress(round), "/late/3", "reachable " + std::to_string(round));
+    }
+    calls.finish();
+    for (int round = 0; round < 20; ++round) {
+        CHECK(calls.errorOf("unreachable " + std::to_string(round)) == HttpClientError::NotSent);
+        CHECK(calls.bodyOf("reachable " + std::to_string(round)) == "reachable " + std::to_string(round));
+    }
+}
+
 TEST_CASE("a large body and a large answer arrive whole")
 {
     Calls calls({ .keepConnections = true });
@@ -224,16 +239,28 @@
 {
     constexpr std::size_t step = 8192; // half a chunk, so that the last chunk of some request does not fit
     constexpr std::size_t largest = 4'000'000;
-    constexpr int parallel = 16;
-    Calls calls({ .maximumConnections = parallel });
+    constexpr std::size_t parallel = 16;
+    Calls calls({});
     calls.server.readLate();
-    for (std::size_t size = step; size <= largest; size += step)
-        calls.send("127.0.0.1", "/refuse", std::string(size, 'x'), Duration(60'000));
-    calls.finish();
-    for (const auto& [body, result] : calls.results) {
-        INFO(body.size() << " bytes");
-        CHECK(std::holds_alternative<HttpResponse>(result));
+    std::vector<std::size_t> unanswered; // sizes of the bodies
+    for (std::size_t first = step; first <= largest; first += parallel * step) {
+        std::size_t open = parallel;
+        for (std::size_t size = first; size < first + parallel * step; size += step)
+            calls.client.send({ .address = "127.0.0.1",
+                                  .port = calls.server.port(),
+                                  .method = "POST",
+                                  .path = "/refuse",
+                                  .body = std::string(size, 'x'),
+                                  .timeout = patient },
+                [&, size](const HttpCallResult& result) {
+                    --open;
+                    if (!std::holds_alternative<HttpResponse>(result))
+                        unanswered.push_back(size);
+                });
+        while (open > 0)
+            calls.runOnce();
     }
+    CHECK(unanswered.empty());
     CHECK(calls.server.malformedRequests() == 0);
 }
 
