Reads of the configuration log what they received, refusals the version they rest on

Observability for the incident CONFIG; no change of logic. 822 ConfigurationReadFailed (kind, elapsed time, bytes received, position), 820 with the document's size and the transfer's bytes and time; 830 also for calls that read a state or a count, with the age of the configuration.

Ruled out: a dead connection (the failed calls had received bytes), the decoder (no 821; 820 follows the end of the transfer).

--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -261,6 +261,8 @@
         this->startWaiting();
         return;
     }
+    if (connection.transaction->call.received)
+        connection.transaction->call.received(length);
     connection.unparsed.append(data, length);
     Beast::error_code error;
     while (!connection.unparsed.empty() && !connection.parser->is_done() && !error) {
--- a/src/libs/adapters/httpclient.h
+++ b/src/libs/adapters/httpclient.h
@@ -27,6 +27,7 @@
     std::string body;
     Duration timeout { 0 }; ///< includes the wait for a connection
     std::size_t maximumAnswer = 8'388'608; ///< largest accepted response body, in bytes
+    std::function<void(std::size_t)> received {}; ///< optional; called with the number of bytes as they arrive
 };
 
 struct HttpClientOptions {
--- a/src/libs/scheduling/configurationfollower.cpp
+++ b/src/libs/scheduling/configurationfollower.cpp
@@ -31,51 +31,70 @@
 {
     this->readOpen = true;
     this->nextRead = now + retryPause;
-    this->effects.push(ReadCall {
-        .range = singleRow(this->document), .timeout = storeTimeout, .done = [this](const ReadResult& result) {
-            this->readOpen = false;
-            const auto* page = std::get_if<RowPage>(&result);
-            if (!page)
-                return;
-            this->readNeeded = page->rows.empty();
-            if (this->position == 0)
-                this->position = page->version;
-            for (const Row& row : page->rows)
-                this->apply(row);
-        } });
+    const auto transfer = std::make_shared<Transfer>(Transfer { .kind = "read", .startedAt = now });
+    this->effects.push(ReadCall { .range = singleRow(this->document),
+        .timeout = storeTimeout,
+        .received = [transfer](std::size_t bytes) { transfer->receivedBytes += bytes; },
+        .done =
+            [this, transfer](const ReadResult& result) {
+                this->readOpen = false;
+                const auto* page = std::get_if<RowPage>(&result);
+                if (!page) {
+                    this->logFailure(*transfer);
+                    return;
+                }
+                this->readNeeded = page->rows.empty();
+                if (this->position == 0)
+                    this->position = page->version;
+                for (const Row& row : page->rows)
+                    this->apply(row, *transfer);
+            } });
 }
 
 void ConfigurationFollower::watch()
 {
     this->watchOpen = true;
+    const auto transfer = std::make_shared<Transfer>(Transfer { .kind = "watch", .startedAt = this->clock() });
     this->effects.push(WatchCall { .table = this->document.table,
         .after = this->position,
         .wait = watchWait,
-        .done = [this](const WatchResult& result) {
-            this->watchOpen = false;
-            const SteadyTime now = this->clock();
-            if (std::holds_alternative<HistoryCompacted>(result)) {
-                this->effects.log(
-                    Event::HistoryLost, { { "table", this->document.table }, { "position", this->position } });
-                this->position = 0;
-                this->readNeeded = true;
-                return;
-            }
-            const auto* page = std::get_if<RowPage>(&result);
-            if (!page) {
-                this->nextWatch = now + retryPause;
-                this->readNeeded = true;
-                return;
-            }
-            this->position = page->version;
-            for (const Row& row : page->rows) {
-                if (row.key.key == this->document.key && !row.removed)
-                    this->apply(row);
-            }
-        } });
+        .received = [transfer](std::size_t bytes) { transfer->receivedBytes += bytes; },
+        .done =
+            [this, transfer](const WatchResult& result) {
+                this->watchOpen = false;
+                const SteadyTime now = this->clock();
+                if (std::holds_alternative<HistoryCompacted>(result)) {
+                    this->effects.log(
+                        Event::HistoryLost, { { "table", this->document.table }, { "position", this->position } });
+                    this->position = 0;
+                    this->readNeeded = true;
+                    return;
+                }
+                const auto* page = std::get_if<RowPage>(&result);
+                if (!page) {
+                    this->logFailure(*transfer);
+                    this->nextWatch = now + retryPause;
+                    this->readNeeded = true;
+                    return;
+                }
+                this->position = page->version;
+                for (const Row& row : page->rows) {
+                    if (row.key.key == this->document.key && !row.removed)
+                        this->apply(row, *transfer);
+                }
+            } });
+}
+
+void ConfigurationFollower::logFailure(const Transfer& transfer)
+{
+    this->effects.log(Event::ConfigurationReadFailed,
+        { { "kind", transfer.kind }, { "position", this->position },
+            { "version", this->configuration ? this->configuration->version : 0 },
+            { "receivedBytes", transfer.receivedBytes },
+            { "elapsedMs", std::chrono::duration_cast<Duration>(this->clock() - transfer.startedAt).count() } });
 }
 
-void ConfigurationFollower::apply(const Row& row)
+void ConfigurationFollower::apply(const Row& row, const Transfer& transfer)
 {
     auto decoded = this->decode(row.value);
     if (const auto* error = std::get_if<ConfigurationError>(&decoded)) {
@@ -90,7 +109,9 @@
         return;
     this->effects.log(Event::ConfigurationInForce,
         { { "version", configured.version }, { "rowVersion", row.version },
-            { "previous", this->configuration ? this->configuration->version : 0 } });
+            { "previous", this->configuration ? this->configuration->version : 0 }, { "kind", transfer.kind },
+            { "documentBytes", row.value.size() }, { "receivedBytes", transfer.receivedBytes },
+            { "elapsedMs", std::chrono::duration_cast<Duration>(this->clock() - transfer.startedAt).count() } });
     this->configuration = std::make_shared<const FleetConfiguration>(std::move(configured));
     this->applied(this->configuration);
 }
--- a/src/libs/scheduling/configurationfollower.h
+++ b/src/libs/scheduling/configurationfollower.h
@@ -44,9 +44,17 @@
     const std::shared_ptr<const FleetConfiguration>& inForce() const { return this->configuration; }
 
 private:
+    /// A read or watch in progress, for the log.
+    struct Transfer {
+        const char* kind = "";
+        SteadyTime startedAt {};
+        std::size_t receivedBytes = 0;
+    };
+
     void read(SteadyTime now);
     void watch();
-    void apply(const Row& row);
+    void apply(const Row& row, const Transfer& transfer);
+    void logFailure(const Transfer& transfer);
 
     Effects& effects;
     RowKey document;
--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -66,26 +66,34 @@
 std::optional<CallerAnswer> Intake::admit(
     const CallerContext& context, const Queue*& queue, const ClientAccount*& account)
 {
-    if (!this->configuration)
-        return CallerAnswer {
+    std::optional<CallerAnswer> refusal;
+    if (!this->configuration) {
+        refusal = {
             .outcome = CallerOutcome::NotReady, .retryAfter = retryAfterStoreFailure, .reason = "no configuration yet"
         };
-    queue = this->configuration->findQueue(context.host, context.path);
-    if (!queue) {
-        return CallerAnswer { .outcome = CallerOutcome::UnknownQueue, .reason = "no queue at this host and path" };
+    } else if (queue = this->configuration->findQueue(context.host, context.path); !queue) {
+        refusal = { .outcome = CallerOutcome::UnknownQueue, .reason = "no queue at this host and path" };
+    } else if (account = this->configuration->accountOfKey(context.key); !account && !queue->anonymous) {
+        refusal = { .outcome = CallerOutcome::UnknownKey, .reason = "the key belongs to no client account" };
     }
-    account = this->configuration->accountOfKey(context.key);
-    if (!account && !queue->anonymous) {
-        return CallerAnswer { .outcome = CallerOutcome::UnknownKey, .reason = "the key belongs to no client account" };
-    }
-    return std::nullopt;
+    if (refusal)
+        this->logRefusal({ { "host", context.host }, { "path", context.path } }, *refusal);
+    return refusal;
+}
+
+void Intake::logRefusal(Utils::Json fields, const CallerAnswer& answer)
+{
+    fields["reason"] = answer.reason;
+    fields["retryAfterMs"] = answer.retryAfter.count();
+    fields["configuration"] = this->configuration ? this->configuration->version : 0;
+    fields["configurationAgeMs"]
+        = std::chrono::duration_cast<Duration>(this->clock() - this->configurationSince).count();
+    this->effects.log(Event::RequestRefused, std::move(fields));
 }
 
 void Intake::refuse(const std::string& id, const CallerAnswer& answer, const AnswerCallback& reply)
 {
-    this->effects.log(Event::RequestRefused,
-        { { "job", id }, { "reason", answer.reason }, { "retryAfterMs", answer.retryAfter.count() },
-            { "configuration", this->configuration ? this->configuration->version : 0 } });
+    this->logRefusal({ { "job", id } }, answer);
     reply(answer);
 }
 
@@ -95,7 +103,7 @@
     const Queue* queue = nullptr;
     const ClientAccount* account = nullptr;
     if (const std::optional<CallerAnswer> refusal = this->admit(context, queue, account)) {
-        this->refuse(id, *refusal, answer);
+        answer(*refusal);
         return;
     }
     if (this->storeFails()) {
@@ -157,7 +165,7 @@
     const Queue* queue = nullptr;
     const ClientAccount* account = nullptr;
     if (const std::optional<CallerAnswer> refusal = this->admit(context, queue, account)) {
-        this->refuse(id, *refusal, answer);
+        answer(*refusal);
         return;
     }
     auto request = std::make_shared<JobRequest>();
--- a/src/libs/scheduling/intake.h
+++ b/src/libs/scheduling/intake.h
@@ -65,11 +65,12 @@
     void setConfiguration(std::shared_ptr<const FleetConfiguration> inForce)
     {
         this->configuration = std::move(inForce);
+        this->configurationSince = this->clock();
     }
 
     /// Finds the queue of a request and checks its key. Returns std::nullopt and sets `queue` and `account` when the
-    /// request is admitted, otherwise the refusal. `account` is null for a request without a known key to an anonymous
-    /// queue.
+    /// request is admitted, otherwise the refusal, which is logged with the version it rests on. `account` is null for
+    /// a request without a known key to an anonymous queue.
     std::optional<CallerAnswer> admit(const CallerContext& context, const Queue*& queue, const ClientAccount*& account);
 
     /// Stores a job. `answer` is called exactly once.
@@ -92,6 +93,7 @@
     void handleCancelResult(const std::shared_ptr<JobRequest>& request, const CommitResult& result);
     void readState(const std::shared_ptr<JobRequest>& request);
     void readJob(const std::shared_ptr<JobRequest>& request);
+    void logRefusal(Utils::Json fields, const CallerAnswer& answer);
     void refuse(const std::string& id, const CallerAnswer& answer, const AnswerCallback& reply);
     bool mayRetry(SteadyTime deadline) const;
     /// Time-out of a store call that leaves time to answer the client before its deadline.
@@ -101,6 +103,7 @@
     std::function<SteadyTime()> clock;
     std::function<bool()> storeFails;
     std::shared_ptr<const FleetConfiguration> configuration;
+    SteadyTime configurationSince {}; ///< when `configuration` was set
     std::unordered_map<std::string, JobState> finalStates; ///< cache by job id; a final state never changes
 };
 
--- a/src/libs/scheduling/statestore.h
+++ b/src/libs/scheduling/statestore.h
@@ -101,6 +101,7 @@
 struct ReadCall {
     RowRange range;
     Duration timeout { 0 };
+    std::function<void(std::size_t)> received {}; ///< optional; called with the number of bytes as they arrive
     std::function<void(ReadResult)> done;
 };
 
@@ -108,6 +109,7 @@
     std::string table;
     RowVersion after = 0;
     Duration wait { 0 }; ///< longest time until the answer when nothing changes
+    std::function<void(std::size_t)> received {}; ///< optional; called with the number of bytes as they arrive
     std::function<void(WatchResult)> done;
 };
 
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -70,6 +70,7 @@
     DecisionsUnstored = 814,
     ConfigurationInForce = 820,
     ConfigurationUnreadable = 821,
+    ConfigurationReadFailed = 822,
     RequestRefused = 830,
     JobStored = 831,
     JobUncertain = 832,
