HTTP client: a response that keeps arriving is not abandoned at a fixed time-out

Cause: the time-out of a call covered its whole transfer. A document of 946 kB takes 0.76 s at 10 Mbit/s, so a read with 600 ms could not succeed, and each try used up the link for the next one. Class: a fixed time-out on work whose size grows; the retry is the load that makes the retry fail. Before: 'a response that keeps arriving over a slow link is not abandoned' and 'a response that stops arriving ends after the stall time-out' failed. After: tst_httpclient passes (14 test cases).

--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -17,6 +17,8 @@
 namespace Http = boost::beast::http;
 
 constexpr std::chrono::seconds keepAliveTime { 60 }; ///< an idle connection is closed after this time
+/// Ends a response whose bytes keep arriving, but too few to matter.
+constexpr std::chrono::seconds maximumTransferTime { 20 };
 constexpr std::size_t writeChunkBytes = 16'384;
 constexpr unsigned int httpVersion = 11;
 constexpr const char* protocolName = "http-client";
@@ -70,6 +72,8 @@
     EventLoop::TimerId timer;
     Connection* connection = nullptr; ///< null while the call waits for a connection
     bool sent = false; ///< at least one byte of the request may have been sent
+    std::optional<Utils::SteadyTime> beganAt {}; ///< when the first byte of the response arrived
+    Utils::SteadyTime lastReceivedAt {};
 };
 
 struct HttpClient::Connection {
@@ -121,8 +125,7 @@
     this->transactions.emplace(&transaction, std::move(owned));
     transaction.call = std::move(call);
     transaction.done = std::move(done);
-    transaction.timer
-        = this->loop.after(transaction.call.timeout, [this, &transaction]() { this->handleTimeout(transaction); });
+    this->armTimer(transaction, transaction.call.timeout);
     if (!this->waiting.empty() || !this->start(transaction))
         this->waiting.push_back(&transaction);
 }
@@ -261,8 +264,7 @@
         this->startWaiting();
         return;
     }
-    if (connection.transaction->call.received)
-        connection.transaction->call.received(length);
+    this->noteReceived(*connection.transaction, length);
     connection.unparsed.append(data, length);
     Beast::error_code error;
     while (!connection.unparsed.empty() && !connection.parser->is_done() && !error) {
@@ -285,6 +287,24 @@
     this->startWaiting();
 }
 
+void HttpClient::noteReceived(Transaction& transaction, std::size_t length)
+{
+    transaction.lastReceivedAt = std::chrono::steady_clock::now();
+    if (!transaction.beganAt) {
+        transaction.beganAt = transaction.lastReceivedAt;
+        if (transaction.call.stallTimeout.count() > 0)
+            this->armTimer(transaction, transaction.call.stallTimeout);
+    }
+    if (transaction.call.received)
+        transaction.call.received(length);
+}
+
+void HttpClient::armTimer(Transaction& transaction, Duration delay)
+{
+    this->loop.cancel(transaction.timer);
+    transaction.timer = this->loop.after(delay, [this, &transaction]() { this->handleTimeout(transaction); });
+}
+
 void HttpClient::complete(Connection& connection)
 {
     Transaction& transaction = *std::exchange(connection.transaction, nullptr);
@@ -327,6 +347,14 @@
 
 void HttpClient::handleTimeout(Transaction& transaction)
 {
+    if (transaction.beganAt && transaction.call.stallTimeout.count() > 0) {
+        const Utils::SteadyTime now = std::chrono::steady_clock::now();
+        const auto pause = std::chrono::duration_cast<Duration>(now - transaction.lastReceivedAt);
+        if (pause < transaction.call.stallTimeout && now - *transaction.beganAt < maximumTransferTime) {
+            this->armTimer(transaction, transaction.call.stallTimeout - pause);
+            return;
+        }
+    }
     if (transaction.connection)
         this->close(*transaction.connection);
     else
--- a/src/libs/adapters/httpclient.h
+++ b/src/libs/adapters/httpclient.h
@@ -25,7 +25,10 @@
     std::string path;
     HttpHeaders headers;
     std::string body;
-    Duration timeout { 0 }; ///< includes the wait for a connection
+    Duration timeout { 0 }; ///< until the response is complete; includes the wait for a connection
+    /// When not zero, `timeout` ends with the first byte of the response, which may then take longer as long as no
+    /// pause between its bytes exceeds this time.
+    Duration stallTimeout { 0 };
     std::size_t maximumAnswer = 8'388'608; ///< largest accepted response body, in bytes
     std::function<void(std::size_t)> received {}; ///< optional; called with the number of bytes as they arrive
 };
@@ -60,7 +63,7 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /// Sends the call. `done` is called exactly once, from the loop, at the latest when the timeout ends.
+    /// Sends the call. `done` is called exactly once, from the loop, at the latest when a time-out of the call ends.
     void send(HttpCall call, CompletionHandler done);
 
     /// Bytes of requests sent since the start.
@@ -92,6 +95,9 @@
     /// Ends the connection's call with the parsed response and keeps or closes the connection.
     void complete(Connection& connection);
     void handleClosed(Connection& connection);
+    void noteReceived(Transaction& transaction, std::size_t length);
+    /// Replaces the timer that ends the call.
+    void armTimer(Transaction& transaction, Duration delay);
     void handleTimeout(Transaction& transaction);
     /// Closes the connection after the current callback and forgets it.
     void close(Connection& connection);
--- a/tests/auto/adapters/tst_httpclient.cpp
+++ b/tests/auto/adapters/tst_httpclient.cpp
@@ -38,14 +38,16 @@
     {
     }
 
-    void send(const std::string& address, const std::string& path, const std::string& body, Duration timeout = patient)
+    void send(const std::string& address, const std::string& path, const std::string& body, Duration timeout = patient,
+        Duration stallTimeout = Duration(0))
     {
         this->client.send({ .address = address,
                               .port = this->server.port(),
                               .method = "POST",
                               .path = path,
                               .body = body,
-                              .timeout = timeout },
+                              .timeout = timeout,
+                              .stallTimeout = stallTimeout },
             [this, body](HttpCallResult result) {
                 ++this->ends[body];
                 this->results.insert_or_assign(body, std::move(result));
@@ -302,3 +304,31 @@
         CHECK(calls.client.openConnections() <= limit);
     }
 }
+
+TEST_CASE("a response that keeps arriving over a slow link is not abandoned")
+{
+    Calls calls({});
+    calls.send("127.0.0.1", "/slow/40", std::string(100'000, 's'), Duration(200), Duration(200));
+    calls.finish();
+    CHECK(calls.bodyOf(std::string(100'000, 's')).size() == 100'000);
+}
+
+TEST_CASE("a response that stops arriving ends after the stall time-out")
+{
+    Calls calls({});
+    const auto begin = std::chrono::steady_clock::now();
+    calls.send("127.0.0.1", "/stalled", "half a response", Duration(2000), Duration(200));
+    calls.finish();
+    CHECK(calls.errorOf("half a response") == HttpClientError::TimedOut);
+    CHECK(std::chrono::steady_clock::now() - begin < Duration(1500));
+}
+
+TEST_CASE("a response that does not begin ends after the time-out, whatever the stall time-out")
+{
+    Calls calls({});
+    calls.send("127.0.0.1", "/silent", "no response", Duration(100), Duration(5000));
+    const auto begin = std::chrono::steady_clock::now();
+    calls.finish();
+    CHECK(calls.errorOf("no response") == HttpClientError::TimedOut);
+    CHECK(std::chrono::steady_clock::now() - begin < Duration(1500));
+}
--- a/tests/support/httpstandin.cpp
+++ b/tests/support/httpstandin.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds firstReadDelay { 15 };
 constexpr std::uint64_t maximumBodyBytes = 64'000'000;
 constexpr std::string_view latePrefix = "/late/";
+constexpr std::string_view slowPrefix = "/slow/";
+constexpr std::size_t slowParts = 10;
 
 } // namespace
 
@@ -94,6 +96,17 @@
             return;
         }
         const std::string& body = this->request.body();
+        const std::string whole
+            = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        if (target.starts_with(slowPrefix)) {
+            this->writeSlowly(whole, std::chrono::milliseconds(std::atoi(target.c_str() + slowPrefix.size())));
+            return;
+        }
+        if (target == "/stalled") {
+            this->server.silent.push_back(shared_from_this());
+            this->writeSlowly(whole.substr(0, whole.size() / 2), std::chrono::milliseconds(0));
+            return;
+        }
         if (target == "/truncated")
             this->writeRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort", true);
         else if (target == "/garbage")
@@ -101,9 +114,7 @@
         else if (target == "/unframed")
             this->writeRaw("HTTP/1.1 200 OK\r\n\r\n" + body, true);
         else if (target == "/twice")
-            this->writeRaw("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body
-                    + "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nstranger",
-                false);
+            this->writeRaw(whole + "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nstranger", false);
         else
             this->answer(target == "/refuse" ? Http::status::service_unavailable : Http::status::ok);
     }
@@ -120,6 +131,22 @@
             });
     }
 
+    /// Writes the bytes in parts, with a pause after each.
+    void writeSlowly(std::string bytes, std::chrono::milliseconds pause)
+    {
+        const std::size_t part = std::min(bytes.size(), std::max<std::size_t>(1, bytes.size() / slowParts));
+        if (part == 0)
+            return;
+        auto next = std::make_shared<std::string>(bytes.substr(0, part));
+        Asio::async_write(this->socket, Asio::buffer(*next),
+            [self = shared_from_this(), next, rest = bytes.substr(part), pause](Beast::error_code error, std::size_t) {
+                if (error)
+                    return;
+                self->timer.expires_after(pause);
+                self->timer.async_wait([self, rest, pause](Beast::error_code) { self->writeSlowly(rest, pause); });
+            });
+    }
+
     void writeRaw(const std::string& bytes, bool thenClose)
     {
         auto owned = std::make_shared<std::string>(bytes);
--- a/tests/support/httpstandin.h
+++ b/tests/support/httpstandin.h
@@ -14,6 +14,8 @@
 /// selects what happens:
 /// - /answer: 200 with the request's body
 /// - /late/N: the same after N ms
+/// - /slow/N: the same, in ten parts with pauses of N ms
+/// - /stalled: half of the response, then nothing
 /// - /refuse: 503
 /// - /reset: the connection is reset
 /// - /truncated: the connection ends within the response's body
