Configuration: a version crosses the link once, and missed versions are not fetched one by one

Now one request is open at a time; a read moves the position of the next watch; a watch that is receiving is not doubled by a read; several versions in one page lead to a read of the newest.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -341,7 +341,7 @@
     else if (heartbeat->leaving && heartbeat->node == this->scheduler.leadership().leaderNode())
         this->scheduler.leadership().handleLeaderStepDown(heartbeat->term, now);
     this->scheduler.applySuccesses(heartbeat->successes, now);
-    this->configuration.handlePeerVersion(heartbeat->configurationVersion);
+    this->configuration.handlePeerVersion(heartbeat->configurationVersion, now);
 }
 
 void FleetDaemon::answerPending(const CallerContext& context, const Scheduling::AnswerCallback& answer)
--- a/src/libs/scheduling/configurationfollower.cpp
+++ b/src/libs/scheduling/configurationfollower.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/configurationfollower.h"
 
+#include <algorithm>
+
 namespace WisteriaHill::Scheduling {
 
 using Utils::Event;
@@ -8,6 +10,8 @@
 
 constexpr Duration storeTimeout { 600 };
 constexpr Duration retryPause { 150 };
+/// Time for an open watch to deliver a version that another daemon already has.
+constexpr Duration peerHintDelay { 200 };
 /// Limits how long a connection that stopped responding can hide a change.
 constexpr Duration watchWait { 2000 };
 
@@ -15,16 +19,25 @@
 
 void ConfigurationFollower::tick(SteadyTime now)
 {
-    if (this->readNeeded && !this->readOpen && now >= this->nextRead)
-        this->read(now);
-    if (this->position != 0 && !this->watchOpen && now >= this->nextWatch)
-        this->watch();
+    if (this->readOpen)
+        return;
+    const bool peerIsAhead = this->peerHint && (!this->watchOpen || now >= this->peerHint->receivedAt + peerHintDelay);
+    const bool watchDelivers = this->watchOpen && this->watchTransfer->receivedBytes > 0;
+    if ((this->readNeeded || peerIsAhead) && !watchDelivers) {
+        if (now >= this->nextRead)
+            this->read(now);
+        return;
+    }
+    if (!this->watchOpen)
+        this->watch(now);
 }
 
-void ConfigurationFollower::handlePeerVersion(std::int64_t version)
+void ConfigurationFollower::handlePeerVersion(std::int64_t version, SteadyTime now)
 {
-    if (!this->configuration || version > this->configuration->version)
-        this->readNeeded = true;
+    if (this->configuration && version <= this->configuration->version)
+        return;
+    if (!this->peerHint || version > this->peerHint->version)
+        this->peerHint = PeerHint { .version = version, .receivedAt = now };
 }
 
 void ConfigurationFollower::read(SteadyTime now)
@@ -35,54 +48,54 @@
     this->effects.push(ReadCall { .range = singleRow(this->document),
         .timeout = storeTimeout,
         .received = [transfer](std::size_t bytes) { transfer->receivedBytes += bytes; },
-        .done =
-            [this, transfer](const ReadResult& result) {
-                this->readOpen = false;
-                const auto* page = std::get_if<RowPage>(&result);
-                if (!page) {
-                    this->logFailure(*transfer);
-                    return;
-                }
-                this->readNeeded = page->rows.empty();
-                if (this->position == 0)
-                    this->position = page->version;
-                for (const Row& row : page->rows)
-                    this->apply(row, *transfer);
-            } });
+        .done = [this, transfer](const ReadResult& result) { this->handleRead(*transfer, result); } });
 }
 
-void ConfigurationFollower::watch()
+void ConfigurationFollower::handleRead(const Transfer& transfer, const ReadResult& result)
+{
+    this->readOpen = false;
+    const auto* page = std::get_if<RowPage>(&result);
+    if (!page) {
+        this->logFailure(transfer);
+        return;
+    }
+    this->readNeeded = page->rows.empty();
+    if (this->peerHint && this->peerHint->receivedAt <= transfer.startedAt)
+        this->peerHint.reset();
+    this->position = std::max(this->position, page->version);
+    this->applyNewest(page->rows, transfer);
+}
+
+void ConfigurationFollower::watch(SteadyTime now)
 {
     this->watchOpen = true;
-    const auto transfer = std::make_shared<Transfer>(Transfer { .kind = "watch", .startedAt = this->clock() });
+    this->watchTransfer = std::make_shared<Transfer>(Transfer { .kind = "watch", .startedAt = now });
     this->effects.push(WatchCall { .table = this->document.table,
         .after = this->position,
         .wait = watchWait,
-        .received = [transfer](std::size_t bytes) { transfer->receivedBytes += bytes; },
-        .done =
-            [this, transfer](const WatchResult& result) {
-                this->watchOpen = false;
-                const SteadyTime now = this->clock();
-                if (std::holds_alternative<HistoryCompacted>(result)) {
-                    this->effects.log(
-                        Event::HistoryLost, { { "table", this->document.table }, { "position", this->position } });
-                    this->position = 0;
-                    this->readNeeded = true;
-                    return;
-                }
-                const auto* page = std::get_if<RowPage>(&result);
-                if (!page) {
-                    this->logFailure(*transfer);
-                    this->nextWatch = now + retryPause;
-                    this->readNeeded = true;
-                    return;
-                }
-                this->position = page->version;
-                for (const Row& row : page->rows) {
-                    if (row.key.key == this->document.key && !row.removed)
-                        this->apply(row, *transfer);
-                }
-            } });
+        .received = [transfer = this->watchTransfer](std::size_t bytes) { transfer->receivedBytes += bytes; },
+        .done = [this](const WatchResult& result) { this->handleWatch(*this->watchTransfer, result); } });
+}
+
+void ConfigurationFollower::handleWatch(const Transfer& transfer, const WatchResult& result)
+{
+    this->watchOpen = false;
+    if (std::holds_alternative<HistoryCompacted>(result)) {
+        this->effects.log(Event::HistoryLost, { { "table", this->document.table }, { "position", this->position } });
+        this->readNeeded = true;
+        return;
+    }
+    const auto* page = std::get_if<RowPage>(&result);
+    if (!page) {
+        this->logFailure(transfer);
+        this->nextRead = this->clock() + retryPause;
+        this->readNeeded = true;
+        return;
+    }
+    this->position = std::max(this->position, page->version);
+    // Several versions in one page are a sign that transfers take longer than the changes are apart. The feed would
+    // send each version since; a read sends only the newest.
+    this->readNeeded = this->applyNewest(page->rows, transfer) > 1;
 }
 
 void ConfigurationFollower::logFailure(const Transfer& transfer)
@@ -94,6 +107,21 @@
             { "elapsedMs", std::chrono::duration_cast<Duration>(this->clock() - transfer.startedAt).count() } });
 }
 
+std::size_t ConfigurationFollower::applyNewest(const std::vector<Row>& rows, const Transfer& transfer)
+{
+    std::size_t versions = 0;
+    const Row* newest = nullptr;
+    for (const Row& row : rows) {
+        if (row.key.key != this->document.key || row.removed)
+            continue;
+        ++versions;
+        newest = &row;
+    }
+    if (newest)
+        this->apply(*newest, transfer);
+    return versions;
+}
+
 void ConfigurationFollower::apply(const Row& row, const Transfer& transfer)
 {
     auto decoded = this->decode(row.value);
@@ -112,6 +140,8 @@
             { "previous", this->configuration ? this->configuration->version : 0 }, { "kind", transfer.kind },
             { "documentBytes", row.value.size() }, { "receivedBytes", transfer.receivedBytes },
             { "elapsedMs", std::chrono::duration_cast<Duration>(this->clock() - transfer.startedAt).count() } });
+    if (this->peerHint && this->peerHint->version <= configured.version)
+        this->peerHint.reset();
     this->configuration = std::make_shared<const FleetConfiguration>(std::move(configured));
     this->applied(this->configuration);
 }
--- a/src/libs/scheduling/configurationfollower.h
+++ b/src/libs/scheduling/configurationfollower.h
@@ -6,8 +6,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace WisteriaHill::Scheduling {
 
@@ -18,7 +20,9 @@
 
 using ConfigurationDecoder = std::function<std::variant<FleetConfiguration, ConfigurationError>(const std::string&)>;
 
-/// Applies newer versions of the configuration; within a process the version never decreases. Thread safety: none.
+/// Applies newer versions of the configuration; within a process the version never decreases. The document can take a
+/// large part of a second on the link of a small host, so it is not requested while it is being received, and versions
+/// that were missed are not requested one by one. Thread safety: none.
 class ConfigurationFollower {
 public:
     ConfigurationFollower(
@@ -38,21 +42,31 @@
     /// Reads and watches the document when due.
     void tick(SteadyTime now);
 
-    /// Schedules a read of the document when another daemon has a newer version in force.
-    void handlePeerVersion(std::int64_t version);
+    /// Notes the version that another daemon has in force. The document is read when the watch does not deliver it.
+    void handlePeerVersion(std::int64_t version, SteadyTime now);
 
     const std::shared_ptr<const FleetConfiguration>& inForce() const { return this->configuration; }
 
 private:
-    /// A read or watch in progress, for the log.
+    /// A read or watch in progress.
     struct Transfer {
         const char* kind = "";
         SteadyTime startedAt {};
         std::size_t receivedBytes = 0;
     };
 
+    /// The newest version that other daemons reported and this one does not have.
+    struct PeerHint {
+        std::int64_t version = 0;
+        SteadyTime receivedAt {};
+    };
+
     void read(SteadyTime now);
-    void watch();
+    void handleRead(const Transfer& transfer, const ReadResult& result);
+    void watch(SteadyTime now);
+    void handleWatch(const Transfer& transfer, const WatchResult& result);
+    /// Applies the last row that holds the document. Returns the number of such rows.
+    std::size_t applyNewest(const std::vector<Row>& rows, const Transfer& transfer);
     void apply(const Row& row, const Transfer& transfer);
     void logFailure(const Transfer& transfer);
 
@@ -67,8 +81,9 @@
     bool readOpen = false;
     bool watchOpen = false;
     bool readNeeded = true;
+    std::shared_ptr<Transfer> watchTransfer; ///< of the last watch
+    std::optional<PeerHint> peerHint;
     SteadyTime nextRead {};
-    SteadyTime nextWatch {};
 };
 
 } // namespace WisteriaHill::Scheduling
