Gangs of which a member does not start are stopped before the others are ended as alone

Cause: nothing bounded the time between the first and the last start of a gang; an unanswered start was repeated until the lease ended. Class: a step that needs all of several parties and waits for one of them without a time limit of its own. Now GangStartController stops the gang half-way through the servers' patience (a quarter for adopted runs), or as soon as the missing member's server has missed two polls, and avoids that server for 4 s. A member that was never ordered is given up at once; one that may have started keeps the gang waiting for its server's stop or lease, so at most once holds.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -59,6 +59,7 @@
                  .incarnation = incarnation,
                  .stagger = candidacyStagger(settings.processorShare, incarnation) },
         .servers = { .maximumLease = settings.maximumLease, .stopTime = settings.stopTime },
+        .gangStarts = { .patience = settings.gangPatience },
         .upkeep = { .waveTable = Platform::Wire::operatorTable,
             .wavePrefix = Platform::Wire::waveKeyPrefix,
             .statusTable = Platform::Wire::statusTable,
--- a/src/app/fleetsettings.cpp
+++ b/src/app/fleetsettings.cpp
@@ -60,6 +60,7 @@
     reader.object("leases", [&](JsonObjectReader& member) {
         settings.maximumLease = member.duration("maximum", { 500ms, 3600s });
         settings.stopTime = member.duration("stopTime", { 0ms, 60s });
+        settings.gangPatience = member.durationOr("gangPatience", { 100ms, 3600s }, 3s);
     });
     settings.upkeepTime = reader.durationOr("upkeepTime", { 0ms, 3600s }, 2s);
     settings.processorShare = reader.numberOr("processorShare", 0.01, 1024, settings.processorShare);
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -41,6 +41,7 @@
     std::int64_t incarnation = 0; ///< of the server when the run was placed
     RunPhase phase = RunPhase::Recording;
     SteadyTime phaseSince {};
+    SteadyTime orderedAt {}; ///< when the start was first ordered, or the run was adopted
     std::string checkpoint; ///< checkpoint from which the run starts; empty to start anew
     bool adopted = false; ///< an earlier scheduler started the run, so its age is unknown
     std::optional<SteadyTime> activeSince; ///< when the server confirmed the run; unset for an adopted run
@@ -50,6 +51,7 @@
     int pace = 100; ///< percent of full speed
     bool orderOpen = false; ///< a start or stop order awaits its answer
     SteadyTime nextOrderAt {};
+    bool startSent = false; ///< a start order was sent; set for adopted runs too
     bool startUnanswered = false; ///< a start order got no answer, and the server may still execute it
     std::optional<SteadyTime> stopConfirmedAt; ///< when the server confirmed that it will not start the run any more
     std::string stopReason;
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -104,7 +104,9 @@
             ++step.running;
             job.begun = true;
             task.run->phaseSince = now;
+            task.run->orderedAt = now;
             task.run->adopted = true;
+            task.run->startSent = true; // perhaps, by the former leader
             const TaskName name { jobId, index, static_cast<int>(number), static_cast<int>(position) };
             this->board.servers[task.run->server].occupants[name] = countedNeed(specificationOf(job, name.step));
             if (job.ended())
@@ -195,7 +197,7 @@
     Task* task = this->board.findTask(name);
     if (!task || !task->run || task->run->phase == RunPhase::Stopping)
         return;
-    const bool neverOrdered = task->run->phase == RunPhase::Recording;
+    const bool neverOrdered = !task->run->startSent;
     task->run->phase = RunPhase::Stopping;
     task->run->phaseSince = now;
     task->run->stopReason = reason;
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -68,6 +68,9 @@
     /// True when no task of the job has a run.
     static bool hasNoRuns(const Job& job);
 
+    /// Requests the stops of all runs of a gang. `name` is any of its members.
+    void stopGang(const TaskName& name, const std::string& reason, SteadyTime now);
+
 private:
     Occurrence& createOccurrence(Job& job, int index, SteadyTime now);
     /// Marks a task, or the task's whole gang, as done.
@@ -80,7 +83,6 @@
     /// Decides, after a failed run of the job, whether the server is avoided.
     void assessServer(BackendServer& server, Job& job, SteadyTime now);
     void requeue(const TaskName& name, Step& step, Task& task, SteadyTime now);
-    void stopGang(const TaskName& name, const std::string& reason, SteadyTime now);
     void updateReadiness(const Job& job, Occurrence& occurrence, SteadyTime now);
     void updateJob(Job& job, SteadyTime now);
     void endJob(Job& job, JobState state, const std::string& reason, SteadyTime now);
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -38,6 +38,7 @@
     , planLog(this->board, this->effects)
     , evacuation(this->board, this->tracker, this->options.servers.stopTime)
     , stalls(this->board, this->effects, this->tracker)
+    , gangStarts(this->board, this->effects, this->tracker, this->options.gangStarts)
     , advice(this->board, this->effects)
     , pace(this->board, this->effects)
     , upkeep(this->board, this->effects, this->evacuation, this->options.upkeep)
@@ -340,6 +341,7 @@
         this->nextHousekeeping = now + housekeepingInterval;
         this->tracker.createDueOccurrences(wallNow, now);
         this->stalls.stopStalledRuns(now);
+        this->gangStarts.stopIncompleteGangs(now);
         this->evacuation.tick(now);
         if (this->options.upkeep.decodeWave)
             this->upkeep.tick(now);
@@ -427,6 +429,7 @@
             continue;
         task->run->phase = RunPhase::Ordered;
         task->run->phaseSince = now;
+        task->run->orderedAt = now;
         this->monitor.orderStart(start.task, now);
     }
     for (const StoredDecisions::ServerEnds& ends : decisions.ends)
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -3,6 +3,7 @@
 
 #include "scheduling/advicecontroller.h"
 #include "scheduling/evacuation.h"
+#include "scheduling/gangstartcontroller.h"
 #include "scheduling/jobtracker.h"
 #include "scheduling/leadership.h"
 #include "scheduling/pacecontroller.h"
@@ -45,6 +46,7 @@
 struct SchedulerOptions {
     LeadershipOptions leadership;
     ServerMonitorOptions servers;
+    GangStartOptions gangStarts;
     PlannerOptions planner;
     UpkeepOptions upkeep;
     Duration stateRetention { 130'000 }; ///< how long an ended job and its state are kept
@@ -131,6 +133,7 @@
     PlanLog planLog;
     Evacuation evacuation;
     StallController stalls;
+    GangStartController gangStarts;
     AdviceController advice;
     PaceController pace;
     UpkeepController upkeep;
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -355,6 +355,7 @@
         return;
     }
     run.orderOpen = true;
+    run.startSent = true;
     run.nextOrderAt = now + orderRetryPause;
     this->extendLease(server, now);
     if (server.lastProcessedEnd == server.lastStoredEnd)
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -89,6 +89,7 @@
     JobEnded = 850,
     OutlookChanged = 851,
     AcceleratorsIdle = 852,
+    GangIncomplete = 853,
     ServerFound = 860,
     ServerDraining = 861,
     ServerEntryGone = 862,
--- /dev/null
+++ b/tests/auto/scheduling/tst_scheduler_gangstart.cpp
@@ -0,0 +1,68 @@
+// Gangs of which some members start late or never.
+
+#include "support/schedulerbench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill::Scheduling;
+using namespace WisteriaHill::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int members = 3;
+
+/// A gang of three members, each of which takes a whole server.
+StepSpecification makeGang()
+{
+    StepSpecification step = makeStep(members, 8, 20s);
+    step.gang = true;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("gang members do not wait alone for a member whose start has no answer")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 3 });
+    bench.run(2s);
+    bench.server(1).startsToDelay = 1000;
+    bench.submit("gang", "ordinary", { makeGang() });
+    REQUIRE(bench.runUntilActive("gang", members - 1, 1s));
+    bench.run(3s);
+    CHECK(bench.membersAlone() == 0);
+    bench.server(1).startsToDelay = 0;
+    CHECK(bench.runUntilActive("gang", members, 3s));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("servers of gang members are free soon after the server of another member has crashed under its start")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 3 });
+    bench.run(2s);
+    bench.submit("gang", "ordinary", { makeGang() });
+    bench.server(1).alive = false;
+    REQUIRE(bench.runUntilActive("gang", members - 1, 1s));
+    bench.submit("small", "ordinary", { makeStep(16, 1, 500ms) });
+    CHECK(bench.runUntil("small", JobState::Completed, 3s));
+    CHECK(bench.membersAlone() == 0);
+    bench.run(8s);
+    bench.server(1).restart();
+    bench.server(1).alive = true;
+    CHECK(bench.runUntilActive("gang", members, 3s));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("gang members do not wait alone while the leadership changes hands")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 3 });
+    bench.run(2s);
+    bench.server(1).startsToDelay = 1000;
+    bench.submit("gang", "ordinary", { makeGang() });
+    REQUIRE(bench.runUntilActive("gang", members - 1, 1s));
+    bench.run(300ms);
+    bench.killDaemon(bench.leader());
+    bench.run(4s);
+    CHECK(bench.membersAlone() == 0);
+    CHECK(bench.violations().empty());
+}
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -75,6 +75,9 @@
     /// Advances the server's clock and its runs by `time`.
     void advance(Scheduling::Duration time);
 
+    /// Ends an active task. Precondition: the task is active.
+    void end(const Scheduling::TaskName& task, Scheduling::RunEnd how);
+
     /// Starts a new incarnation without runs, end records and fencing token.
     void restart();
 
@@ -95,7 +98,6 @@
     Scheduling::OrderResult stop(const Scheduling::StopOrder& order);
     Scheduling::OrderResult poll(const Scheduling::PollOrder& order);
     int latencyMs() const;
-    void end(const Scheduling::TaskName& task, Scheduling::RunEnd how);
     void report(const RunEvent& event) const;
 
     Scheduling::ServerTime clock { 0 };
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -416,6 +416,7 @@
         daemon.scheduler->tick(this->time, this->storeClock.at(this->time));
         this->performEffects(index);
     }
+    this->gangWatch.check(this->servers, this->submitted, this->time);
     this->checkInvariants();
 }
 
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -3,6 +3,7 @@
 
 #include "support/fakeserver.h"
 #include "support/fakestore.h"
+#include "support/gangwatch.h"
 
 #include <memory>
 #include <set>
@@ -102,6 +103,9 @@
 
     Scheduling::SteadyTime now() const { return this->time; }
 
+    /// Gang members that their servers ended because the other members did not start in time.
+    int membersAlone() const { return this->gangWatch.membersAlone(); }
+
     /// Violated invariants: two runs of a task at once, a start after the task was done, capacity exceeded, a machine
     /// taken down with runs on it, an upkeep order under a lower token than an earlier one.
     const std::vector<std::string>& violations() const { return this->recordedViolations; }
@@ -156,6 +160,7 @@
     std::vector<std::unique_ptr<FakeServer>> servers;
     std::vector<std::unique_ptr<Daemon>> daemons;
     std::vector<PendingAnswer> answers;
+    GangWatch gangWatch;
     std::vector<WaitingPoll> polls;
     std::vector<WaitingWatch> watches;
     std::set<std::pair<std::size_t, std::string>> cuts;
