A new leader stops an adopted gang whose members are not all placed

Now such a gang is stopped and queued again, before any order of the new leader goes out. Before: 'a new leader does not start a member of a gang whose other members have no runs': 1 task active instead of 3, 1 member alone. After: tst_scheduler passes.

--- a/src/libs/scheduling/gangstartcontroller.cpp
+++ b/src/libs/scheduling/gangstartcontroller.cpp
@@ -49,6 +49,8 @@
 
 const char* GangStartController::reasonToStop(const Progress& progress, SteadyTime now) const
 {
+    if (progress.withoutRun > 0 && progress.started + progress.unconfirmed > 0)
+        return "members of the gang have no runs";
     if (progress.started == 0 || progress.unconfirmed == 0)
         return "";
     if (progress.serverSilent)
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -144,6 +144,7 @@
     }
     this->loadedRows.clear();
     this->loaded = true;
+    this->nextHousekeeping = SteadyTime(); // incomplete gangs are stopped before a member of them is started
     for (auto& [id, server] : this->board.servers)
         server.address.id = id;
     this->applySuccesses(this->board.unstoredSuccesses.takeAll(), now); // successes from an earlier term of this daemon
--- a/tests/auto/scheduling/tst_scheduler_gangstart.cpp
+++ b/tests/auto/scheduling/tst_scheduler_gangstart.cpp
@@ -66,3 +66,18 @@
     CHECK(bench.membersAlone() == 0);
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a new leader does not start a member of a gang whose other members have no runs")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 3 });
+    bench.submit("gang", "ordinary", { makeGang() });
+    // The former leader stored the end of members 1 and 2, and was about to stop member 0.
+    bench.store.put({ StoreTable::progress, StoreTable::schedulerPartition, "gang.0" },
+        R"([[[0,1,1,0,"","server-0-0",1,""],[1,0,1,0,""],[2,0,1,0,""]]])");
+    REQUIRE(bench.runUntilActive("gang", 1, 3s));
+    bench.run(100ms);
+    CHECK(bench.activeTasks("gang") == members);
+    CHECK(bench.startsOf("gang") == members);
+    bench.run(4s);
+    CHECK(bench.membersAlone() == 0);
+}
