A machine that returns under another server id ends the runs of its former server

Now a new entry on a known machine ends the runs of the former server at once; it counts as a crash unless that server was draining or due for upkeep.

--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -120,7 +120,7 @@
     }
 }
 
-void CrashController::judgeLost(const BackendServer& server, SteadyTime now)
+void CrashController::judgeLost(const BackendServer& server, std::int64_t incarnation, SteadyTime now)
 {
     auto waiting = this->lost.extract(server.address.id);
     if (waiting.empty())
@@ -132,7 +132,7 @@
             continue;
         const LostRun run = *std::exchange(task->lostRun, std::nullopt);
         this->tracker.markDirty(name);
-        if (run.incarnation != server.incarnation)
+        if (run.incarnation != incarnation)
             crashed.push_back({ .name = name,
                 .attempt = task->attempts,
                 .incarnation = run.incarnation,
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -47,8 +47,8 @@
     /// Counts a crash under the runs. Call it after lost runs are requeued.
     void handleRestart(const BackendServer& server, const std::vector<ExposedRun>& runs, SteadyTime now);
 
-    /// Decides about remembered runs of a server that answers again.
-    void judgeLost(const BackendServer& server, SteadyTime now);
+    /// Decides about remembered runs of a server that answers again under this incarnation.
+    void judgeLost(const BackendServer& server, std::int64_t incarnation, SteadyTime now);
 
 private:
     struct Restart {
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -273,6 +273,8 @@
     server.present = true;
     server.draining = entry->draining;
     server.drainUntil = now + entry->drainRemaining;
+    if (isNew && this->loaded && !server.machine.empty())
+        this->monitor.endPredecessor(server, now);
     if (!wasUsable && !server.draining)
         this->nextSchedule = now;
 }
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -151,6 +151,23 @@
     this->changed = true;
 }
 
+void ServerMonitor::endPredecessor(const BackendServer& successor, SteadyTime now)
+{
+    for (auto& [id, server] : this->board.servers) {
+        if (server.machine != successor.machine || id == successor.address.id)
+            continue;
+        // A drained server and one that was taken down for upkeep have not crashed.
+        const bool planned = server.draining || server.evacuating;
+        std::vector<ExposedRun> exposed
+            = planned ? std::vector<ExposedRun>() : this->crashes.exposedRuns(server, 0, server.clockReadAt);
+        this->markRunsLost(server, RunLoss::ServerRestarted, now);
+        server.present = false;
+        if (!exposed.empty())
+            this->crashes.handleRestart(server, exposed, now);
+        this->crashes.judgeLost(server, successor.incarnation, now);
+    }
+}
+
 void ServerMonitor::poll(BackendServer& server, SteadyTime now)
 {
     const bool acknowledgementDue = server.lastStoredEnd > server.lastDiscardedEnd;
@@ -278,7 +295,7 @@
         server.avoidUntil = std::max(server.avoidUntil, now + restartAvoidancePeriod);
     if (!exposed.empty())
         this->crashes.handleRestart(server, exposed, now);
-    this->crashes.judgeLost(server, now);
+    this->crashes.judgeLost(server, server.incarnation, now);
     this->changed = true;
 }
 
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -42,6 +42,10 @@
     /// incarnation has changed.
     void acknowledgeEnds(const std::string& id, std::int64_t number, std::int64_t incarnation, SteadyTime now);
 
+    /// Ends the runs of an earlier server on the same machine, which is over once its successor has registered. Does
+    /// nothing when no earlier server is known.
+    void endPredecessor(const BackendServer& successor, SteadyTime now);
+
     /// True when new runs may be placed on the server.
     bool isUsable(const BackendServer& server) const;
 
--- a/tests/auto/scheduling/tst_scheduler_crashes.cpp
+++ b/tests/auto/scheduling/tst_scheduler_crashes.cpp
@@ -31,6 +31,41 @@
     CHECK(bench.deadly.crashesUnder("deadly") <= (downTime > 6s ? 3 : crashesBeforeGivingUp));
 }
 
+TEST_CASE("a task whose crashed servers return under other ids is given up before a third server is lost")
+{
+    SchedulerBench bench({});
+    bench.deadly.jobs = { "deadly" };
+    bench.deadly.onChange = [&bench](FakeServer& server, bool alive) {
+        if (!alive)
+            return;
+        bench.removeEntry(server);
+        server.entry.id += "-next";
+        bench.putEntry(server);
+    };
+    bench.run(2s);
+    bench.submit("deadly", "ordinary", { makeStep(1, 1, 4s) });
+    bench.runUntil("deadly", JobState::Failed, 40s);
+    CHECK(bench.storedState("deadly") == JobState::Failed);
+    CHECK(bench.deadly.crashesUnder("deadly") == crashesBeforeGivingUp);
+}
+
+TEST_CASE("the runs of a machine that returns under another server id start again before the old lease is over")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 3s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    bench.run(1s);
+    FakeServer& server = bench.serverRunning("job");
+    server.restart();
+    bench.removeEntry(server);
+    server.entry.id += "-next";
+    bench.putEntry(server);
+    CHECK(bench.runUntilActive("job", 1, 2s));
+    CHECK(bench.runUntil("job", JobState::Completed, 4s));
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("crashes under a task are counted through takeovers and a restart of all daemons")
 {
     const bool all = GENERATE(true, false);
