--- a/tests/auto/scheduling/tst_scheduler_capacity.cpp
+++ b/tests/auto/scheduling/tst_scheduler_capacity.cpp
@@ -72,5 +72,5 @@
     bench.run(5s);
     CHECK(bench.server(0).startsOverCapacity == 0);
     CHECK(bench.runUntil("late", JobState::Completed, 10s));
-    CHECK(bench.violations().size() == 0);
+    CHECK(bench.violations().empty());
 }
--- a/tests/support/httpstandin.cpp
+++ b/tests/support/httpstandin.cpp
@@ -132,7 +132,7 @@
     }
 
     /// Writes the bytes in parts, with a pause after each.
-    void writeSlowly(std::string bytes, std::chrono::milliseconds pause)
+    void writeSlowly(const std::string& bytes, std::chrono::milliseconds pause)
     {
         const std::size_t part = std::min(bytes.size(), std::max<std::size_t>(1, bytes.size() / slowParts));
         if (part == 0)
