Whole path: a job that crashes real servers is given up, and its client sees it failed

The server stand-in ends its process 30 ms after the start of a job that asks for it; tests/scripts/fleet.sh starts it again after a second. The job is shown as failed after at most two servers, with the daemons' verdicts in their logs; the jobs after it are completed.

--- a/tests/scripts/fleet.sh
+++ b/tests/scripts/fleet.sh
@@ -9,12 +9,13 @@
 work=$(mktemp -d)
 declare -A daemons
 standins=()
+declare -A servers
 failures=0
 
 fail() { echo "FAILED: $*"; failures=$((failures + 1)); }
 
 cleanup() {
-  for pid in "${daemons[@]}" "${standins[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in "${daemons[@]}" "${servers[@]}" "${standins[@]}"; do kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
   [ "$failures" -eq 0 ] && rm -rf "$work" || echo "logs are in $work"
 }
@@ -55,10 +56,11 @@
 
 "$build/tests/storestandin" "$base" >"$work/store.log" 2>&1 &
 standins+=($!)
-for number in 1 2 3 4 5 6 7 8; do
-  "$build/tests/serverstandin" "$((base + number))" "$number" "$base" >"$work/server-$number.log" 2>&1 &
-  standins+=($!)
-done
+start_server() { # number
+  "$build/tests/serverstandin" "$((base + $1))" "$1" "$base" >>"$work/server-$1.log" 2>&1 &
+  servers[$1]=$!
+}
+for number in 1 2 3 4 5 6 7 8; do start_server "$number"; done
 for number in 1 2 3; do start_daemon "$number"; done
 for number in 1 2 3; do
   wait_for 10 200 curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((base + 100 * number + 1))/-/readyz" \
@@ -104,6 +106,25 @@
 ctl 2 job cancel "$long_id" >/dev/null || fail "the gang was not cancelled"
 [[ "$(ctl 3 job watch "$long_id" --bound 6s)" == *cancelled* ]] || fail "the gang is not shown as cancelled"
 
+# A job crashes each server that starts it, and each is started again: the job is given up before a third server is lost.
+deadly='{"Spec":"{\"needs\":[[1000,1000,2,900]],\"crashes\":true}","Steps":[{"Count":1,"Cpu":1000,"MemMb":1000,"Gpu":2,"EstimateMs":900}]}'
+[[ "$(call POST 1 /score/00000000000000dd "$deadly")" == *" 200" ]] || fail "the crashing job was not accepted"
+crashes=0
+end=$((SECONDS + 30))
+while [ "$SECONDS" -lt "$end" ]; do
+  for number in 1 2 3 4 5 6 7 8; do
+    kill -0 "${servers[$number]}" 2>/dev/null && continue
+    crashes=$((crashes + 1))
+    sleep 1
+    start_server "$number"
+  done
+  [[ "$(call GET 2 /score/00000000000000dd)" == *failed* ]] && break
+  sleep 0.1
+done
+[[ "$(call GET 2 /score/00000000000000dd)" == *failed* ]] || fail "the crashing job is not shown as failed"
+[ "$crashes" -le 2 ] || fail "the crashing job took $crashes servers down"
+grep -hq '"verdict":"suspect"' "$work"/[123].log || fail "no daemon wrote its verdict on the crashes"
+
 # The leading daemon is killed while a job runs; another one takes over leadership.
 answer=$(call POST 3 /cut/00000000000000aa "$job")
 [[ "$answer" == *" 200" ]] || fail "the job before the kill was not accepted: $answer"
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -38,6 +38,8 @@
 constexpr Duration pollInterval { 10 };
 constexpr Duration heartbeatInterval { 500 };
 constexpr Duration heartbeatTimeout { 400 }; ///< below the interval, so that at most one call is open
+constexpr Duration crashDelay { 30 };
+constexpr int crashStatus = 9;
 constexpr int serversPerRack = 4;
 constexpr Resources capacity { .milliCores = 32'000, .memoryMb = 64'000, .accelerators = 8 };
 
@@ -83,7 +85,8 @@
 class ServerService {
 public:
     ServerService(Adapters::EventLoop& loop, const Options& options)
-        : options(options)
+        : loop(loop)
+        , options(options)
         , backend(
               { .id = "i-" + std::to_string(options.number), .service = "scoring", .capacity = capacity }, wallNowMs())
         , store(loop)
@@ -131,9 +134,10 @@
             this->respond(exchange, this->backend.handle(order, {}, {}));
             return;
         }
-        const Json needs = Json::parse(json.at(Wire::payload).get<std::string>())
-                               .at("needs")
-                               .at(static_cast<std::size_t>(task.step));
+        const Json payload = Json::parse(json.at(Wire::payload).get<std::string>());
+        const Json needs = payload.at("needs").at(static_cast<std::size_t>(task.step));
+        if (payload.value("crashes", false))
+            this->loop.after(crashDelay, []() { std::_Exit(crashStatus); });
         const StartOrder order { .task = task,
             .attempt = json.at(Wire::attempt),
             .leaseEnd = ServerTime(json.at(Wire::leaseEnd).get<std::int64_t>()),
@@ -224,6 +228,7 @@
             [](const Adapters::HttpCallResult&) {}); // a lost heartbeat is made up for by the next one
     }
 
+    Adapters::EventLoop& loop;
     Options options;
     std::int64_t advancedTo = nowMs();
     std::int64_t clock = 0; ///< ms since the start
