--- a/src/libs/scheduling/boarddump.cpp
+++ b/src/libs/scheduling/boarddump.cpp
@@ -69,7 +69,8 @@
 }
 
 /// Why tasks of a step are waiting, as a text for operators.
-std::string waitReason(const Scheduler& scheduler, const Job& job, const Step& step, const StepSpecification& wanted)
+std::string waitReason(
+    const Scheduler& scheduler, const Job& job, const Step& step, const StepSpecification& wanted, SteadyTime now)
 {
     const Board& board = scheduler.state();
     const Queue* queue = job.queue;
@@ -77,6 +78,8 @@
         return "its queue is not in the configuration in force";
     if (!step.ready)
         return "its prerequisite steps are not done";
+    if (now < step.heldUntil)
+        return "a backend server crashed under it; it starts apart from other suspects of that crash";
     if (wanted.gang && step.running > 0)
         return "members of the gang's last attempt have not ended";
     const auto couldHold = [&](const auto& entry) {
@@ -129,7 +132,7 @@
                     { jobId, index, static_cast<int>(number), static_cast<int>(position) }, step.tasks[position], now));
             Json entry { { "occurrence", index }, { "step", number }, { "tasks", std::move(tasks) } };
             if (!job.ended() && step.done + step.running < static_cast<int>(step.tasks.size()))
-                entry["waitsFor"] = waitReason(scheduler, job, step, wanted);
+                entry["waitsFor"] = waitReason(scheduler, job, step, wanted, now);
             json["steps"].push_back(std::move(entry));
         }
     }
--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -191,6 +191,30 @@
         [&](const Restart& restart) { return restart.server == server && !restart.jobs.contains(jobId); });
 }
 
+CrashController::Verdict CrashController::verdictOn(const BackendServer& server, const ExposedRun& run) const
+{
+    if (run.suspicion == 0)
+        return Verdict::Neighbour;
+    if (this->isMassRestart(run.name.jobId))
+        return Verdict::MassRestart;
+    return this->isUnreliable(server.address.id, run.name.jobId) ? Verdict::UnreliableServer : Verdict::Suspect;
+}
+
+const char* CrashController::verdictName(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::Suspect:
+        return "suspect";
+    case Verdict::Neighbour:
+        return "neighbour";
+    case Verdict::MassRestart:
+        return "many servers restarted";
+    case Verdict::UnreliableServer:
+        return "server crashes under other jobs";
+    }
+    return "unknown";
+}
+
 void CrashController::countCrash(const BackendServer& server, const ExposedRun& run, Restart& restart, SteadyTime now)
 {
     Task* task = this->board.findTask(run.name);
@@ -201,11 +225,8 @@
         task->crashes = 0;
         task->suspicion = 0;
     }
-    const char* verdict = run.suspicion == 0                    ? "neighbour"
-        : this->isMassRestart(run.name.jobId)                   ? "many servers restarted"
-        : this->isUnreliable(server.address.id, run.name.jobId) ? "server crashes under other jobs"
-                                                                : "suspect";
-    const bool counted = std::string_view(verdict) == "suspect";
+    const Verdict verdict = this->verdictOn(server, run);
+    const bool counted = verdict == Verdict::Suspect;
     ++task->crashes;
     task->suspicion += counted ? run.suspicion : 0;
     if (counted)
@@ -213,7 +234,7 @@
     this->tracker.markDirty(run.name);
     this->effects.log(Event::ServerCrashedUnderTask,
         { { "task", formatTaskName(run.name) }, { "attempt", run.attempt }, { "server", server.address.id },
-            { "incarnation", server.incarnation }, { "ageMs", run.age.count() }, { "verdict", verdict },
+            { "incarnation", server.incarnation }, { "ageMs", run.age.count() }, { "verdict", verdictName(verdict) },
             { "crashes", task->crashes }, { "suspicion", task->suspicion } });
     const bool longRunning = this->board.stepOf(run.name).longRunning;
     if (task->suspicion >= maximumSuspicion || (task->crashes >= maximumCrashes && !longRunning))
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -58,6 +58,15 @@
         std::vector<std::pair<TaskName, int>> counted; ///< suspicion added to tasks
     };
 
+    enum class Verdict {
+        Suspect, ///< the start of the run may have crashed the server; the only verdict that counts
+        Neighbour, ///< other runs are suspect
+        MassRestart, ///< many servers restarted at about the same time
+        UnreliableServer, ///< the server also crashed without a run of the job
+    };
+
+    Verdict verdictOn(const BackendServer& server, const ExposedRun& run) const;
+    static const char* verdictName(Verdict verdict);
     /// True when so many other servers restarted lately that the cause must be outside of the job.
     bool isMassRestart(const std::string& jobId) const;
     /// True when the server has lately crashed while the job had no run there.
