Configuration: daemons that the store rejects get it from another daemon's memory

Hosts that the store turns away pass their calls through another daemon, which forwarded them: the response could begin only when the whole document (0.76 s at 10 Mbit/s) had crossed the relay's link, later than the 600 ms until the first byte, so such hosts never got a large configuration (0 bytes received, over and over), and each try crossed the relay's link twice. ConfigurationRelay answers relayed reads and watches of the document from the version in force. Ruled out: longer time-outs alone, as they leave twice the traffic on the slow links.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -88,6 +88,7 @@
           this->settings.node)
     , configuration(this->effects, { Platform::Wire::operatorTable, "", Platform::Wire::configurationKey },
           Platform::decodeConfiguration, steadyNow)
+    , configurationRelay({ Platform::Wire::operatorTable, "", Platform::Wire::configurationKey })
     , intake(this->effects, steadyNow, [this]() { return this->storeRoute.isFailing(steadyNow()); })
     , scheduler(schedulerOptions(this->settings, this->peers.own().incarnation), Platform::decodeServerEntry, steadyNow,
           this->storeClock)
@@ -119,9 +120,7 @@
           })
     , relay(this->loop, { .address = this->settings.relay.address, .port = this->settings.relay.port },
           [this](Adapters::HttpExchangeId exchange, Adapters::HttpRequest request) {
-              this->store.forward(std::move(request), [this, exchange](Adapters::HttpResponse response) {
-                  this->relay.respond(exchange, std::move(response));
-              });
+              this->answerRelayed(exchange, std::move(request));
           })
     , operatorApi(this->loop, this->settings.metrics.address, this->settings.metrics.port, this->scheduler,
           { .jobs = this->callerHandlers(),
@@ -131,6 +130,7 @@
     this->configuration.onApplied([this](const std::shared_ptr<const Scheduling::FleetConfiguration>& inForce) {
         this->intake.setConfiguration(inForce);
         this->scheduler.setConfiguration(inForce);
+        this->configurationRelay.setRow(this->configuration.row());
         this->nextHeartbeat = SteadyTime(); // daemons that the store rejects learn of the version at once
     });
     Utils::logStructured(Event::DaemonStarted,
@@ -179,6 +179,7 @@
     const SteadyTime now = steadyNow();
     this->peers.tick(now);
     this->configuration.tick(now);
+    this->configurationRelay.tick(now);
     this->scheduler.tick(now, this->agreedWallTime(now));
     if (now >= this->nextHeartbeat)
         this->sendHeartbeats(now);
@@ -379,6 +380,26 @@
     return !this->stopping && this->configuration.inForce() && this->storeRoute.isReachable(now);
 }
 
+void FleetDaemon::answerRelayed(Adapters::HttpExchangeId exchange, Adapters::HttpRequest request)
+{
+    const auto answerPage = [this, exchange](const Scheduling::RowPage& page) {
+        this->relay.respond(exchange, { .body = Platform::encodePage(page) });
+    };
+    if (const auto range = Platform::decodeReadRequest(request)) {
+        if (const auto page = this->configurationRelay.read(*range)) {
+            answerPage(*page);
+            return;
+        }
+    }
+    const auto watch = Platform::decodeWatchRequest(request);
+    if (watch && this->configurationRelay.watches(watch->table)) {
+        this->configurationRelay.watch(watch->after, steadyNow() + watch->wait, answerPage);
+        return;
+    }
+    this->store.forward(std::move(request),
+        [this, exchange](Adapters::HttpResponse response) { this->relay.respond(exchange, std::move(response)); });
+}
+
 void FleetDaemon::answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request)
 {
     const bool isReadinessPath = request.path == Platform::Wire::readyPath;
--- a/src/app/fleetdaemon.h
+++ b/src/app/fleetdaemon.h
@@ -13,6 +13,7 @@
 #include "platform/serviceclient.h"
 #include "platform/storeclient.h"
 #include "scheduling/configurationfollower.h"
+#include "scheduling/configurationrelay.h"
 #include "scheduling/intake.h"
 #include "scheduling/peers.h"
 #include "scheduling/scheduler.h"
@@ -45,6 +46,8 @@
     Scheduling::PeerHeartbeat ownHeartbeat(SteadyTime now);
     void heartbeatReceived(const std::string& bytes);
     void answerPending(const Scheduling::CallerContext& context, const Scheduling::AnswerCallback& answer);
+    /// Answers another daemon's call to the store, from memory where possible.
+    void answerRelayed(Adapters::HttpExchangeId exchange, Adapters::HttpRequest request);
     void answerReadiness(Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request);
     /// Handlers of job calls, shared by the two HTTP interfaces.
     Scheduling::CallerHandlers callerHandlers();
@@ -72,6 +75,7 @@
     Scheduling::PeerDirectory peers;
     Scheduling::StoreRoute storeRoute;
     Scheduling::ConfigurationFollower configuration;
+    Scheduling::ConfigurationRelay configurationRelay;
     Scheduling::Intake intake;
     Scheduling::Scheduler scheduler;
     Platform::StoreClient store;
--- a/src/libs/scheduling/configurationfollower.cpp
+++ b/src/libs/scheduling/configurationfollower.cpp
@@ -143,6 +143,7 @@
     if (this->peerHint && this->peerHint->version <= configured.version)
         this->peerHint.reset();
     this->configuration = std::make_shared<const FleetConfiguration>(std::move(configured));
+    this->rowInForce = row;
     this->applied(this->configuration);
 }
 
--- a/src/libs/scheduling/configurationfollower.h
+++ b/src/libs/scheduling/configurationfollower.h
@@ -47,6 +47,9 @@
 
     const std::shared_ptr<const FleetConfiguration>& inForce() const { return this->configuration; }
 
+    /// The document of the configuration in force. Precondition: one is in force.
+    const Row& row() const { return this->rowInForce; }
+
 private:
     /// A read or watch in progress.
     struct Transfer {
@@ -76,6 +79,7 @@
     std::function<SteadyTime()> clock;
     std::function<void(std::shared_ptr<const FleetConfiguration>)> applied;
     std::shared_ptr<const FleetConfiguration> configuration;
+    Row rowInForce;
     std::string lastUnreadable; ///< the last document that could not be decoded; it is logged once
     RowVersion position = 0;
     bool readOpen = false;
--- /dev/null
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -0,0 +1,104 @@
+// The store's client against a server that answers as another daemon does for it.
+
+#include "adapters/httpserver.h"
+#include "platform/storeclient.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint16_t relayPort = 18452;
+constexpr int maximumLoopRounds = 2000; ///< iterations of the event loop, far more than a response on loopback takes
+
+struct RelayFixture {
+    Adapters::EventLoop loop;
+    std::optional<Scheduling::RowRange> range;
+    std::optional<Platform::WatchRequest> watch;
+    Scheduling::RowPage page;
+    Adapters::HttpServer relay { this->loop, { .address = "127.0.0.1", .port = relayPort },
+        [this](Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request) {
+            this->range = Platform::decodeReadRequest(request);
+            this->watch = Platform::decodeWatchRequest(request);
+            this->relay.respond(exchange, { .body = Platform::encodePage(this->page) });
+        } };
+    Scheduling::StoreClock clock;
+    Platform::StoreClient client { this->loop,
+        { .choose
+            = []() { return Scheduling::StoreEndpoint { .relay = "peer", .address = "127.0.0.1", .port = relayPort }; },
+            .report = [](const Scheduling::StoreEndpoint&, bool) {},
+            .direct = {} },
+        this->clock };
+
+    void runUntil(const bool& done)
+    {
+        for (int round = 0; round < maximumLoopRounds && !done; ++round)
+            this->loop.runOnce();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a read that another daemon answers keeps its range, its rows and its version")
+{
+    const Scheduling::RowKey key { "op", "", "config" };
+    const std::string value(1'000'000, '\xfe');
+    RelayFixture fixture;
+    fixture.page = { .rows = { { .key = key, .value = value, .version = 41 } }, .version = 41 };
+    bool done = false;
+    std::optional<Scheduling::RowPage> read;
+    fixture.client.read(
+        { .range = Scheduling::singleRow(key), .timeout = 2s, .done = [&](const Scheduling::ReadResult& result) {
+             done = true;
+             if (const auto* page = std::get_if<Scheduling::RowPage>(&result))
+                 read = *page;
+         } });
+    fixture.runUntil(done);
+    REQUIRE(read);
+    CHECK(read->version == 41);
+    REQUIRE(read->rows.size() == 1);
+    CHECK(read->rows.front().key == key);
+    CHECK(read->rows.front().version == 41);
+    CHECK(read->rows.front().value == value);
+    REQUIRE(fixture.range);
+    CHECK(fixture.range->from == Scheduling::singleRow(key).from);
+    CHECK(fixture.range->to == Scheduling::singleRow(key).to);
+    CHECK_FALSE(fixture.watch);
+}
+
+TEST_CASE("a watch that another daemon answers keeps its table, its position and its wait")
+{
+    RelayFixture fixture;
+    fixture.page = { .version = 17 };
+    bool done = false;
+    std::optional<Scheduling::RowPage> answer;
+    fixture.client.watch(
+        { .table = "op", .after = 17, .wait = 900ms, .done = [&](const Scheduling::WatchResult& result) {
+             done = true;
+             if (const auto* page = std::get_if<Scheduling::RowPage>(&result))
+                 answer = *page;
+         } });
+    fixture.runUntil(done);
+    REQUIRE(answer);
+    CHECK(answer->rows.empty());
+    CHECK(answer->version == 17);
+    REQUIRE(fixture.watch);
+    CHECK(fixture.watch->table == "op");
+    CHECK(fixture.watch->after == 17);
+    CHECK(fixture.watch->wait == Scheduling::Duration(900));
+    CHECK_FALSE(fixture.range);
+}
+
+TEST_CASE("malformed watches of another daemon are not decoded")
+{
+    for (const char* after : { "", "x", "-1", "1x", "99999999999999999999999" }) {
+        Adapters::HttpRequest request { .method = "GET", .path = "/-/rows-feed" };
+        request.query = { { "Table", "op" }, { "After", after }, { "WaitMs", "100" } };
+        CHECK_FALSE(Platform::decodeWatchRequest(request));
+    }
+    Adapters::HttpRequest request { .method = "GET", .path = "/-/rows-feed" };
+    request.query = { { "Table", "op" }, { "After", "1" }, { "WaitMs", "30001" } };
+    CHECK_FALSE(Platform::decodeWatchRequest(request));
+}
