Store calls are relayed through the hosts with the most processor first

Heartbeats carry the host's processor share (protocol 5), and among equal hosts the spread stays as it was. Before: 'calls are relayed through small hosts only when no large one reaches the store' failed.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -314,7 +314,8 @@
         .storeReachable = this->storeRoute.isDirect() && this->storeRoute.isReachable(now),
         .wallOffset = this->wallOffset(now).count(),
         .pending = scheduling ? this->scheduler.summary().pending : std::map<std::string, std::int64_t> {},
-        .successes = this->scheduler.successesToReport(now) };
+        .successes = this->scheduler.successesToReport(now),
+        .processorShare = this->settings.processorShare };
 }
 
 void FleetDaemon::sendHeartbeats(SteadyTime now)
--- a/src/libs/scheduling/peers.cpp
+++ b/src/libs/scheduling/peers.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::uint32_t protocolVersion = 4;
+constexpr std::uint32_t protocolVersion = 5;
 constexpr std::size_t maximumHeartbeatBytes = 60'000; ///< fits into one datagram
 constexpr Duration storeTimeout { 700 };
 constexpr Duration firstReadInterval { 1000 };
--- a/src/libs/scheduling/peers.h
+++ b/src/libs/scheduling/peers.h
@@ -30,12 +30,13 @@
     std::int64_t wallOffset = 0; ///< wall-clock time minus the store's time, ms
     std::map<std::string, std::int64_t> pending; ///< from the leader: jobs without a started task, by queue
     std::vector<ReportedSuccess> successes; ///< from a former leader: successful runs that it could not store
+    double processorShare = 0; ///< cores of the sender's host
 
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(this->node, this->zone, this->address, this->heartbeatPort, this->relayPort, this->incarnation,
             this->configurationVersion, this->term, this->leading, this->scheduling, this->leaving,
-            this->storeReachable, this->wallOffset, this->pending, this->successes);
+            this->storeReachable, this->wallOffset, this->pending, this->successes, this->processorShare);
     }
 };
 
--- a/src/libs/scheduling/storeroute.cpp
+++ b/src/libs/scheduling/storeroute.cpp
@@ -30,7 +30,9 @@
             break;
         }
         const std::uint64_t weight = Utils::rendezvousWeight(this->node, peer->heartbeat.node);
-        if (!chosen || weight > chosenWeight) {
+        const double share = peer->heartbeat.processorShare;
+        const double chosenShare = chosen ? chosen->heartbeat.processorShare : 0;
+        if (!chosen || share > chosenShare || (share == chosenShare && weight > chosenWeight)) {
             chosen = peer;
             chosenWeight = weight;
         }
--- a/tests/auto/scheduling/tst_peers.cpp
+++ b/tests/auto/scheduling/tst_peers.cpp
@@ -100,6 +100,31 @@
     CHECK(relays.size() >= 3);
 }
 
+TEST_CASE("calls are relayed through small hosts only when no large one reaches the store")
+{
+    RouteBench bench;
+    for (const char* node : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+        PeerHeartbeat heartbeat = makeHeartbeat(node, true);
+        heartbeat.processorShare = *node == 'd' || *node == 'f' ? 0.5 : 0.12;
+        bench.peers.handleHeartbeat(heartbeat, bench.now);
+    }
+    const StoreEndpoint direct = bench.route.choose(bench.peers, bench.now);
+    bench.route.report(direct, false, bench.now);
+    bench.route.report(direct, false, bench.now);
+    const StoreEndpoint first = bench.route.choose(bench.peers, bench.now);
+    CHECK((first.relay == "d" || first.relay == "f"));
+    bench.route.report(first, false, bench.now);
+    const StoreEndpoint second = bench.route.choose(bench.peers, bench.now);
+    CHECK((second.relay == "d" || second.relay == "f"));
+    CHECK(second.relay != first.relay);
+    for (const char* node : { "d", "f" }) {
+        PeerHeartbeat heartbeat = makeHeartbeat(node, false);
+        heartbeat.processorShare = 0.5;
+        bench.peers.handleHeartbeat(heartbeat, bench.now);
+    }
+    CHECK_FALSE(bench.route.choose(bench.peers, bench.now).relay.empty());
+}
+
 TEST_CASE("a relay that fails is replaced by another one")
 {
     RouteBench bench;
