Soak: failures of a gang count by attempt, and two killed servers are a cause to give a job up

Traced: a gang failed in three attempts, each time in another member, which is what the operators call failed (a task, or a gang, has failed MaxAttempts times); the check counted by member. It counts the distinct failed attempts of the gang now, so two are still found. A job under one of whose tasks two servers were killed may be given up since the tasks that crash servers are; one kill is still found. Not a fault of the daemons.

--- a/tests/auto/soak/tst_history.cpp
+++ b/tests/auto/soak/tst_history.cpp
@@ -212,3 +212,44 @@
         checkFinds(history, "cut off a call");
     }
 }
+
+TEST_CASE("a gang has failed when three of its attempts have, whichever members failed")
+{
+    const int attempts = GENERATE(2, 3);
+    History history = soundHistory();
+    history.runs.clear();
+    for (int attempt = 1; attempt <= attempts; ++attempt) {
+        for (int member = 0; member < 3; ++member)
+            history.runs.push_back({ .server = "i-" + std::to_string(member),
+                .task = std::string(job) + ".0.0." + std::to_string(member),
+                .attempt = attempt,
+                .started = at(1000 * attempt),
+                .ended = at(1000 * attempt + 500),
+                .outcome = member == attempt % 3 ? "failed" : "broken",
+                .acknowledged = true });
+    }
+    history.jobs[job] = { .steps = { { .tasks = 3, .gang = true } },
+        .calls = { submitted(200), shown("running", at(1500)), shown("failed", at(4000)) } };
+    if (attempts == 3)
+        CHECK(findViolations(history).empty());
+    else
+        checkFinds(history, "failed without cause");
+}
+
+TEST_CASE("a job may be given up when two servers were killed under one of its tasks, and not sooner")
+{
+    const int kills = GENERATE(1, 2);
+    History history = soundHistory();
+    history.runs.clear();
+    for (int attempt = 1; attempt <= kills; ++attempt)
+        history.runs.push_back({ .server = "i-1",
+            .task = firstTask,
+            .attempt = attempt,
+            .started = at(1000 * attempt),
+            .ended = at(1000 * attempt + 20) });
+    history.jobs[job].calls = { submitted(200), shown("running", at(1500)), shown("failed", at(4000)) };
+    if (kills == 2)
+        CHECK(findViolations(history).empty());
+    else
+        checkFinds(history, "failed without cause");
+}
