--- a/src/libs/scheduling/storeroute.h
+++ b/src/libs/scheduling/storeroute.h
@@ -26,7 +26,8 @@
     {
     }
 
-    /// The endpoint for the next call. Hosts with the most processor relay first, as their links are faster too. Calls do not test whether a failing direct route works again: see probeIsDue().
+    /// The endpoint for the next call. Hosts with the most processor relay first, as their links are faster too. Calls
+    /// do not test whether a failing direct route works again: see probeIsDue().
     StoreEndpoint choose(const PeerDirectory& peers, SteadyTime now);
 
     /// True when calls are relayed and the direct route is due for a probe, a call that no client waits for. Returns
