Configuration: a document that only other daemons can read is not requested again and again

Found by reading the change once more: each heartbeat of a daemon with a newer version in force led to a read, also when the document could not be decoded here, as during an upgrade. Now the version that was read without success is noted, and only a newer one leads to a read.

--- a/src/libs/scheduling/configurationfollower.cpp
+++ b/src/libs/scheduling/configurationfollower.cpp
@@ -34,7 +34,7 @@
 
 void ConfigurationFollower::handlePeerVersion(std::int64_t version, SteadyTime now)
 {
-    if (this->configuration && version <= this->configuration->version)
+    if ((this->configuration && version <= this->configuration->version) || version <= this->unreadableVersion)
         return;
     if (!this->peerHint || version > this->peerHint->version)
         this->peerHint = PeerHint { .version = version, .receivedAt = now };
@@ -60,10 +60,13 @@
         return;
     }
     this->readNeeded = page->rows.empty();
-    if (this->peerHint && this->peerHint->receivedAt <= transfer.startedAt)
-        this->peerHint.reset();
     this->position = std::max(this->position, page->version);
     this->applyNewest(page->rows, transfer);
+    if (!this->peerHint || this->peerHint->receivedAt > transfer.startedAt)
+        return;
+    if (!page->rows.empty() && page->rows.back().value == this->lastUnreadable)
+        this->unreadableVersion = this->peerHint->version;
+    this->peerHint.reset();
 }
 
 void ConfigurationFollower::watch(SteadyTime now)
--- a/src/libs/scheduling/configurationfollower.h
+++ b/src/libs/scheduling/configurationfollower.h
@@ -80,6 +80,7 @@
     std::function<void(std::shared_ptr<const FleetConfiguration>)> applied;
     std::shared_ptr<const FleetConfiguration> configuration;
     Row rowInForce;
+    std::int64_t unreadableVersion = 0; ///< newest version of other daemons that this one could not decode
     std::string lastUnreadable; ///< the last document that could not be decoded; it is logged once
     RowVersion position = 0;
     bool readOpen = false;
--- a/tests/auto/scheduling/tst_configurationfollower.cpp
+++ b/tests/auto/scheduling/tst_configurationfollower.cpp
@@ -31,17 +31,21 @@
             [this](const auto& configuration) { this->applied.push_back(configuration->version); });
     }
 
-    void settle()
+    /// Returns the number of reads.
+    int settle()
     {
+        int reads = 0;
         this->follower.tick(this->now);
         while (!this->effects.empty()) {
             Effect effect = this->effects.pop();
-            if (const auto* read = std::get_if<ReadCall>(&effect))
+            if (const auto* read = std::get_if<ReadCall>(&effect)) {
+                ++reads;
                 read->done(this->store.read(read->range));
-            else if (auto* watch = std::get_if<WatchCall>(&effect))
+            } else if (auto* watch = std::get_if<WatchCall>(&effect))
                 this->watches.push_back(std::move(*watch));
         }
         this->now += 200ms;
+        return reads;
     }
 
     void answerWatches()
@@ -105,3 +109,22 @@
     bench.settle();
     CHECK(bench.follower.inForce()->version == 6);
 }
+
+TEST_CASE("a document that only other daemons can read is not requested again and again")
+{
+    FollowerBench bench;
+    bench.store.put(document, "4");
+    bench.settle();
+    bench.store.put(document, "a newer format");
+    int reads = 0;
+    for (int heartbeat = 0; heartbeat < 40; ++heartbeat) {
+        bench.follower.handlePeerVersion(9, bench.now);
+        reads += bench.settle();
+    }
+    CHECK(reads <= 2);
+    bench.store.put(document, "10");
+    bench.follower.handlePeerVersion(10, bench.now);
+    bench.now += 200ms;
+    bench.settle();
+    CHECK(bench.follower.inForce()->version == 10);
+}
