--- a/src/app/fleetdaemon.h
+++ b/src/app/fleetdaemon.h
@@ -76,6 +76,7 @@
     Scheduling::StoreRoute storeRoute;
     Scheduling::ConfigurationFollower configuration;
     Scheduling::ConfigurationRelay configurationRelay;
+    std::pair<Scheduling::RowVersion, std::string> encodedPage; ///< newest page of configurationRelay, by version
     Scheduling::Intake intake;
     Scheduling::Scheduler scheduler;
     Platform::StoreClient store;
