Lost runs are judged whenever their server answers, and a replaced server must be silent

Now each answer settles it, and planned leaves are not remembered. - A new entry on the machine of a known server ended the runs of that server although it was live; an entry of another writer made a task run twice. The server is asked first.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -80,7 +80,7 @@
     int failures = 0; ///< number of runs that failed by themselves; a gang counts in its first task
     int crashes = 0; ///< number of server crashes under a run of the task
     int suspicion = 0; ///< that the task's start causes the crashes; CrashController weighs them
-    std::optional<LostRun> lostRun; ///< of the last run, until its server answers again
+    std::vector<LostRun> lostRuns; ///< oldest first; each until its server answers again
     int stalls = 0; ///< number of runs stopped for lack of progress; a gang counts in its first task
     std::string checkpoint; ///< newest known checkpoint; a gang keeps it in its first task
     std::optional<Run> run; ///< current run; set while the phase is Running
@@ -150,6 +150,7 @@
     std::string machine; ///< the machine that the server runs on; a new server joins after its upkeep
     bool evacuating = false; ///< the server's machine is due for upkeep
     bool present = false; ///< the server's entry is in the store
+    bool replaced = false; ///< another server has registered on the machine; this one is over unless it still answers
     bool draining = false;
     SteadyTime drainUntil {}; ///< earliest time at which a draining server leaves
 
@@ -160,6 +161,7 @@
     std::int64_t lastStoredEnd = 0; ///< the state after the end records up to this number is stored
     std::int64_t lastDiscardedEnd = 0; ///< the server has confirmed that it discarded end records up to this number
     bool pollOpen = false; ///< a poll awaits its answer
+    bool pollMayWait = false; ///< the open poll is answered at the next end of a run or after its wait
     std::uint64_t pollSerial = 0; ///< number of the newest poll; answers to older ones are ignored
     SteadyTime nextPollAt {};
     bool pollSoon = false; ///< the server shall answer the next poll at once instead of waiting for an end
--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/crashcontroller.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace WisteriaHill::Scheduling {
 
@@ -29,6 +30,10 @@
 constexpr std::size_t massRestartServers = 5;
 constexpr std::size_t massRestartPercent = 10; ///< of the servers, if that is more
 constexpr Duration unreliablePeriod { 60'000 };
+/// A task with so many crashes and possible crashes is not started again until a server that it was lost with answers,
+/// or for this long.
+constexpr std::size_t maximumPossibleCrashes = 4;
+constexpr Duration verdictWait { 30'000 };
 
 /// The server died at the latest at the first start that it did not answer. So this one is suspect and, more so, the
 /// newest starts that it did answer. Later starts met a dead server.
@@ -70,6 +75,7 @@
 
 void CrashController::begin()
 {
+    this->restartsByServer.clear();
     this->restarts.clear();
     this->lost.clear();
     for (const auto& [id, job] : this->board.jobs) {
@@ -77,8 +83,8 @@
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const std::vector<Task>& tasks = occurrence.steps[step].tasks;
                 for (std::size_t position = 0; position < tasks.size(); ++position) {
-                    if (const auto& run = tasks[position].lostRun)
-                        this->lost[run->server].insert(
+                    for (const LostRun& run : tasks[position].lostRuns)
+                        this->lost[run.server].insert(
                             { id, index, static_cast<int>(step), static_cast<int>(position) });
                 }
             }
@@ -109,61 +115,108 @@
     return exposed;
 }
 
-void CrashController::rememberLost(const BackendServer& server)
+void CrashController::rememberLost(const BackendServer& server, SteadyTime now)
 {
     constexpr std::int64_t none = 0;
     for (const ExposedRun& run : this->exposedRuns(server, none, server.clockReadAt)) {
-        this->board.findTask(run.name)->lostRun
-            = LostRun { .server = server.address.id, .incarnation = run.incarnation, .suspicion = run.suspicion };
+        Task& task = *this->board.findTask(run.name);
+        task.lostRuns.push_back(
+            { .server = server.address.id, .incarnation = run.incarnation, .suspicion = run.suspicion });
         this->lost[server.address.id].insert(run.name);
         this->tracker.markDirty(run.name);
+        const auto possible = static_cast<std::size_t>(
+            std::ranges::count_if(task.lostRuns, [](const LostRun& lostRun) { return lostRun.suspicion > 0; }));
+        if (static_cast<std::size_t>(task.crashes) + possible >= maximumPossibleCrashes)
+            this->board.findStep(run.name)->heldUntil = now + verdictWait;
     }
 }
 
 void CrashController::judgeLost(const BackendServer& server, std::int64_t incarnation, SteadyTime now)
 {
-    auto waiting = this->lost.extract(server.address.id);
+    const auto waiting = this->lost.extract(server.address.id);
     if (waiting.empty())
         return;
     std::vector<ExposedRun> crashed;
     for (const TaskName& name : waiting.mapped()) {
         Task* task = this->board.findTask(name);
-        if (!task || !task->lostRun || task->lostRun->server != server.address.id)
-            continue;
-        const LostRun run = *std::exchange(task->lostRun, std::nullopt);
+        if (!task)
+            continue; // its job was removed
+        std::erase_if(task->lostRuns, [&](const LostRun& run) {
+            if (run.server != server.address.id)
+                return false;
+            if (run.incarnation != incarnation)
+                crashed.push_back({ .name = name,
+                    .attempt = task->attempts,
+                    .incarnation = run.incarnation,
+                    .suspicion = run.suspicion });
+            return true;
+        });
         this->tracker.markDirty(name);
-        if (run.incarnation != incarnation)
-            crashed.push_back({ .name = name,
-                .attempt = task->attempts,
-                .incarnation = run.incarnation,
-                .suspicion = run.suspicion });
+        this->board.findStep(name)->heldUntil = now;
     }
     if (!crashed.empty())
         this->handleRestart(server, crashed, now);
 }
 
-void CrashController::handleRestart(const BackendServer& server, const std::vector<ExposedRun>& runs, SteadyTime now)
+void CrashController::forgetJob(const Job& job)
+{
+    for (const auto& [index, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<Task>& tasks = occurrence.steps[step].tasks;
+            for (std::size_t position = 0; position < tasks.size(); ++position) {
+                for (const LostRun& run : tasks[position].lostRuns) {
+                    const auto found = this->lost.find(run.server);
+                    if (found == this->lost.end())
+                        continue;
+                    found->second.erase({ job.record.id, index, static_cast<int>(step), static_cast<int>(position) });
+                    if (found->second.empty())
+                        this->lost.erase(found);
+                }
+            }
+        }
+    }
+}
+
+void CrashController::addRestart(Restart restart)
 {
-    while (!this->restarts.empty() && now - this->restarts.front().at > unreliablePeriod)
+    while (!this->restarts.empty() && restart.at - this->restarts.front().at > unreliablePeriod) {
+        const auto oldest = this->restartsByServer.find(this->restarts.front().server);
+        oldest->second.pop_front();
+        if (oldest->second.empty())
+            this->restartsByServer.erase(oldest);
         this->restarts.pop_front();
+    }
+    this->restarts.push_back(std::move(restart));
+    this->restartsByServer[this->restarts.back().server].push_back(&this->restarts.back());
+}
+
+void CrashController::handleRestart(const BackendServer& server, const std::vector<ExposedRun>& runs, SteadyTime now)
+{
     Restart restart { .server = server.address.id, .at = now };
     for (const ExposedRun& run : runs)
         restart.jobs.insert(run.name.jobId);
     for (const ExposedRun& run : runs)
         this->countCrash(server, run, restart, now);
-    this->restarts.push_back(std::move(restart));
+    this->addRestart(std::move(restart));
     this->clearMassRestarts();
     this->separateSuspects(runs, now);
 }
 
 void CrashController::clearMassRestarts()
 {
-    for (Restart& restart : this->restarts) {
-        if (this->restarts.back().at - restart.at > massRestartPeriod)
-            continue;
-        std::erase_if(restart.counted, [this](const std::pair<TaskName, int>& counted) {
+    const SteadyTime newest = this->restarts.back().at;
+    const auto isRecent = [&](const Restart& restart) { return newest - restart.at <= massRestartPeriod; };
+    const auto recent = std::ranges::find_if(this->restarts, isRecent);
+    if (static_cast<std::size_t>(this->restarts.end() - recent) < this->massRestartLimit())
+        return;
+    std::map<std::string, bool> isMass; // by job
+    for (auto restart = recent; restart != this->restarts.end(); ++restart) {
+        std::erase_if(restart->counted, [&](const std::pair<TaskName, int>& counted) {
             const auto& [name, suspicion] = counted;
-            if (!this->isMassRestart(name.jobId))
+            const auto [job, isNew] = isMass.try_emplace(name.jobId, false);
+            if (isNew)
+                job->second = this->isMassRestart(name.jobId);
+            if (!job->second)
                 return false;
             if (Task* task = this->board.findTask(name)) {
                 task->suspicion = std::max(0, task->suspicion - suspicion);
@@ -174,21 +227,29 @@
     }
 }
 
+std::size_t CrashController::massRestartLimit() const
+{
+    return std::max(massRestartServers, this->board.servers.size() * massRestartPercent / 100);
+}
+
 bool CrashController::isMassRestart(const std::string& jobId) const
 {
-    std::set<std::string> others;
-    const SteadyTime newest = this->restarts.empty() ? SteadyTime() : this->restarts.back().at;
-    for (const Restart& restart : this->restarts) {
-        if (newest - restart.at <= massRestartPeriod && !restart.jobs.contains(jobId))
-            others.insert(restart.server);
+    const std::size_t limit = this->massRestartLimit();
+    std::set<std::string_view> others;
+    for (auto restart = this->restarts.rbegin(); restart != this->restarts.rend(); ++restart) {
+        if (this->restarts.back().at - restart->at > massRestartPeriod || others.size() >= limit)
+            break;
+        if (!restart->jobs.contains(jobId))
+            others.insert(restart->server);
     }
-    return others.size() >= std::max(massRestartServers, this->board.servers.size() * massRestartPercent / 100);
+    return others.size() >= limit;
 }
 
 bool CrashController::isUnreliable(const std::string& server, const std::string& jobId) const
 {
-    return std::ranges::any_of(this->restarts,
-        [&](const Restart& restart) { return restart.server == server && !restart.jobs.contains(jobId); });
+    const auto found = this->restartsByServer.find(server);
+    return found != this->restartsByServer.end()
+        && std::ranges::any_of(found->second, [&](const Restart* restart) { return !restart->jobs.contains(jobId); });
 }
 
 CrashController::Verdict CrashController::verdictOn(const BackendServer& server, const ExposedRun& run) const
@@ -218,8 +279,10 @@
 void CrashController::countCrash(const BackendServer& server, const ExposedRun& run, Restart& restart, SteadyTime now)
 {
     Task* task = this->board.findTask(run.name);
+    if (!task)
+        return;
     Job& job = this->board.jobs.at(run.name.jobId);
-    if (!task || job.ended())
+    if (job.ended())
         return;
     if (run.age >= provenRunTime) {
         task->crashes = 0;
@@ -246,11 +309,11 @@
 {
     std::set<std::string> separated;
     for (const ExposedRun& run : runs) {
-        if (run.suspicion == 0 || this->board.jobs.at(run.name.jobId).ended()
+        Step* step = this->board.findStep(run.name);
+        if (run.suspicion == 0 || !step || this->board.jobs.at(run.name.jobId).ended()
             || !separated.insert(run.name.jobId).second)
             continue;
-        Step* step = this->board.findStep(run.name);
-        if (step && separated.size() > 1)
+        if (separated.size() > 1)
             step->heldUntil = now + suspectInterval * static_cast<std::int64_t>(separated.size() - 1);
     }
 }
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -42,15 +42,19 @@
 
     /// Remembers runs that are lost with a server that stopped answering: whether it crashed shows when it is back.
     /// Call it before the runs are requeued.
-    void rememberLost(const BackendServer& server);
+    void rememberLost(const BackendServer& server, SteadyTime now);
 
     /// Counts a crash under the runs. Call it after lost runs are requeued.
     void handleRestart(const BackendServer& server, const std::vector<ExposedRun>& runs, SteadyTime now);
 
-    /// Decides about remembered runs of a server that answers again under this incarnation.
+    /// Decides about remembered runs of a server that answers under this incarnation; zero when it never will again.
     void judgeLost(const BackendServer& server, std::int64_t incarnation, SteadyTime now);
 
+    /// Forgets the lost runs of a job that is about to be removed.
+    void forgetJob(const Job& job);
+
 private:
+    /// A restart of a server under runs.
     struct Restart {
         std::string server;
         SteadyTime at {};
@@ -67,6 +71,10 @@
 
     Verdict verdictOn(const BackendServer& server, const ExposedRun& run) const;
     static const char* verdictName(Verdict verdict);
+    /// Adds a restart and drops those that no longer matter.
+    void addRestart(Restart restart);
+    /// Number of other servers from which restarts within a short time have a common cause.
+    std::size_t massRestartLimit() const;
     /// True when so many other servers restarted lately that the cause must be outside of the job.
     bool isMassRestart(const std::string& jobId) const;
     /// True when the server has lately crashed while the job had no run there.
@@ -81,6 +89,7 @@
     Effects& effects;
     JobTracker& tracker;
     std::deque<Restart> restarts; ///< oldest first
+    std::map<std::string, std::deque<const Restart*>> restartsByServer; ///< oldest first
     std::map<std::string, std::set<TaskName>> lost; ///< tasks with a LostRun, by its server
 };
 
--- a/src/libs/scheduling/gangstartcontroller.cpp
+++ b/src/libs/scheduling/gangstartcontroller.cpp
@@ -1,7 +1,5 @@
 #include "scheduling/gangstartcontroller.h"
 
-#include <string_view>
-
 namespace WisteriaHill::Scheduling {
 
 using Utils::Event;
@@ -47,7 +45,7 @@
     return progress;
 }
 
-const char* GangStartController::reasonToStop(const Progress& progress, SteadyTime now) const
+std::string_view GangStartController::reasonToStop(const Progress& progress, SteadyTime now) const
 {
     if (progress.withoutRun > 0 && progress.started + progress.unconfirmed > 0)
         return "members of the gang have no runs";
--- a/src/libs/scheduling/gangstartcontroller.h
+++ b/src/libs/scheduling/gangstartcontroller.h
@@ -3,6 +3,8 @@
 
 #include "scheduling/jobtracker.h"
 
+#include <string_view>
+
 namespace WisteriaHill::Scheduling {
 
 struct GangStartOptions {
@@ -39,7 +41,7 @@
 
     Progress progressOf(const Step& gang) const;
     /// Empty when the gang needs no stop.
-    const char* reasonToStop(const Progress& progress, SteadyTime now) const;
+    std::string_view reasonToStop(const Progress& progress, SteadyTime now) const;
     void avoidServersOfMissing(const Step& gang, SteadyTime now);
 
     Board& board;
--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -97,10 +97,10 @@
         json.push_back(task.run->incarnation);
         json.push_back(task.run->checkpoint);
     }
-    if (task.crashes > 0 || task.lostRun) {
+    if (task.crashes > 0 || !task.lostRuns.empty()) {
         Json counts { { "crashes", task.crashes }, { "suspicion", task.suspicion } };
-        if (task.lostRun)
-            counts["lost"] = Json { task.lostRun->server, task.lostRun->incarnation, task.lostRun->suspicion };
+        for (const LostRun& run : task.lostRuns)
+            counts["lost"].push_back({ run.server, run.incarnation, run.suspicion });
         json.push_back(std::move(counts));
     }
     return json;
@@ -110,10 +110,10 @@
 {
     task.crashes = json.at("crashes").get<int>();
     task.suspicion = json.at("suspicion").get<int>();
-    if (const auto lost = json.find("lost"); lost != json.end())
-        task.lostRun = LostRun { .server = lost->at(0).get<std::string>(),
-            .incarnation = lost->at(1).get<std::int64_t>(),
-            .suspicion = lost->at(2).get<int>() };
+    for (const Json& run : json.value("lost", Json::array()))
+        task.lostRuns.push_back({ .server = run.at(0).get<std::string>(),
+            .incarnation = run.at(1).get<std::int64_t>(),
+            .suspicion = run.at(2).get<int>() });
 }
 
 constexpr std::size_t fieldsOfRunningTask = 8;
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -274,7 +274,7 @@
     server.draining = entry->draining;
     server.drainUntil = now + entry->drainRemaining;
     if (isNew && this->loaded && !server.machine.empty())
-        this->monitor.endPredecessor(server, now);
+        this->monitor.noteSuccessor(server, now);
     if (!wasUsable && !server.draining)
         this->nextSchedule = now;
 }
@@ -455,6 +455,7 @@
     }
     for (const std::string& id : old) {
         this->writer.removeJob(this->board.jobs.at(id));
+        this->crashes.forgetJob(this->board.jobs.at(id));
         this->tracker.removeJob(id);
     }
 }
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -37,6 +37,9 @@
     return !server.fenced || !server.occupants.empty() || server.lastProcessedEnd > server.lastDiscardedEnd;
 }
 
+/// True when the server is about to leave, or was taken down for upkeep, so that its end is no crash.
+bool leavesAsPlanned(const BackendServer& server) { return server.draining || server.evacuating; }
+
 /// True when a poll sent at `sentAt` would list the run if it still existed on the server.
 bool mustHaveEnded(const Run& run, SteadyTime sentAt, Duration stopTime)
 {
@@ -140,8 +143,8 @@
 
 void ServerMonitor::markRunsLost(BackendServer& server, RunLoss loss, SteadyTime now)
 {
-    if (loss == RunLoss::ServerGone)
-        this->crashes.rememberLost(server);
+    if (loss == RunLoss::ServerGone && !leavesAsPlanned(server))
+        this->crashes.rememberLost(server, now);
     const std::map<TaskName, Resources> occupants = std::exchange(server.occupants, {});
     for (const auto& [name, need] : occupants) {
         const Task* task = this->board.findTask(name);
@@ -151,23 +154,32 @@
     this->changed = true;
 }
 
-void ServerMonitor::endPredecessor(const BackendServer& successor, SteadyTime now)
+void ServerMonitor::noteSuccessor(const BackendServer& successor, SteadyTime now)
 {
     for (auto& [id, server] : this->board.servers) {
         if (server.machine != successor.machine || id == successor.address.id)
             continue;
-        // A drained server and one that was taken down for upkeep have not crashed.
-        const bool planned = server.draining || server.evacuating;
-        std::vector<ExposedRun> exposed
-            = planned ? std::vector<ExposedRun>() : this->crashes.exposedRuns(server, 0, server.clockReadAt);
-        this->markRunsLost(server, RunLoss::ServerRestarted, now);
-        server.present = false;
-        if (!exposed.empty())
-            this->crashes.handleRestart(server, exposed, now);
-        this->crashes.judgeLost(server, successor.incarnation, now);
+        server.replaced = true;
+        if (server.unansweredPolls > 0)
+            this->endReplaced(server, now);
+        else
+            this->pollAtOnce(id, now);
     }
 }
 
+void ServerMonitor::endReplaced(BackendServer& server, SteadyTime now)
+{
+    constexpr std::int64_t none = 0;
+    std::vector<ExposedRun> exposed;
+    if (!leavesAsPlanned(server))
+        exposed = this->crashes.exposedRuns(server, none, server.clockReadAt);
+    this->markRunsLost(server, RunLoss::ServerRestarted, now);
+    server.present = false;
+    if (!exposed.empty())
+        this->crashes.handleRestart(server, exposed, now);
+    this->crashes.judgeLost(server, none, now);
+}
+
 void ServerMonitor::poll(BackendServer& server, SteadyTime now)
 {
     const bool acknowledgementDue = server.lastStoredEnd > server.lastDiscardedEnd;
@@ -185,6 +197,7 @@
         this->extendLease(server, now);
     }
     server.pollOpen = true;
+    server.pollMayWait = order.wait.count() > 0;
     server.pollSoon = false;
     const std::uint64_t serial = ++server.pollSerial;
     this->effects.push(ServerCall { .server = server.address,
@@ -223,6 +236,8 @@
     server.nextPollAt = now + failedPollPause;
     server.pollSoon = true;
     this->changed = true;
+    if (server.replaced)
+        this->endReplaced(server, now);
 }
 
 void ServerMonitor::processPollAnswer(
@@ -236,6 +251,7 @@
         this->changed = true;
     server.unansweredPolls = 0;
     server.fenced = true;
+    server.replaced = false;
     const SteadyTime lastAnswer = std::exchange(server.clockReadAt, now);
     const bool afterGap = now - lastAnswer > longestAnswerInterval;
     server.clock = answer.clock;
@@ -243,6 +259,7 @@
         this->handleRestart(server, answer, poll.sentAt, lastAnswer, now);
     else
         server.lastDiscardedEnd = std::max(server.lastDiscardedEnd, poll.acknowledged);
+    this->crashes.judgeLost(server, server.incarnation, now);
     for (const EndedRun& ended : answer.ended) {
         if (ended.number <= server.lastProcessedEnd)
             continue;
@@ -295,7 +312,6 @@
         server.avoidUntil = std::max(server.avoidUntil, now + restartAvoidancePeriod);
     if (!exposed.empty())
         this->crashes.handleRestart(server, exposed, now);
-    this->crashes.judgeLost(server, server.incarnation, now);
     this->changed = true;
 }
 
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -42,9 +42,9 @@
     /// incarnation has changed.
     void acknowledgeEnds(const std::string& id, std::int64_t number, std::int64_t incarnation, SteadyTime now);
 
-    /// Ends the runs of an earlier server on the same machine, which is over once its successor has registered. Does
-    /// nothing when no earlier server is known.
-    void endPredecessor(const BackendServer& successor, SteadyTime now);
+    /// Ends the runs of an earlier server on the same machine, unless that server still answers: a server is one life
+    /// of its machine, but an entry may have another writer.
+    void noteSuccessor(const BackendServer& successor, SteadyTime now);
 
     /// True when new runs may be placed on the server.
     bool isUsable(const BackendServer& server) const;
@@ -88,6 +88,8 @@
     void handleStopResult(const TaskName& name, int attempt, const OrderResult& result);
     void markRunsLost(BackendServer& server, RunLoss loss, SteadyTime now);
     void expireServers(SteadyTime now);
+    /// Ends the runs of a server that does not answer and whose machine has another server now.
+    void endReplaced(BackendServer& server, SteadyTime now);
     ServerTime leaseEndFor(const BackendServer& server, SteadyTime now) const;
     void extendLease(BackendServer& server, SteadyTime now) const;
     /// Returns the server of a run. Marks the run as lost and returns null when the server is no longer known.
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -103,10 +103,10 @@
 void ServerMonitor::pollAtOnce(const std::string& id, SteadyTime now)
 {
     const auto found = this->board.servers.find(id);
-    if (found == this->board.servers.end() || found->second.unansweredPolls > 0)
+    if (found == this->board.servers.end() || found->second.unansweredPolls > 0
+        || (found->second.pollOpen && !found->second.pollMayWait))
         return;
-    // An open poll may wait for an end; its answer is ignored once another poll is sent.
-    found->second.pollOpen = false;
+    found->second.pollOpen = false; // its answer is ignored once another poll is sent
     found->second.pollSoon = true;
     found->second.nextPollAt = std::min(found->second.nextPollAt, now);
 }
