A leader that the store does not confirm renews leases for a bounded time

Cause: a successor gives servers that it cannot reach up one lease after its election, as it takes it for granted that nobody renews leases after that. The former leader, cut off with these servers, renewed them for as long as they answered. Ruled out: orders that are carried out late (leases are absolute); a successor that counts leases too short. Change: renewals and starts end 8 s after the last confirmed transaction, and when the daemon stops; a successor adds this time for servers that have not seen its token, through the leadership row also after further hand-overs, and until the former leader is heard under another incarnation or as a follower. The first answer of a server counts as a renewal. Why this works: no lease can end later than the successor assumes, whatever the former leader knows.

--- a/src/libs/scheduling/leadership.cpp
+++ b/src/libs/scheduling/leadership.cpp
@@ -34,6 +34,19 @@
     this->observedVersion.reset();
 }
 
+void Leadership::handlePeerHeartbeat(
+    const std::string& node, std::uint64_t incarnation, bool leading, FencingToken term, SteadyTime now)
+{
+    if (this->role != LeadershipRole::Leader || node != this->formerNode)
+        return;
+    if (incarnation == this->formerIncarnation && (leading || term < this->row.term))
+        return;
+    this->formerNode.clear();
+    this->formerUntil = std::max(this->earlierUntil, std::min(this->formerUntil, now));
+    this->effects.log(Event::FormerLeaderOver,
+        { { "former", node }, { "term", this->row.term }, { "restarted", incarnation != this->formerIncarnation } });
+}
+
 void Leadership::handleLeaderStepDown(FencingToken term, SteadyTime now)
 {
     if (this->role == LeadershipRole::Leader || term < this->highestTerm)
@@ -100,54 +113,87 @@
         this->observedVersion = read.version;
         this->observedAt = now;
     }
-    const bool ownPredecessor
-        = previous->holder == this->options.node && previous->incarnation != this->options.incarnation;
-    if (previous->holder.empty() || ownPredecessor
-        || now - this->observedAt > this->options.rowTimeout + this->options.stagger)
+    if (!this->mayStillLead(*previous) || now - this->observedAt > this->options.rowTimeout + this->options.stagger)
         this->claim(read.version, *previous);
 }
 
+bool Leadership::mayStillLead(const LeadershipRow& previous) const
+{
+    const bool ownPredecessor
+        = previous.holder == this->options.node && previous.incarnation != this->options.incarnation;
+    return !previous.holder.empty() && !ownPredecessor;
+}
+
+SteadyTime Leadership::toSteadyTime(StoreTime time, SteadyTime now) const
+{
+    return now + (time - this->storeClock.at(now));
+}
+
+LeadershipRow Leadership::nextRow(SteadyTime now) const
+{
+    LeadershipRow next = this->row;
+    ++next.serial;
+    next.formerLeadersUntil = this->storeClock.at(now) + std::chrono::duration_cast<StoreTime>(this->formerUntil - now);
+    return next;
+}
+
 void Leadership::claim(RowVersion expected, const LeadershipRow& previous)
 {
-    const LeadershipRow wanted { .holder = this->options.node,
+    const SteadyTime now = this->clock();
+    LeadershipRow wanted { .holder = this->options.node,
         .incarnation = this->options.incarnation,
         .term = previous.term + 1,
-        .serial = previous.serial + 1 };
+        .serial = previous.serial + 1,
+        .formerLeadersUntil = previous.formerLeadersUntil };
+    if (this->mayStillLead(previous))
+        wanted.formerLeadersUntil
+            = std::max(wanted.formerLeadersUntil, this->storeClock.at(now) + this->options.unconfirmedRenewal);
     this->callOpen = true;
     this->effects.push(CommitCall {
         .transaction = { .expected = { { rowKey(), expected } }, .writes = { { rowKey(), encodeLeadership(wanted) } } },
         .timeout = storeTimeout,
-        .done = [this, wanted, sentAt = this->clock()](
-                    const CommitResult& result) { this->handleClaimResult(wanted, sentAt, result); } });
+        .done = [this, wanted, previous, sentAt = now](
+                    const CommitResult& result) { this->handleClaimResult(wanted, previous, sentAt, result); } });
 }
 
-void Leadership::handleClaimResult(const LeadershipRow& wanted, SteadyTime sentAt, const CommitResult& result)
+void Leadership::handleClaimResult(
+    const LeadershipRow& wanted, const LeadershipRow& previous, SteadyTime sentAt, const CommitResult& result)
 {
     this->callOpen = false;
     const SteadyTime now = this->clock();
     std::optional<RowVersion> written;
+    LeadershipRow claimed = wanted;
     if (const auto* committed = std::get_if<Committed>(&result)) {
         written = committed->version;
     } else if (const auto* conflict = std::get_if<Conflict>(&result)) {
         // An earlier claim whose answer was lost may have succeeded.
         for (const Row& current : conflict->current) {
             const std::optional<LeadershipRow> row = decodeLeadership(current.value);
-            if (row && row->holder == this->options.node && row->incarnation == this->options.incarnation)
+            if (row && row->holder == this->options.node && row->incarnation == this->options.incarnation) {
                 written = current.version;
+                claimed = *row;
+            }
         }
     }
     if (!written || this->role == LeadershipRole::Leader)
         return;
     if (this->withdrawn)
         return;
-    this->row = wanted;
+    this->row = claimed;
     this->version = *written;
     this->confirmedAt = sentAt;
-    this->highestTerm = wanted.term;
+    this->highestTerm = claimed.term;
+    this->formerUntil = this->toSteadyTime(claimed.formerLeadersUntil, now);
+    this->earlierUntil = this->toSteadyTime(previous.formerLeadersUntil, now);
+    this->formerNode = claimed == wanted ? previous.holder : std::string();
+    this->formerIncarnation = previous.incarnation;
     this->role = LeadershipRole::Leader;
     this->leader = this->options.node;
     this->vacant = false;
-    this->effects.log(Event::LeadershipTaken, { { "term", wanted.term }, { "rowVersion", *written } });
+    this->effects.log(Event::LeadershipTaken,
+        { { "term", claimed.term }, { "rowVersion", *written }, { "formerLeader", previous.holder },
+            { "formerRenewsForMs",
+                std::chrono::duration_cast<Duration>(std::max(this->formerUntil, now) - now).count() } });
     this->elected(now);
 }
 
--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -4,6 +4,7 @@
 
 #include "scheduling/effects.h"
 #include "scheduling/rowcodec.h"
+#include "scheduling/storeclock.h"
 
 #include <functional>
 #include <optional>
@@ -18,14 +19,19 @@
     Duration heartbeatTimeout { 600 }; ///< time without a leader heartbeat after which a follower reads the row
     Duration rowTimeout { 900 }; ///< time that the row must stay unchanged before a follower claims it
     Duration stagger { 0 }; ///< added to both time-outs, so that daemons do not claim the row at the same time
+    /// How long a leader without answers of the store renews leases, so that running work outlasts an outage. A
+    /// successor waits for as long before it takes the leases of servers for expired that it has not reached.
+    Duration unconfirmedRenewal { 8000 };
 };
 
 /// Thread safety: none.
 class Leadership {
 public:
-    Leadership(Effects& effects, LeadershipOptions options)
+    /// `storeClock` must outlive this object.
+    Leadership(Effects& effects, LeadershipOptions options, const StoreClock& storeClock)
         : effects(effects)
         , options(std::move(options))
+        , storeClock(storeClock)
     {
     }
 
@@ -37,13 +43,18 @@
     /// Processes a heartbeat of `node`, which leads under `term`. A leader of a lower term steps down.
     void handleLeaderHeartbeat(const std::string& node, FencingToken term, SteadyTime now);
 
+    /// Processes a heartbeat of any daemon: the former leader, under another incarnation or as a follower, no longer
+    /// renews leases.
+    void handlePeerHeartbeat(
+        const std::string& node, std::uint64_t incarnation, bool leading, FencingToken term, SteadyTime now);
+
     /// Processes the notice of a stopping leader; the row may be claimed at once.
     void handleLeaderStepDown(FencingToken term, SteadyTime now);
 
     /// Reads the leadership row when the leader sends no heartbeats or has stopped, and claims the row if it is free.
     void tick(SteadyTime now);
 
-    /// Stops claiming the leadership, for a process that is stopping.
+    /// Stops claiming the leadership and renewing leases, for a process that is stopping.
     void withdraw() { this->withdrawn = true; }
 
     /// Gives up the leader role, because another daemon holds a higher term or the row was lost or released. Does
@@ -55,8 +66,10 @@
     const std::string& leaderNode() const { return this->leader; }
     FencingToken knownTerm() const { return this->highestTerm; }
 
-    /// The row as this leader last wrote it, and its version. Precondition: isLeader().
-    const LeadershipRow& currentRow() const { return this->row; }
+    /// The row for the next transaction of this leader. Precondition: isLeader().
+    LeadershipRow nextRow(SteadyTime now) const;
+
+    /// Version of the row as this leader last wrote it. Precondition: isLeader().
     RowVersion currentVersion() const { return this->version; }
 
     /// Records the row as a transaction of this leader, which was sent at `sentAt`, has written it.
@@ -74,16 +87,30 @@
         return this->isLeader() && now - this->confirmedAt < this->options.rowTimeout;
     }
 
+    /// True while a successor, if there is one, cannot take the leases that this leader renews for expired.
+    bool mayRenewLeases(SteadyTime now) const
+    {
+        return this->isLeader() && !this->withdrawn && now - this->confirmedAt < this->options.unconfirmedRenewal;
+    }
+
+    /// Until then a former leader may renew leases on servers that have not seen this leader's token.
+    SteadyTime formerLeadersUntil() const { return this->formerUntil; }
+
     static RowKey rowKey() { return { StoreTable::leadership, StoreTable::schedulerPartition, "scheduler" }; }
 
 private:
     void readRow(SteadyTime now);
     void handleRow(const ReadResult& result);
     void claim(RowVersion expected, const LeadershipRow& previous);
-    void handleClaimResult(const LeadershipRow& wanted, SteadyTime sentAt, const CommitResult& result);
+    void handleClaimResult(
+        const LeadershipRow& wanted, const LeadershipRow& previous, SteadyTime sentAt, const CommitResult& result);
+    /// True when the row's holder may still take itself for the leader.
+    bool mayStillLead(const LeadershipRow& previous) const;
+    SteadyTime toSteadyTime(StoreTime time, SteadyTime now) const;
 
     Effects& effects;
     LeadershipOptions options;
+    const StoreClock& storeClock;
     std::function<void(SteadyTime)> elected;
     std::function<SteadyTime()> clock;
     LeadershipRole role = LeadershipRole::Follower;
@@ -100,6 +127,10 @@
     LeadershipRow row;
     RowVersion version = 0;
     SteadyTime confirmedAt {}; ///< when the transaction that last wrote the row was sent
+    SteadyTime formerUntil {}; ///< former leaders renew no leases after this time
+    SteadyTime earlierUntil {}; ///< the same for the leaders before the last one
+    std::string formerNode; ///< the last leader while it may renew leases; else empty
+    std::uint64_t formerIncarnation = 0;
 };
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -150,7 +150,8 @@
 std::string encodeLeadership(const LeadershipRow& row)
 {
     return Json {
-        { "holder", row.holder }, { "incarnation", row.incarnation }, { "term", row.term }, { "serial", row.serial }
+        { "holder", row.holder }, { "incarnation", row.incarnation }, { "term", row.term }, { "serial", row.serial },
+        { "formerLeadersUntilMs", row.formerLeadersUntil.count() }
     }.dump();
 }
 
@@ -160,7 +161,8 @@
         return LeadershipRow { .holder = json.at("holder").get<std::string>(),
             .incarnation = json.at("incarnation").get<std::uint64_t>(),
             .term = json.at("term").get<FencingToken>(),
-            .serial = json.at("serial").get<std::uint64_t>() };
+            .serial = json.at("serial").get<std::uint64_t>(),
+            .formerLeadersUntil = StoreTime(json.value("formerLeadersUntilMs", std::int64_t { 0 })) };
     });
 }
 
--- a/src/libs/scheduling/rowcodec.h
+++ b/src/libs/scheduling/rowcodec.h
@@ -14,6 +14,7 @@
     std::uint64_t incarnation = 0; ///< incarnation of the holder's process
     FencingToken term = 0;
     std::uint64_t serial = 0; ///< number of the transaction that wrote the row
+    StoreTime formerLeadersUntil { 0 }; ///< until then a leader that does not know of its successor may renew leases
 
     bool operator==(const LeadershipRow&) const = default;
 };
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -57,7 +57,6 @@
         server.fenced = false;
         server.nextPollAt = now;
         server.pollSoon = true;
-        // The previous leader may have renewed the lease until just now.
         this->extendLease(server, now);
     }
 }
@@ -78,10 +77,22 @@
     return server.clock + std::chrono::duration_cast<ServerTime>(now - server.clockReadAt) + this->options.maximumLease;
 }
 
+Duration ServerMonitor::longestLease() const
+{
+    return this->options.maximumLease * leaseClockPercent / 100 + leaseMargin;
+}
+
 void ServerMonitor::extendLease(BackendServer& server, SteadyTime now) const
 {
-    server.leaseEnd
-        = std::max(server.leaseEnd, now + this->options.maximumLease * leaseClockPercent / 100 + leaseMargin);
+    server.leaseEnd = std::max<SteadyTime>(server.leaseEnd, now + this->longestLease());
+}
+
+bool ServerMonitor::leasesAreOver(const BackendServer& server, SteadyTime now) const
+{
+    // A server that has not seen this leader's token still obeys a former one, which may reach it from a zone that is
+    // cut off.
+    return now > server.leaseEnd
+        && (server.fenced || now > this->leadership.formerLeadersUntil() + this->longestLease());
 }
 
 void ServerMonitor::tick(SteadyTime now)
@@ -120,7 +131,7 @@
     for (auto entry = this->board.servers.begin(); entry != this->board.servers.end();) {
         BackendServer& server = entry->second;
         const bool silent = server.unansweredPolls > 0 || server.address.port == 0;
-        if (silent && now > server.leaseEnd && !server.occupants.empty())
+        if (silent && !server.occupants.empty() && this->leasesAreOver(server, now))
             this->markRunsLost(server, RunLoss::ServerGone, now);
         if (!server.present && server.occupants.empty() && !server.pollOpen && now > server.leaseEnd)
             entry = this->board.servers.erase(entry);
@@ -192,7 +203,9 @@
         || (acknowledgementDue && !sameIncarnation) || !server.fenced || server.occupants.empty();
     order.wait = answerAtOnce ? Duration(0) : this->needsFrequentPolls(server) ? shortPollWait : pollWait;
     // A server that does not answer gets no new lease, so that its runs are certain to be over when the lease expires.
-    if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredPolls == 0) {
+    // A leader that the store has not confirmed for long renews none either: a successor counts on it.
+    if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredPolls == 0
+        && this->leadership.mayRenewLeases(now)) {
         order.leaseEnd = this->leaseEndFor(server, now);
         this->extendLease(server, now);
     }
@@ -250,6 +263,8 @@
     if (server.unansweredPolls > 0 || !server.fenced)
         this->changed = true;
     server.unansweredPolls = 0;
+    if (!server.fenced)
+        this->extendLease(server, now); // a former leader may have renewed the lease until just now
     server.fenced = true;
     server.replaced = false;
     const SteadyTime lastAnswer = std::exchange(server.clockReadAt, now);
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "scheduling/crashcontroller.h"
+#include "scheduling/leadership.h"
 
 #include <functional>
 #include <utility>
@@ -16,12 +17,13 @@
 /// Applies the answers of backend servers to the blackboard. Thread safety: none.
 class ServerMonitor {
 public:
-    ServerMonitor(
-        Board& board, Effects& effects, JobTracker& tracker, CrashController& crashes, ServerMonitorOptions options)
+    ServerMonitor(Board& board, Effects& effects, JobTracker& tracker, CrashController& crashes,
+        const Leadership& leadership, ServerMonitorOptions options)
         : board(board)
         , effects(effects)
         , tracker(tracker)
         , crashes(crashes)
+        , leadership(leadership)
         , options(options)
     {
     }
@@ -92,6 +94,10 @@
     void endReplaced(BackendServer& server, SteadyTime now);
     ServerTime leaseEndFor(const BackendServer& server, SteadyTime now) const;
     void extendLease(BackendServer& server, SteadyTime now) const;
+    /// The longest time from a renewal until the end of the lease, by this daemon's clock.
+    Duration longestLease() const;
+    /// True when the runs of a server that does not answer are over.
+    bool leasesAreOver(const BackendServer& server, SteadyTime now) const;
     /// Returns the server of a run. Marks the run as lost and returns null when the server is no longer known.
     BackendServer* serverOfRun(const TaskName& name, const Run& run, SteadyTime now);
     Run* currentRun(const TaskName& name, int attempt);
@@ -100,6 +106,7 @@
     Effects& effects;
     JobTracker& tracker;
     CrashController& crashes;
+    const Leadership& leadership;
     ServerMonitorOptions options;
     FencingToken token = 0;
     std::function<void(SteadyTime)> fenced;
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -46,8 +46,10 @@
     BackendServer& server = *known;
     Run& run = *task->run;
     const bool lookNeeded = run.startUnanswered && server.clockReadAt <= run.unansweredAt;
-    if (!server.fenced || server.incarnation == 0 || server.unansweredPolls > 0 || lookNeeded) {
-        run.nextOrderAt = now + orderRetryPause; // a poll must show first what runs there
+    // A poll must show first what runs there; and a start grants a lease.
+    if (!server.fenced || server.incarnation == 0 || server.unansweredPolls > 0 || lookNeeded
+        || !this->leadership.mayRenewLeases(now)) {
+        run.nextOrderAt = now + orderRetryPause;
         return;
     }
     if (exceedsCapacity(server, countedNeed(this->board.stepOf(name)))) {
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -149,8 +149,7 @@
         batch.decisions.ends.clear();
     }
     this->collectRunTimes(batch, now);
-    batch.row = this->leadership.currentRow();
-    ++batch.row.serial;
+    batch.row = this->leadership.nextRow(now);
     if (this->releaseCallback)
         batch.row.holder.clear();
     batch.transaction.expected.push_back({ Leadership::rowKey(), this->leadership.currentVersion() });
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -131,6 +131,8 @@
         "This daemon became the leader and schedules from now on.", "None." },
     EventDescription { Event::LeadershipLost, Warning, "LeadershipLost",
         "This daemon is no longer the leader and stopped scheduling.", "See the reason." },
+    EventDescription { Event::FormerLeaderOver, Information, "FormerLeaderOver",
+        "The former leader has restarted or knows its successor; it renews no leases any more.", "None." },
     EventDescription {
         Event::SchedulerLoaded, Information, "SchedulerLoaded", "All rows are read; scheduling begins.", "None." },
     EventDescription { Event::DecisionsUnstored, Warning, "DecisionsUnstored",
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -66,6 +66,7 @@
     LeaderKnown = 810,
     LeadershipTaken = 811,
     LeadershipLost = 812,
+    FormerLeaderOver = 813,
     SchedulerLoaded = 813,
     DecisionsUnstored = 814,
     ConfigurationInForce = 820,
--- a/tests/auto/scheduling/tst_scheduler_handover.cpp
+++ b/tests/auto/scheduling/tst_scheduler_handover.cpp
@@ -25,6 +25,19 @@
     bench.startDaemon(leader);
 }
 
+/// Cuts a leader off from the store, the other daemons and the second rack, and the other daemons from the first rack.
+void cutOffWithFirstRack(SchedulerBench& bench, std::size_t leader, std::size_t daemons)
+{
+    bench.isolate(leader);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        const ServerEntry& entry = bench.server(index).entry;
+        for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+            if ((daemon == leader) != (entry.rack == "rack-0"))
+                bench.cut(daemon, entry.id);
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("a run whose progress takes long to show is not stopped again and again")
@@ -116,6 +129,66 @@
     }
 }
 
+// A former leader renewed the leases of servers that were cut off with it, and its successor started their runs again.
+TEST_CASE("no run that a leader keeps alive behind a cut is started again by its successor")
+{
+    const Duration work = GENERATE(8s, 9s, 11s, 14s, 60s);
+    SchedulerBench bench({});
+    bench.run(2s);
+    for (int job = 0; job < 4; ++job)
+        bench.submit("job-" + std::to_string(job), "ordinary", { makeStep(4, 1, work) });
+    for (int job = 0; job < 4; ++job)
+        REQUIRE(bench.runUntilActive("job-" + std::to_string(job), 4, 1s));
+    cutOffWithFirstRack(bench, bench.leader(), 2);
+    bench.run(20s);
+    CHECK(bench.violations().empty());
+    bench.heal();
+    bench.run(3s);
+    for (int job = 0; job < 4; ++job)
+        CHECK(bench.runUntil("job-" + std::to_string(job), JobState::Completed, work + 3s));
+    CHECK(bench.violations().empty());
+}
+
+// The successor of a successor did not know of the first leader, which still renewed leases behind its cut.
+TEST_CASE("no run that a leader keeps alive behind a cut is started again after two hand-overs")
+{
+    const bool graceful = GENERATE(true, false);
+    SchedulerBench bench({ .daemons = 3 });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(16, 1, 60s) });
+    REQUIRE(bench.runUntilActive("job", 16, 1s));
+    const std::size_t first = bench.leader();
+    cutOffWithFirstRack(bench, first, 3);
+    bench.run(3s);
+    const std::size_t second = bench.successorOf(first);
+    if (graceful)
+        bench.stopDaemon(second);
+    else
+        bench.killDaemon(second);
+    bench.startDaemon(second);
+    bench.run(17s);
+    CHECK(bench.activeTasks("job") == 16);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a former leader that was started again delays no work of servers that are lost")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 4s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    FakeServer& lost = bench.serverRunning("job");
+    lost.alive = false;
+    bench.removeEntry(lost);
+    const std::size_t former = bench.leader();
+    bench.killDaemon(former);
+    bench.run(1500ms);
+    REQUIRE(bench.leader() != former);
+    bench.startDaemon(former);
+    CHECK(bench.runUntil("job", JobState::Completed, 12s)); // a lease, a look at the server and the work
+    CHECK(bench.startsOf("job") == 2);
+}
+
 TEST_CASE("a leader that starts again uses neither a server that left nor one that drains")
 {
     SchedulerBench bench({ .daemons = 1 });
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -88,7 +88,11 @@
     {
         return this->daemons.at(index)->alive && this->daemons.at(index)->scheduler->leadership().isLeader();
     }
+    /// The leader that takes itself for one beside daemon `former`; daemons.size() when there is none.
+    std::size_t successorOf(std::size_t former) const;
     void killDaemon(std::size_t index);
+    /// Lets a daemon release its leadership and ends it.
+    void stopDaemon(std::size_t index);
     void startDaemon(std::size_t index);
     void pauseDaemon(std::size_t index) { this->daemons.at(index)->paused = true; }
     void resumeDaemon(std::size_t index) { this->daemons.at(index)->paused = false; }
@@ -113,6 +117,8 @@
     const std::vector<std::string>& violations() const { return this->recordedViolations; }
 
 private:
+    static constexpr const char* serverTable = "servers"; ///< in the store
+
     struct PendingAnswer {
         Scheduling::SteadyTime at {};
         std::size_t daemon = 0;
--- /dev/null
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -0,0 +1,112 @@
+// The daemons of a SchedulerBench; the rest of it is in schedulerbench.cpp.
+
+#include "support/schedulerbench.h"
+
+#include <utility>
+
+namespace WisteriaHill::TestSupport {
+
+using namespace Scheduling;
+
+namespace {
+
+constexpr Duration heartbeatInterval { 200 };
+constexpr Duration stopBound { 5000 };
+
+} // namespace
+
+void SchedulerBench::startDaemon(std::size_t index)
+{
+    Daemon& daemon = *this->daemons.at(index);
+    daemon.generation = ++this->lastGeneration;
+    daemon.alive = true;
+    daemon.paused = false;
+    SchedulerOptions schedulerOptions { .leadership = { .node = "daemon-" + std::to_string(index),
+                                            .incarnation = daemon.generation,
+                                            .stagger = Duration(20 * static_cast<std::int64_t>(index)) },
+        .servers = { .stopTime = this->options.stopTime },
+        .upkeep = { .waveTable = "waves",
+            .wavePrefix = "wave/",
+            .statusTable = "status",
+            .decodeWave = [this](const Row& row) -> std::optional<UpkeepWave> {
+                return this->requestedWaves.at(std::stoll(row.value));
+            },
+            .encodeStatus = [](bool completed) -> std::string { return completed ? "completed" : "running"; } },
+        .serverTable = serverTable };
+    daemon.scheduler = std::make_unique<Scheduler>(
+        schedulerOptions,
+        [this](const Row& row) -> std::optional<ServerEntry> {
+            const FakeServer* found = this->findServer(row.key.key);
+            if (!found || row.value.empty())
+                return std::nullopt;
+            ServerEntry entry = found->entry;
+            entry.draining = row.value == "draining";
+            return entry;
+        },
+        [this]() { return this->time; }, this->storeClock);
+    daemon.scheduler->setConfiguration(this->configuration);
+}
+
+void SchedulerBench::stopDaemon(std::size_t index)
+{
+    bool released = false;
+    this->daemons.at(index)->scheduler->releaseLeadership([&]() { released = true; });
+    this->performEffects(index);
+    for (const SteadyTime limit = this->time + stopBound; !released && this->time < limit;)
+        this->runTick();
+    this->killDaemon(index);
+}
+
+void SchedulerBench::killDaemon(std::size_t index)
+{
+    this->daemons.at(index)->alive = false;
+    this->daemons.at(index)->scheduler.reset();
+}
+
+void SchedulerBench::exchangeHeartbeats()
+{
+    if (this->time.time_since_epoch() % heartbeatInterval != std::chrono::nanoseconds(0))
+        return;
+    const auto canExchange = [this](std::size_t index) {
+        return this->daemons[index]->alive && !this->daemons[index]->paused && !this->isolated.contains(index);
+    };
+    for (std::size_t sender = 0; sender < this->daemons.size(); ++sender) {
+        if (!canExchange(sender))
+            continue;
+        Scheduler& from = *this->daemons[sender]->scheduler;
+        const Leadership& leading = std::as_const(from).leadership();
+        const std::vector<ReportedSuccess> successes = from.successesToReport(this->time);
+        for (std::size_t receiver = 0; receiver < this->daemons.size(); ++receiver) {
+            if (!canExchange(receiver) || receiver == sender)
+                continue;
+            Scheduler& to = *this->daemons[receiver]->scheduler;
+            if (leading.isLeader())
+                to.leadership().handleLeaderHeartbeat(leading.leaderNode(), leading.term(), this->time);
+            to.leadership().handlePeerHeartbeat("daemon-" + std::to_string(sender), this->daemons[sender]->generation,
+                leading.isLeader(), leading.knownTerm(), this->time);
+            to.applySuccesses(successes, this->time);
+        }
+    }
+}
+
+std::size_t SchedulerBench::leader() const
+{
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        const Daemon& daemon = *this->daemons[index];
+        if (daemon.alive && !daemon.paused && daemon.scheduler->isActive())
+            return index;
+    }
+    return this->daemons.size();
+}
+
+std::size_t SchedulerBench::successorOf(std::size_t former) const
+{
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        const Daemon& daemon = *this->daemons[index];
+        if (index != former && daemon.alive && !daemon.paused && daemon.scheduler->isActive())
+            return index;
+    }
+    return this->daemons.size();
+}
+
+} // namespace WisteriaHill::TestSupport
