Occurrences without a row are restored with the later ones

Cause: a row is written with the first start of an occurrence, and a later occurrence can start first. The next leader goes on after the newest occurrence with a row. While it loads rows, in the order of their keys, it can also take a job for completed whose occurrences 10 and up have ended. Evidence: the rows in the store after the kill. Change: restoring an occurrence creates the earlier ones too; they are due, as a later one is.

--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -88,8 +88,10 @@
     const int last = std::max(job.record.specification.occurrences - 1, 0);
     if (index < 0 || index > last)
         return false;
-    if (!job.occurrences.contains(index))
-        this->createOccurrence(job, index, now);
+    // An occurrence gets a row with its first start, and a later one may start first. Those below one with a row are
+    // due.
+    for (int due = job.nextOccurrence; due <= index; ++due)
+        this->createOccurrence(job, due, now);
     Occurrence& occurrence = job.occurrences.at(index);
     if (!decodeProgress(text, occurrence))
         return false;
--- a/tests/auto/scheduling/tst_scheduler_handover.cpp
+++ b/tests/auto/scheduling/tst_scheduler_handover.cpp
@@ -207,6 +207,44 @@
     CHECK(draining.done.empty());
 }
 
+// A new leader went on after the newest occurrence with a row, and showed the job as completed.
+TEST_CASE("occurrences that wait while a later one runs are not lost with the leader")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 1 });
+    bench.run(2s);
+    bench.submit("blocker", "ordinary", { makeStep(1, 8, 14s) });
+    REQUIRE(bench.runUntilActive("blocker", 1, 1s));
+    bench.submitScheduled("job", { makeStep(1, 8, 3s) }, 3, 1s, 5500ms);
+    bench.run(15500ms); // the newest occurrence is the only one that can be on time
+    REQUIRE(bench.server(0).active.contains({ "job", 2, 0, 0 }));
+    killLeader(bench);
+    REQUIRE(bench.runUntil("job", JobState::Completed, 20s));
+    CHECK(bench.startsOf("job") == 3);
+    CHECK(bench.server(0).done.contains({ "job", 0, 0, 0 }));
+    CHECK(bench.server(0).done.contains({ "job", 1, 0, 0 }));
+}
+
+// Rows are read in the order of their keys, in which occurrence 10 comes before occurrence 2.
+TEST_CASE("a job with many occurrences is not shown as completed before all of them have ended")
+{
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    bench.killDaemon(0);
+    bench.submitScheduled("job", { makeStep(1, 8, 1s) }, 12, 0s, 1ms);
+    for (int index = 0; index < 12; ++index) {
+        const bool done = index < 2 || index >= 10;
+        Occurrence occurrence { .index = index };
+        occurrence.steps.resize(1);
+        occurrence.steps[0].tasks.push_back(
+            { .phase = done ? TaskPhase::Done : TaskPhase::Waiting, .attempts = 1, .failures = done ? 0 : 1 });
+        bench.store.put({ StoreTable::progress, StoreTable::schedulerPartition, progressKey("job", index) },
+            encodeProgress(occurrence));
+    }
+    bench.startDaemon(0);
+    REQUIRE(bench.runUntil("job", JobState::Completed, 10s));
+    CHECK(bench.startsOf("job") == 8);
+}
+
 TEST_CASE("an unreadable leadership row does not leave the fleet without a leader")
 {
     SchedulerBench bench({});
