Progress of a job is stored in rows of 64 tasks, and an invalid transaction is divided

Cause: the progress of all tasks stands in one row, which outgrows the store's limit (85 kB of 64 KiB); and a transaction that the store refuses as invalid (400) is sent again without end, like one that it refuses for now. Evidence: 'a row has more than RowBytes' in the record of the case, followed by 801 to 823 without an end. Ruled out: a limit on the tasks of a job (the large deployment has such jobs); dropping checkpoints. Change: 64 tasks a row, of which those with changes are written; StoreError::Invalid; the transaction is divided until the row at fault is alone, and its job is given up after three refusals; a job whose own row is too large is refused at once.

--- a/src/libs/scheduling/board.cpp
+++ b/src/libs/scheduling/board.cpp
@@ -39,6 +39,14 @@
         job.queue = this->configuration->queueOf(job.record);
 }
 
+int Occurrence::rowOf(int step, int index) const
+{
+    std::size_t position = static_cast<std::size_t>(index);
+    for (int earlier = 0; earlier < step; ++earlier)
+        position += this->steps.at(static_cast<std::size_t>(earlier)).tasks.size();
+    return static_cast<int>(position / tasksPerRow);
+}
+
 Step* Board::findStep(const TaskName& name)
 {
     const auto job = this->jobs.find(name.jobId);
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -106,6 +106,9 @@
     std::set<std::string> deniedServers; ///< servers refused by the advice, which does not change for a step
 };
 
+/// Tasks in one stored row. An entry takes about 100 bytes, and the store limits a row to 64 KiB.
+constexpr std::size_t tasksPerRow = 64;
+
 /// One due execution of a job's steps.
 struct Occurrence {
     int index = 0;
@@ -115,8 +118,11 @@
     Step& stepAt(int number) { return this->steps.at(static_cast<std::size_t>(number)); }
     SteadyTime createdAt {};
     bool finished = false;
-    bool dirty = false; ///< the occurrence differs from its stored row
-    bool stored = false; ///< the occurrence has a stored row
+    std::set<int> dirtyRows; ///< numbers of rows that differ from the stored ones
+    std::set<int> storedRows; ///< numbers of rows that are stored
+
+    /// The number of the row that holds a task. A row holds a limited number of tasks, since the store limits its size.
+    int rowOf(int step, int index) const;
 };
 
 struct Job {
@@ -132,6 +138,7 @@
     std::set<std::string> failedOn; ///< ids of servers on which runs of the job failed
     bool begun = false; ///< a task has started
     bool stateDirty = false; ///< `state` is not stored yet
+    bool unstorable = false; ///< the store refused a row of its progress as invalid; no more of them are stored
 
     bool ended() const
     {
--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -145,6 +145,11 @@
         submission->answer({ .outcome = CallerOutcome::Accepted });
         return;
     }
+    if (std::get<StoreError>(result) == StoreError::Invalid) {
+        this->refuse(id, { .outcome = CallerOutcome::Malformed, .reason = "the job is too large to be stored" },
+            submission->answer);
+        return;
+    }
     const bool uncertain = std::get<StoreError>(result) == StoreError::Unknown;
     submission->uncertain = submission->uncertain || uncertain;
     const bool tryAgain = submission->uncertain || submission->attempts < maximumRefusedAttempts;
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -84,7 +84,8 @@
     return occurrence;
 }
 
-bool JobTracker::restoreOccurrence(const std::string& jobId, int index, const std::string& text, SteadyTime now)
+bool JobTracker::restoreOccurrence(
+    const std::string& jobId, int index, const std::map<int, std::string>& rows, SteadyTime now)
 {
     Job& job = this->board.jobs.at(jobId);
     const int last = std::max(job.record.specification.occurrences - 1, 0);
@@ -95,14 +96,35 @@
     for (int due = job.nextOccurrence; due <= index; ++due)
         this->createOccurrence(job, due, now);
     Occurrence& occurrence = job.occurrences.at(index);
-    if (!decodeProgress(text, occurrence))
-        return false;
-    occurrence.stored = true;
-    for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
-        Step& step = occurrence.steps[number];
-        for (std::size_t position = 0; position < step.tasks.size(); ++position) {
-            Task& task = step.tasks[position];
-            step.done += task.phase == TaskPhase::Done ? 1 : 0;
+    for (const auto& [number, text] : rows) {
+        if (!decodeProgress(text, occurrence))
+            return false;
+        occurrence.storedRows.insert(number);
+    }
+    this->adoptTasks(job, occurrence, now);
+    this->updateReadiness(job, occurrence, now);
+    this->updateJob(job, now);
+    return true;
+}
+
+void JobTracker::adoptTasks(Job& job, Occurrence& occurrence, SteadyTime now)
+{
+    for (int number = 0; number < static_cast<int>(occurrence.steps.size()); ++number) {
+        Step& step = occurrence.stepAt(number);
+        // The rows of a gang may be stored one after the other.
+        const bool gangIsDone = specificationOf(job, number).gang
+            && std::ranges::any_of(step.tasks, [](const Task& task) { return task.phase == TaskPhase::Done; });
+        if (gangIsDone)
+            this->finishGang(job, occurrence, number);
+        for (int position = 0; position < static_cast<int>(step.tasks.size()); ++position) {
+            Task& task = step.tasks[static_cast<std::size_t>(position)];
+            const int row = occurrence.rowOf(number, position);
+            // Earlier releases stored all tasks in the first row.
+            if (task.attempts > 0 && !occurrence.storedRows.contains(row)) {
+                occurrence.dirtyRows.insert(row);
+                this->board.dirtyJobs.insert(job.record.id);
+            }
+            step.done += task.phase == TaskPhase::Done && !gangIsDone ? 1 : 0;
             if (!task.run)
                 continue;
             ++step.running;
@@ -111,15 +133,12 @@
             task.run->orderedAt = now;
             task.run->adopted = true;
             task.run->startSent = true; // perhaps, by the former leader
-            const TaskName name { jobId, index, static_cast<int>(number), static_cast<int>(position) };
-            this->board.servers[task.run->server].occupants[name] = countedNeed(specificationOf(job, name.step));
+            const TaskName name { job.record.id, occurrence.index, number, position };
+            this->board.servers[task.run->server].occupants[name] = countedNeed(specificationOf(job, number));
             if (job.ended())
                 this->requestStop(name, "job has ended", now);
         }
     }
-    this->updateReadiness(job, occurrence, now);
-    this->updateJob(job, now);
-    return true;
 }
 
 void JobTracker::createDueOccurrences(WallTime wallNow, SteadyTime now)
@@ -139,7 +158,11 @@
 
 void JobTracker::markDirty(const TaskName& name)
 {
-    this->board.jobs.at(name.jobId).occurrences.at(name.occurrence).dirty = true;
+    Job& job = this->board.jobs.at(name.jobId);
+    Occurrence& occurrence = job.occurrences.at(name.occurrence);
+    occurrence.dirtyRows.insert(occurrence.rowOf(name.step, name.index));
+    if (specificationOf(job, name.step).gang)
+        occurrence.dirtyRows.insert(occurrence.rowOf(name.step, 0));
     this->board.dirtyJobs.insert(name.jobId);
 }
 
@@ -371,6 +394,10 @@
 void JobTracker::finishGang(Job& job, Occurrence& occurrence, int step)
 {
     Step& gang = occurrence.stepAt(step);
+    const int lastMember = static_cast<int>(gang.tasks.size()) - 1;
+    for (int row = occurrence.rowOf(step, 0); row <= occurrence.rowOf(step, lastMember); ++row)
+        occurrence.dirtyRows.insert(row);
+    this->board.dirtyJobs.insert(job.record.id);
     // The capacity of the other members stays occupied until their servers list the ends.
     for (Task& member : gang.tasks) {
         member.phase = TaskPhase::Done;
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -31,9 +31,9 @@
     /// Adds a stored job. Does nothing when the job is known.
     void addJob(JobRecord record, RowVersion rowVersion, JobState storedState, SteadyTime acceptedAt, SteadyTime now);
 
-    /// Restores an occurrence from its stored row, and creates the earlier ones that have no row yet. Returns false
-    /// when the row does not fit the job. Precondition: the job is known.
-    bool restoreOccurrence(const std::string& jobId, int index, const std::string& text, SteadyTime now);
+    /// Restores an occurrence from its stored rows, by number, and creates the earlier ones that have no row yet.
+    /// Returns false when a row does not fit the job. Precondition: the job is known.
+    bool restoreOccurrence(const std::string& jobId, int index, const std::map<int, std::string>& rows, SteadyTime now);
 
     /// Creates the occurrences that are due at `wallNow`, the wall-clock time that the daemons agree on.
     void createDueOccurrences(WallTime wallNow, SteadyTime now);
@@ -59,7 +59,8 @@
     /// Processes that the backend server has confirmed a run.
     void runConfirmed(const TaskName& name, SteadyTime now);
 
-    /// Marks the stored row of the task's occurrence as outdated. Precondition: the task is known.
+    /// Marks the stored row of the task as outdated, and for a gang member that of the first task, which holds what the
+    /// members share. Precondition: the task is known.
     void markDirty(const TaskName& name);
 
     /// Removes a job from the blackboard. Precondition: the job has ended and has no runs.
@@ -78,6 +79,8 @@
     void stopGang(const TaskName& name, const std::string& reason, SteadyTime now);
 
 private:
+    /// Adopts the restored runs of an occurrence, and counts its tasks.
+    void adoptTasks(Job& job, Occurrence& occurrence, SteadyTime now);
     Occurrence& createOccurrence(Job& job, int index, SteadyTime now);
     /// Marks a task, or the task's whole gang, as done.
     void finish(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime now);
--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace WisteriaHill::Scheduling {
 
@@ -121,6 +122,7 @@
 void taskFromJson(const Json& json, Step& step)
 {
     Task& task = step.tasks.at(json.at(0).get<std::size_t>());
+    task = { .waitingSince = task.waitingSince };
     const int phase = json.at(1).get<int>();
     task.phase = phase == static_cast<int>(TaskPhase::Running) ? TaskPhase::Running
         : phase == static_cast<int>(TaskPhase::Done)           ? TaskPhase::Done
@@ -145,6 +147,22 @@
     task.run = std::move(run);
 }
 
+/// The number after so many dots; std::nullopt when there is none.
+std::optional<int> numberInProgressKey(const std::string& key, int dots)
+{
+    std::size_t begin = 0;
+    for (int dot = 0; dot < dots; ++dot) {
+        begin = key.find('.', begin);
+        if (begin == std::string::npos)
+            return std::nullopt;
+        ++begin;
+    }
+    const std::size_t end = std::min(key.find('.', begin), key.size());
+    int number = 0;
+    const auto [rest, error] = std::from_chars(key.data() + begin, key.data() + end, number);
+    return error == std::errc() && rest == key.data() + end && number >= 0 ? std::optional(number) : std::nullopt;
+}
+
 } // namespace
 
 std::string encodeLeadership(const LeadershipRow& row)
@@ -247,12 +265,16 @@
     });
 }
 
-std::string encodeProgress(const Occurrence& occurrence)
+std::string encodeProgress(const Occurrence& occurrence, int row)
 {
+    const std::size_t begin = static_cast<std::size_t>(row) * tasksPerRow;
+    std::size_t position = 0; // of the task among all tasks of the occurrence
     Json steps = Json::array();
     for (const Step& step : occurrence.steps) {
         Json tasks = Json::array();
-        for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        for (std::size_t index = 0; index < step.tasks.size(); ++index, ++position) {
+            if (position < begin || position >= begin + tasksPerRow)
+                continue;
             const Task& task = step.tasks[index];
             if (task.phase != TaskPhase::Waiting || task.attempts > 0)
                 tasks.push_back(taskToJson(index, task));
@@ -278,7 +300,20 @@
     return true;
 }
 
-std::string progressKey(const std::string& jobId, int occurrence) { return jobId + '.' + std::to_string(occurrence); }
+std::string progressKey(const std::string& jobId, int occurrence, int row)
+{
+    std::string key = jobId + '.' + std::to_string(occurrence);
+    if (row > 0)
+        key += '.' + std::to_string(row);
+    return key;
+}
+
+std::optional<int> occurrenceOfProgressKey(const std::string& key) { return numberInProgressKey(key, 1); }
+
+std::optional<int> rowOfProgressKey(const std::string& key)
+{
+    return std::ranges::count(key, '.') == 1 ? std::optional(0) : numberInProgressKey(key, 2);
+}
 
 std::string jobOfProgressKey(const std::string& key) { return key.substr(0, key.find('.')); }
 
--- a/src/libs/scheduling/rowcodec.h
+++ b/src/libs/scheduling/rowcodec.h
@@ -48,7 +48,7 @@
 std::optional<RunTimeSums> decodeRunTimes(const std::string& text);
 
 /// The tasks of one occurrence with their attempts, failures, checkpoints and runs.
-std::string encodeProgress(const Occurrence& occurrence);
+std::string encodeProgress(const Occurrence& occurrence, int row = 0);
 
 /// Fills `occurrence`. Precondition: its steps have their tasks already. Returns false when the text does not match the
 /// tasks; `occurrence` is then unspecified.
@@ -57,7 +57,13 @@
 /// Key of the row in StoreTable::progress.
 /// The job in a key that progressKey() has made.
 std::string jobOfProgressKey(const std::string& key);
-std::string progressKey(const std::string& jobId, int occurrence);
+std::string progressKey(const std::string& jobId, int occurrence, int row = 0);
+
+/// The occurrence in a key that progressKey() has made; std::nullopt when the key is malformed.
+std::optional<int> occurrenceOfProgressKey(const std::string& key);
+
+/// The number of the row in a key that progressKey() has made; std::nullopt when the key is malformed.
+std::optional<int> rowOfProgressKey(const std::string& key);
 
 /// Key of the row in StoreTable::jobs that requests the cancellation of a job.
 std::string cancelKey(const std::string& jobId);
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -59,6 +59,10 @@
     this->leader.onElected([this](SteadyTime now) { this->handleElection(now); });
     this->monitor.onFenced(
         [this](SteadyTime now) { this->leader.stepDown(now, "a backend server has seen a higher fencing token"); });
+    this->writer.onUnstorable([this](const std::string& jobId, SteadyTime now) {
+        if (const auto job = this->board.jobs.find(jobId); job != this->board.jobs.end())
+            this->tracker.giveUp(job->second, "the store refuses its progress", now);
+    });
     this->writer.onStored(
         [this](const StoredDecisions& decisions, SteadyTime now) { this->handleStoredDecisions(decisions, now); });
 }
@@ -219,21 +223,26 @@
 
 void Scheduler::loadProgress(SteadyTime now)
 {
-    for (const Row& row : this->loadedRows[StoreTable::progress]) {
-        const std::size_t dot = row.key.key.rfind('.');
+    std::map<std::pair<std::string, int>, std::map<int, std::string>> rows; // by job and occurrence, then by number
+    for (Row& row : this->loadedRows[StoreTable::progress]) {
         const std::string jobId = jobOfProgressKey(row.key.key);
-        if (this->unreadableJobs.contains(jobId))
-            continue;
-        const bool known = dot != std::string::npos && this->board.jobs.contains(jobId);
-        const int index = known ? std::atoi(row.key.key.c_str() + dot + 1) : 0;
-        if (known && this->tracker.restoreOccurrence(jobId, index, row.value, now))
+        const std::optional<int> occurrence = occurrenceOfProgressKey(row.key.key);
+        const std::optional<int> number = rowOfProgressKey(row.key.key);
+        if (occurrence && number)
+            rows[{ jobId, *occurrence }][*number] = std::move(row.value);
+        else
+            this->reportUnreadable(row);
+    }
+    for (const auto& [name, texts] : rows) {
+        const auto& [jobId, occurrence] = name;
+        if (this->unreadableJobs.contains(jobId) || !this->board.jobs.contains(jobId)
+            || this->tracker.restoreOccurrence(jobId, occurrence, texts, now))
             continue;
-        this->reportUnreadable(row);
-        if (known) {
-            this->unreadableJobs.insert(jobId);
-            this->board.dirtyJobs.erase(jobId);
-            this->tracker.removeJob(jobId);
-        }
+        this->reportUnreadable(
+            { .key = { StoreTable::progress, StoreTable::schedulerPartition, progressKey(jobId, occurrence) } });
+        this->unreadableJobs.insert(jobId);
+        this->board.dirtyJobs.erase(jobId);
+        this->tracker.removeJob(jobId);
     }
 }
 
--- a/src/libs/scheduling/statestore.h
+++ b/src/libs/scheduling/statestore.h
@@ -56,7 +56,8 @@
 };
 
 enum class StoreError {
-    Rejected, ///< the store refused the call; nothing was or will be done
+    Rejected, ///< the store refused the call for now; nothing was or will be done
+    Invalid, ///< the store will never accept the call, for instance because a row is too large; nothing was done
     Unknown, ///< no answer; the call may have been carried out or may still be
 };
 
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t entriesPerTransaction = 90; ///< the store's limit is 100, expected rows included
 constexpr std::size_t bytesPerTransaction = 500'000; ///< the store's limit is 1 MB of base64
 constexpr std::size_t removalsPerTransaction = 20; ///< leaves most entries to decisions
 constexpr Duration renewalInterval { 400 }; ///< well under the row time-out of the followers
@@ -17,6 +16,7 @@
 constexpr Duration runTimesInterval { 2000 };
 constexpr Duration storeTimeout { 800 };
 constexpr Duration retryPause { 50 };
+constexpr int maximumInvalidRows = 3; ///< a relay between may refuse a call too
 
 RowKey schedulerRow(const char* table, std::string key)
 {
@@ -28,6 +28,8 @@
 void StateWriter::begin(SteadyTime now)
 {
     ++this->generation;
+    this->entryLimit = entriesPerTransaction;
+    this->invalidRows = 0;
     this->transactionOpen = false;
     this->unconfirmed.reset();
     this->starts.clear();
@@ -40,27 +42,37 @@
 void StateWriter::removeProgress(Job& job)
 {
     for (const auto& [index, occurrence] : job.occurrences) {
-        if (occurrence.stored)
-            this->removals.push_back(schedulerRow(StoreTable::progress, progressKey(job.record.id, index)));
+        for (const int row : occurrence.storedRows)
+            this->removals.push_back(schedulerRow(StoreTable::progress, progressKey(job.record.id, index, row)));
     }
     job.occurrences.clear();
 }
 
 void StateWriter::removeState(const std::string& jobId) { this->remove(schedulerRow(StoreTable::states, jobId)); }
 
-void StateWriter::collectOccurrence(Batch& batch, const std::string& jobId, Occurrence& occurrence)
+bool StateWriter::isFull(const Batch& batch) const
 {
-    batch.transaction.writes.push_back(
-        { schedulerRow(StoreTable::progress, progressKey(jobId, occurrence.index)), encodeProgress(occurrence) });
-    occurrence.dirty = false;
-    occurrence.stored = true;
+    return batch.transaction.writes.size() >= this->entryLimit || batch.bytes >= bytesPerTransaction;
+}
+
+bool StateWriter::collectOccurrence(Batch& batch, const std::string& jobId, Occurrence& occurrence)
+{
+    // The last row goes first: earlier releases stored all tasks in the first one.
+    while (!occurrence.dirtyRows.empty() && !this->isFull(batch)) {
+        const int row = *occurrence.dirtyRows.rbegin();
+        batch.transaction.writes.push_back(
+            { schedulerRow(StoreTable::progress, progressKey(jobId, occurrence.index, row)),
+                encodeProgress(occurrence, row) });
+        batch.progress.push_back({ jobId, occurrence.index, row });
+        batch.bytes += batch.transaction.writes.back().value.size();
+        occurrence.dirtyRows.erase(row);
+        occurrence.storedRows.insert(row);
+    }
+    return occurrence.dirtyRows.empty();
 }
 
 void StateWriter::collect(Batch& batch)
 {
-    std::size_t bytes = 0;
-    const auto full
-        = [&]() { return batch.transaction.writes.size() >= entriesPerTransaction || bytes >= bytesPerTransaction; };
     bool complete = true;
     std::erase_if(this->board.dirtyJobs, [&](const std::string& id) {
         const auto found = this->board.jobs.find(id);
@@ -69,16 +81,11 @@
         Job& job = found->second;
         bool stored = true;
         for (auto& [index, occurrence] : job.occurrences) {
-            if (!occurrence.dirty)
-                continue;
-            if (full()) {
-                stored = false;
-                continue;
-            }
-            this->collectOccurrence(batch, id, occurrence);
-            bytes += batch.transaction.writes.back().value.size();
+            if (job.unstorable)
+                occurrence.dirtyRows.clear();
+            stored = this->collectOccurrence(batch, id, occurrence) && stored;
         }
-        if (job.stateDirty && !full()) {
+        if (job.stateDirty && !this->isFull(batch)) {
             job.stateDirty = false;
             batch.states.emplace_back(id, job.state);
             batch.transaction.writes.push_back({ schedulerRow(StoreTable::states, id), encodeState(job.state) });
@@ -91,7 +98,8 @@
         const Task* task = this->board.findTask(start.task);
         if (!task || !task->run || task->run->phase != RunPhase::Recording || task->run->attempt != start.attempt)
             return true;
-        if (this->board.jobs.at(start.task.jobId).occurrences.at(start.task.occurrence).dirty)
+        const Occurrence& occurrence = this->board.jobs.at(start.task.jobId).occurrences.at(start.task.occurrence);
+        if (occurrence.dirtyRows.contains(occurrence.rowOf(start.task.step, start.task.index)))
             return false;
         batch.decisions.starts.push_back(start);
         return true;
@@ -104,7 +112,7 @@
         }
     }
     const std::size_t removable = std::min({ this->removals.size(), removalsPerTransaction,
-        entriesPerTransaction - std::min(entriesPerTransaction, batch.transaction.writes.size()) });
+        this->entryLimit - std::min(this->entryLimit, batch.transaction.writes.size()) });
     batch.transaction.removals.assign(
         this->removals.begin(), this->removals.begin() + static_cast<std::ptrdiff_t>(removable));
     this->removals.erase(this->removals.begin(), this->removals.begin() + static_cast<std::ptrdiff_t>(removable));
@@ -121,8 +129,9 @@
     this->runTimesStoredAt = now;
     const std::map<std::string, RunTimeSums>& queues = this->board.runTimes.all();
     std::erase_if(this->board.dirtyRunTimes, [&](const std::string& queue) {
-        if (batch.transaction.writes.size() + batch.transaction.removals.size() >= entriesPerTransaction)
+        if (batch.transaction.writes.size() + batch.transaction.removals.size() >= this->entryLimit)
             return false;
+        batch.runTimes.push_back(queue);
         batch.transaction.writes.push_back(
             { schedulerRow(StoreTable::runTimes, queue), encodeRunTimes(queues.at(queue)) });
         return true;
@@ -197,15 +206,65 @@
     this->effects.log(Event::DecisionsUnstored,
         { { "entries", batch.transaction.writes.size() + batch.transaction.removals.size() },
             { "starts", batch.decisions.starts.size() }, { "ends", batch.decisions.ends.size() },
-            { "answered", std::get<StoreError>(result) == StoreError::Rejected },
+            { "answered", std::get<StoreError>(result) != StoreError::Unknown },
+            { "invalid", std::get<StoreError>(result) == StoreError::Invalid },
             { "ageMs", std::chrono::duration_cast<Duration>(now - *batch.sentAt).count() } });
     this->retryAt = now + retryPause;
-    this->unconfirmed = std::move(batch);
+    if (std::get<StoreError>(result) == StoreError::Invalid)
+        this->handleInvalid(batch, now);
+    else
+        this->unconfirmed = std::move(batch);
+}
+
+void StateWriter::handleInvalid(Batch& batch, SteadyTime now)
+{
+    const std::size_t entries = batch.transaction.writes.size() - 1 + batch.transaction.removals.size();
+    this->entryLimit = std::max<std::size_t>(entries / 2, 1);
+    this->invalidRows = entries <= 1 ? this->invalidRows + 1 : 0;
+    if (this->invalidRows >= maximumInvalidRows) {
+        this->invalidRows = 0;
+        this->dropInvalidRow(batch, now);
+        return;
+    }
+    for (const ProgressRow& stored : batch.progress) {
+        const auto job = this->board.jobs.find(stored.jobId);
+        if (job == this->board.jobs.end())
+            continue;
+        if (const auto found = job->second.occurrences.find(stored.occurrence); found != job->second.occurrences.end())
+            found->second.dirtyRows.insert(stored.row);
+        this->board.dirtyJobs.insert(stored.jobId);
+    }
+    for (const auto& [id, state] : batch.states) {
+        if (const auto job = this->board.jobs.find(id); job != this->board.jobs.end()) {
+            job->second.stateDirty = true;
+            this->board.dirtyJobs.insert(id);
+        }
+    }
+    this->board.dirtyRunTimes.insert(batch.runTimes.begin(), batch.runTimes.end());
+    this->starts.insert(this->starts.begin(), batch.decisions.starts.begin(), batch.decisions.starts.end());
+    this->removals.insert(this->removals.begin(), batch.transaction.removals.begin(), batch.transaction.removals.end());
+}
+
+void StateWriter::dropInvalidRow(const Batch& batch, SteadyTime now)
+{
+    const bool isProgress = !batch.progress.empty();
+    const WrittenRow& row = batch.transaction.writes.front();
+    this->effects.log(
+        Event::RowRefused, { { "table", row.key.table }, { "key", row.key.key }, { "bytes", row.value.size() } });
+    if (!isProgress)
+        return;
+    const auto job = this->board.jobs.find(batch.progress.front().jobId);
+    if (job == this->board.jobs.end())
+        return;
+    job->second.unstorable = true;
+    this->unstorableHandler(job->first, now);
 }
 
 void StateWriter::handleCommitted(const Batch& batch, RowVersion version, SteadyTime now)
 {
     this->storedAt = now;
+    this->invalidRows = 0;
+    this->entryLimit = std::min(entriesPerTransaction, this->entryLimit * 2);
     this->leadership.rowWritten(batch.row, version, *batch.sentAt);
     for (const auto& [id, state] : batch.states) {
         const auto job = this->board.jobs.find(id);
--- a/src/libs/scheduling/statewriter.h
+++ b/src/libs/scheduling/statewriter.h
@@ -42,6 +42,12 @@
     {
         this->storedHandler = std::move(handler);
     }
+    /// `handler` is called when the store refuses a row of the job's progress as invalid; none of it is stored from
+    /// then on.
+    void onUnstorable(std::function<void(const std::string& jobId, SteadyTime)> handler)
+    {
+        this->unstorableHandler = std::move(handler);
+    }
     void setClock(std::function<SteadyTime()> handler) { this->clock = std::move(handler); }
 
     /// Starts a term and discards the decisions that an earlier term has not stored.
@@ -67,27 +73,46 @@
     void remove(const RowKey& key) { this->removals.push_back(key); }
 
 private:
+    static constexpr std::size_t entriesPerTransaction = 90; ///< the store's limit is 100, expected rows included
+
+    struct ProgressRow {
+        std::string jobId;
+        int occurrence = 0;
+        int row = 0;
+    };
+
     struct Batch {
         std::uint64_t generation = 0;
         std::optional<SteadyTime> sentAt; ///< when the transaction was sent for the first time
         Transaction transaction;
+        std::size_t bytes = 0; ///< of the rows of progress
         LeadershipRow row;
         StoredDecisions decisions;
+        std::vector<ProgressRow> progress;
         std::vector<std::pair<std::string, JobState>> states;
+        std::vector<std::string> runTimes; ///< names of queues
     };
 
     void collect(Batch& batch);
     void collectRunTimes(Batch& batch, SteadyTime now);
-    void collectOccurrence(Batch& batch, const std::string& jobId, Occurrence& occurrence);
+    /// Adds the outdated rows of an occurrence, up to the batch's limits. Returns false when some are left.
+    bool collectOccurrence(Batch& batch, const std::string& jobId, Occurrence& occurrence);
+    bool isFull(const Batch& batch) const;
     void send(Batch batch);
     void handleCommitResult(Batch& batch, const CommitResult& result);
+    /// Divides a transaction that the store will never accept, until the row at fault is alone.
+    void handleInvalid(Batch& batch, SteadyTime now);
+    void dropInvalidRow(const Batch& batch, SteadyTime now);
     void handleCommitted(const Batch& batch, RowVersion version, SteadyTime now);
 
     Board& board;
     Effects& effects;
     Leadership& leadership;
     std::function<void(const StoredDecisions&, SteadyTime)> storedHandler;
+    std::function<void(const std::string&, SteadyTime)> unstorableHandler;
     std::function<SteadyTime()> clock;
+    std::size_t entryLimit = entriesPerTransaction; ///< lower after a transaction was refused as invalid
+    int invalidRows = 0; ///< refusals in a row of a transaction with a single row
     std::uint64_t generation = 0; ///< number of the term; answers of earlier terms are ignored
     bool transactionOpen = false;
     std::optional<Batch> unconfirmed; ///< failed or had no answer; resent until it commits or conflicts
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -93,6 +93,7 @@
     GangIncomplete = 853,
     ServerCrashedUnderTask = 854,
     JobRemoved = 855,
+    RowRefused = 856,
     ServerFound = 860,
     ServerDraining = 861,
     ServerEntryGone = 862,
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -116,6 +116,8 @@
         const CommitResult result = this->store.commit(transaction);
         if (const auto* committed = std::get_if<Committed>(&result))
             return { .body = Json { { Wire::version, committed->version }, { Wire::storeTime, nowMs() } }.dump() };
+        if (std::holds_alternative<StoreError>(result))
+            return { .status = HttpStatus::badRequest };
         Json rows = Json::array();
         for (const Row& row : std::get<Conflict>(result).current)
             rows.push_back(toJson(row));
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -147,7 +147,11 @@
     const int attempt = this->active.at(task).attempt;
     if (how == RunEnd::Done)
         this->done.insert(task);
-    this->ended.push_back({ .number = ++this->lastNumber, .task = task, .attempt = attempt, .end = how });
+    this->ended.push_back({ .number = ++this->lastNumber,
+        .task = task,
+        .attempt = attempt,
+        .end = how,
+        .checkpoint = how == RunEnd::Done ? std::string() : this->checkpointOfEnds });
     this->closedAttempts[task] = attempt;
     this->active.erase(task);
     this->needs.erase(task);
--- a/tests/support/fakestore.cpp
+++ b/tests/support/fakestore.cpp
@@ -6,6 +6,26 @@
 
 using namespace Scheduling;
 
+namespace {
+
+constexpr std::size_t maximumRowBytes = 65'536;
+constexpr std::size_t maximumEntries = 100;
+constexpr std::size_t maximumBytes = 1'000'000 * 3 / 4; ///< the limit counts base64
+
+} // namespace
+
+bool FakeStore::isValid(const Transaction& transaction)
+{
+    std::size_t bytes = 0;
+    for (const WrittenRow& row : transaction.writes) {
+        bytes += row.value.size();
+        if (row.value.size() > maximumRowBytes)
+            return false;
+    }
+    return bytes <= maximumBytes
+        && transaction.expected.size() + transaction.writes.size() + transaction.removals.size() <= maximumEntries;
+}
+
 CommitResult FakeStore::apply(const Transaction& transaction)
 {
     Conflict conflict;
@@ -38,6 +58,10 @@
         return StoreError::Rejected;
     if (this->silent)
         return StoreError::Unknown;
+    if (!this->isValid(transaction)) {
+        ++this->invalidTransactions;
+        return StoreError::Invalid;
+    }
     CommitResult result = this->apply(transaction);
     if (this->answersToLose > 0 && std::holds_alternative<Committed>(result)) {
         --this->answersToLose;
--- a/tests/support/fakestore.h
+++ b/tests/support/fakestore.h
@@ -15,6 +15,7 @@
     bool down = false; ///< rejects every call
     bool silent = false; ///< no call takes effect or is answered
     int answersToLose = 0; ///< so many of the next commits take effect without an answer
+    int invalidTransactions = 0; ///< refused, as they or a row of them exceed the limits of the users' store
     Scheduling::RowVersion compactedUpTo = 0; ///< change feeds from an earlier version have no history
 
     Scheduling::CommitResult commit(const Scheduling::Transaction& transaction);
@@ -33,6 +34,7 @@
     Scheduling::RowVersion version() const { return this->newest; }
 
 private:
+    static bool isValid(const Scheduling::Transaction& transaction);
     Scheduling::CommitResult apply(const Scheduling::Transaction& transaction);
 
     std::map<Scheduling::RowKey, Scheduling::Row> rows;
