A server is replaced only by one on its machine that started later

Cause: the server of each entry that is new to the leader was taken for the later life of its machine; a late entry of an earlier life marked the present server as replaced, and the next poll without an answer ended its runs 5 s and more before its lease. Change: entries state when their server started; only a later start replaces. Without both times the lease decides. 866 names both servers, their times and the verdict.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -8,6 +8,7 @@
 #include "scheduling/unstoredsuccesses.h"
 #include "utils/checkedjson.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -156,6 +157,7 @@
     std::set<std::string> labels;
     Resources capacity;
     std::string machine; ///< the machine that the server runs on; a new server joins after its upkeep
+    std::int64_t registeredStart = 0; ///< start time in the server's entry, Unix milliseconds; 0 when unknown
     bool evacuating = false; ///< the server's machine is due for upkeep
     bool present = false; ///< the server's entry is in the store
     bool replaced = false; ///< another server has registered on the machine; this one is over unless it still answers
@@ -181,6 +183,9 @@
     SteadyTime lastSuccessAt {}; ///< when a run on the server last ended as done
     SteadyTime avoidUntil {}; ///< until this time the server gets new runs only when nothing else fits
 
+    /// When this life of the server's machine began, Unix milliseconds; 0 when unknown.
+    std::int64_t startOfLife() const { return std::max(this->incarnation, this->registeredStart); }
+
     /// Capacity that the occupants leave free.
     Resources freeCapacity() const
     {
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -32,6 +32,7 @@
     std::string zone;
     std::string rack;
     std::string machine; ///< machine that this server runs on; the machine may return under another server id
+    std::int64_t startedAt = 0; ///< start of the server, Unix milliseconds; 0 when the entry does not state it
     std::set<std::string> labels;
     Resources capacity;
     bool draining = false;
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -170,6 +170,13 @@
     for (auto& [id, server] : this->board.servers) {
         if (server.machine != successor.machine || id == successor.address.id)
             continue;
+        const bool later = server.startOfLife() != 0 && successor.startOfLife() > server.startOfLife();
+        this->effects.log(Event::MachineReturned,
+            { { "machine", server.machine }, { "server", successor.address.id },
+                { "startedAt", successor.startOfLife() }, { "known", id }, { "knownStartedAt", server.startOfLife() },
+                { "replaced", later } });
+        if (!later)
+            continue;
         server.replaced = true;
         if (server.unansweredPolls > 0)
             this->endReplaced(server, now);
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -44,8 +44,8 @@
     /// incarnation has changed.
     void acknowledgeEnds(const std::string& id, std::int64_t number, std::int64_t incarnation, SteadyTime now);
 
-    /// Ends the runs of an earlier server on the same machine, unless that server still answers: a server is one life
-    /// of its machine, but an entry may have another writer.
+    /// Ends the runs of earlier servers on the machine of a new one, unless they still answer: a server is one life of
+    /// its machine, but an entry may have another writer. An entry of an earlier life may come late.
     void noteSuccessor(const BackendServer& successor, SteadyTime now);
 
     /// True when new runs may be placed on the server.
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -205,6 +205,9 @@
         Event::ServerReachable, Information, "ServerReachable", "A backend server answers again.", "None." },
     EventDescription {
         Event::LookRefused, Warning, "LookRefused", "A backend server refused to list its runs.", "See the reason." },
+    EventDescription { Event::MachineReturned, Information, "MachineReturned",
+        "A new server entry names a machine that has a server already; the one that started earlier is over.",
+        "None." },
     EventDescription { Event::LogLinesDropped, Warning, "LogLinesDropped",
         "Log lines of an event were dropped because they exceeded its rate limit.",
         "See the counters of the metrics address." },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -100,6 +100,7 @@
     ServerUnreachable = 863,
     ServerReachable = 864,
     LookRefused = 865,
+    MachineReturned = 866,
     LogLinesDropped = 870,
     AdviceTaken = 880,
     AdviceMissing = 881,
--- a/tests/auto/scheduling/tst_scheduler_handover.cpp
+++ b/tests/auto/scheduling/tst_scheduler_handover.cpp
@@ -76,6 +76,28 @@
     CHECK(bench.startsOf("job") == 1);
 }
 
+// The server of any new entry was taken for the later life of its machine, so the runs of the present one were given
+// up.
+TEST_CASE("a late entry of a machine's earlier life does not end the runs of its present server")
+{
+    const bool unreachable = GENERATE(true, false);
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, longWork) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    bench.run(2s);
+    FakeServer& present = bench.serverRunning("job");
+    present.reachable = !unreachable;
+    bench.run(500ms);
+    bench.putEntryOfEarlierLife(present);
+    bench.run(4500ms);
+    present.reachable = true;
+    bench.run(3s);
+    CHECK(bench.activeTasks("job") == 1);
+    CHECK(bench.startsOf("job") == 1);
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("a leader that was paused without a successor stops no work when it goes on")
 {
     SchedulerBench bench({ .daemons = 1 });
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -14,6 +14,7 @@
 constexpr Duration tick { 10 };
 constexpr Duration networkDelay { 2 };
 constexpr const char* service = "scoring";
+constexpr std::int64_t firstStart = 1'000'000; ///< of the servers, Unix milliseconds
 constexpr Resources serverCapacity { .milliCores = 128'000, .memoryMb = 512'000, .accelerators = 8 };
 
 std::shared_ptr<const FleetConfiguration> makeConfiguration()
@@ -64,7 +65,7 @@
                                                                      .rack = "rack-" + std::to_string(rack),
                                                                      .machine = "machine-" + number,
                                                                      .capacity = serverCapacity },
-                1));
+                firstStart));
             this->servers.back()->stopTime = this->options.stopTime;
             this->putEntry(*this->servers.back());
         }
@@ -86,6 +87,15 @@
     this->store.put({ serverTable, "", server.entry.id }, server.entry.draining ? "draining" : "ready");
 }
 
+void SchedulerBench::putEntryOfEarlierLife(const FakeServer& server)
+{
+    ServerEntry entry = server.entry;
+    entry.id += "-earlier";
+    entry.startedAt = server.startedAt - 1;
+    this->earlierEntries[entry.id] = entry;
+    this->store.put({ serverTable, "", entry.id }, "ready");
+}
+
 void SchedulerBench::removeEntry(const FakeServer& server) { this->store.remove({ serverTable, "", server.entry.id }); }
 
 void SchedulerBench::submit(const std::string& id, const std::string& queue,
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -83,6 +83,8 @@
     /// Removes a server's entry from the store.
     void removeEntry(const FakeServer& server);
     void putEntry(const FakeServer& server);
+    /// Stores an entry of an earlier life of the server's machine, under another id.
+    void putEntryOfEarlierLife(const FakeServer& server);
 
     /// Index of the daemon that leads; daemons.size() when none does.
     std::size_t leader() const;
@@ -175,6 +177,7 @@
     std::vector<WaitingWatch> watches;
     std::set<std::pair<std::size_t, std::string>> cuts;
     std::set<std::size_t> isolated;
+    std::map<std::string, Scheduling::ServerEntry> earlierEntries; ///< by server id
     std::map<std::string, Scheduling::JobRecord> submitted;
     std::map<std::string, Scheduling::Duration> runTimes; ///< by job id, instead of the declared run time
     std::map<Scheduling::TaskName, std::set<int>> seenAttempts;
--- a/tests/support/schedulerbenchdaemons.cpp
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -36,10 +36,13 @@
     daemon.scheduler = std::make_unique<Scheduler>(
         schedulerOptions,
         [this](const Row& row) -> std::optional<ServerEntry> {
+            if (const auto earlier = this->earlierEntries.find(row.key.key); earlier != this->earlierEntries.end())
+                return earlier->second;
             const FakeServer* found = this->findServer(row.key.key);
             if (!found || row.value.empty())
                 return std::nullopt;
             ServerEntry entry = found->entry;
+            entry.startedAt = found->startedAt;
             entry.draining = row.value == "draining";
             return entry;
         },
