A former leader is known to be deposed once its heartbeat names the new term

Found by reading: a heartbeat of an earlier incarnation of the former leader's host, delayed in a paused receiver, was taken for its restart, and its leases for no longer renewed. Only a heartbeat that names the present term is later than the election for certain; a restarted daemon names it as soon as it has heard the leader. Restored tasks are counted through instead of looking up the row of each.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -345,8 +345,7 @@
         this->scheduler.leadership().handleLeaderHeartbeat(heartbeat->node, heartbeat->term, now);
     else if (heartbeat->leaving && heartbeat->node == this->scheduler.leadership().leaderNode())
         this->scheduler.leadership().handleLeaderStepDown(heartbeat->term, now);
-    this->scheduler.leadership().handlePeerHeartbeat(
-        heartbeat->node, heartbeat->incarnation, heartbeat->leading, heartbeat->term, now);
+    this->scheduler.leadership().handlePeerHeartbeat(heartbeat->node, heartbeat->leading, heartbeat->term, now);
     this->scheduler.applySuccesses(heartbeat->successes, now);
     this->configuration.handlePeerVersion(heartbeat->configurationVersion, now);
 }
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -109,6 +109,7 @@
 
 void JobTracker::adoptTasks(Job& job, Occurrence& occurrence, SteadyTime now)
 {
+    std::size_t taskNumber = 0; // among all tasks of the occurrence
     for (int number = 0; number < static_cast<int>(occurrence.steps.size()); ++number) {
         Step& step = occurrence.stepAt(number);
         // The rows of a gang may be stored one after the other.
@@ -116,9 +117,9 @@
             && std::ranges::any_of(step.tasks, [](const Task& task) { return task.phase == TaskPhase::Done; });
         if (gangIsDone)
             this->finishGang(job, occurrence, number);
-        for (int position = 0; position < static_cast<int>(step.tasks.size()); ++position) {
+        for (int position = 0; position < static_cast<int>(step.tasks.size()); ++position, ++taskNumber) {
             Task& task = step.tasks[static_cast<std::size_t>(position)];
-            const int row = occurrence.rowOf(number, position);
+            const int row = static_cast<int>(taskNumber / tasksPerRow);
             // Earlier releases stored all tasks in the first row.
             if (task.attempts > 0 && !occurrence.storedRows.contains(row)) {
                 occurrence.dirtyRows.insert(row);
--- a/src/libs/scheduling/leadership.cpp
+++ b/src/libs/scheduling/leadership.cpp
@@ -34,17 +34,14 @@
     this->observedVersion.reset();
 }
 
-void Leadership::handlePeerHeartbeat(
-    const std::string& node, std::uint64_t incarnation, bool leading, FencingToken term, SteadyTime now)
+void Leadership::handlePeerHeartbeat(const std::string& node, bool leading, FencingToken term, SteadyTime now)
 {
-    if (this->role != LeadershipRole::Leader || node != this->formerNode)
-        return;
-    if (incarnation == this->formerIncarnation && (leading || term < this->row.term))
+    // A heartbeat from before this term may come late, so it has to name the term.
+    if (this->role != LeadershipRole::Leader || node != this->formerNode || leading || term < this->row.term)
         return;
     this->formerNode.clear();
     this->formerUntil = std::max(this->earlierUntil, std::min(this->formerUntil, now));
-    this->effects.log(Event::FormerLeaderOver,
-        { { "former", node }, { "term", this->row.term }, { "restarted", incarnation != this->formerIncarnation } });
+    this->effects.log(Event::FormerLeaderOver, { { "former", node }, { "term", this->row.term } });
 }
 
 void Leadership::handleLeaderStepDown(FencingToken term, SteadyTime now)
@@ -190,7 +187,6 @@
     this->formerUntil = this->toSteadyTime(claimed.formerLeadersUntil, now);
     this->earlierUntil = this->toSteadyTime(previous.formerLeadersUntil, now);
     this->formerNode = claimed == wanted ? previous.holder : std::string();
-    this->formerIncarnation = previous.incarnation;
     this->role = LeadershipRole::Leader;
     this->leader = this->options.node;
     this->vacant = false;
--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -43,10 +43,8 @@
     /// Processes a heartbeat of `node`, which leads under `term`. A leader of a lower term steps down.
     void handleLeaderHeartbeat(const std::string& node, FencingToken term, SteadyTime now);
 
-    /// Processes a heartbeat of any daemon: the former leader, under another incarnation or as a follower, no longer
-    /// renews leases.
-    void handlePeerHeartbeat(
-        const std::string& node, std::uint64_t incarnation, bool leading, FencingToken term, SteadyTime now);
+    /// Processes a heartbeat of any daemon: the former leader, once it knows this term, no longer renews leases.
+    void handlePeerHeartbeat(const std::string& node, bool leading, FencingToken term, SteadyTime now);
 
     /// Processes the notice of a stopping leader; the row may be claimed at once.
     void handleLeaderStepDown(FencingToken term, SteadyTime now);
@@ -135,7 +133,6 @@
     SteadyTime earlierUntil {}; ///< the same for the leaders before the last one
     bool leftoversRemoved = false;
     std::string formerNode; ///< the last leader while it may renew leases; else empty
-    std::uint64_t formerIncarnation = 0;
 };
 
 } // namespace WisteriaHill::Scheduling
--- a/tests/support/schedulerbenchdaemons.cpp
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -85,8 +85,8 @@
             Scheduler& to = *this->daemons[receiver]->scheduler;
             if (leading.isLeader())
                 to.leadership().handleLeaderHeartbeat(leading.leaderNode(), leading.term(), this->time);
-            to.leadership().handlePeerHeartbeat("daemon-" + std::to_string(sender), this->daemons[sender]->generation,
-                leading.isLeader(), leading.knownTerm(), this->time);
+            to.leadership().handlePeerHeartbeat(
+                "daemon-" + std::to_string(sender), leading.isLeader(), leading.knownTerm(), this->time);
             to.applySuccesses(successes, this->time);
         }
     }
