--- a/tests/auto/platform/tst_documents.cpp
+++ b/tests/auto/platform/tst_documents.cpp
@@ -38,12 +38,13 @@
 {
     const char* whole
         = R"({"Service":"s","Address":"10.0.0.9:8080","Zone":"z","State":"draining","DrainRemainingMs":900,
-"Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":8},"Labels":["a","r1-3"],"Sequence":4})";
+"Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":8},"Labels":["a","r1-3"],"Sequence":4,"born":1796500000123})";
     const auto entry = decodeServerEntry(serverRow(whole));
     REQUIRE(entry);
     CHECK(entry->rack == "r1-3");
     CHECK(entry->port == 8080);
     CHECK(entry->draining);
+    CHECK(entry->startedAt == 1'796'500'000'123);
     CHECK(entry->capacity.accelerators == 8);
     for (const char* broken : { "", "null", "[]", R"({"Service":"s"})",
              R"({"Service":5,"Address":"10.0.0.9:8080","Zone":"z","State":"ready","Capacity":{},"Labels":[]})",
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/httpserver.h"
 #include "platform/storeclient.h"
+#include "utils/httpstatus.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,11 +19,12 @@
     std::optional<Scheduling::RowRange> range;
     std::optional<Platform::WatchRequest> watch;
     Scheduling::RowPage page;
+    int status = Utils::HttpStatus::ok; ///< of each response
     Adapters::HttpServer relay { this->loop, { .address = "127.0.0.1", .port = relayPort },
         [this](Adapters::HttpExchangeId exchange, const Adapters::HttpRequest& request) {
             this->range = Platform::decodeReadRequest(request);
             this->watch = Platform::decodeWatchRequest(request);
-            this->relay.respond(exchange, { .body = Platform::encodePage(this->page) });
+            this->relay.respond(exchange, { .status = this->status, .body = Platform::encodePage(this->page) });
         } };
     Scheduling::StoreClock clock;
     Platform::StoreClient client { this->loop,
@@ -91,6 +93,35 @@
     CHECK_FALSE(fixture.range);
 }
 
+TEST_CASE("a transaction that the store will never accept is told from one that it refuses for now")
+{
+    struct Case {
+        int status;
+        Scheduling::StoreError error;
+    };
+    const Case given = GENERATE(Case { Utils::HttpStatus::badRequest, Scheduling::StoreError::Invalid },
+        Case { Utils::HttpStatus::forbidden, Scheduling::StoreError::Invalid },
+        Case { Utils::HttpStatus::payloadTooLarge, Scheduling::StoreError::Invalid },
+        Case { Utils::HttpStatus::tooManyRequests, Scheduling::StoreError::Rejected },
+        Case { Utils::HttpStatus::unavailable, Scheduling::StoreError::Rejected },
+        Case { Utils::HttpStatus::badGateway, Scheduling::StoreError::Unknown },
+        Case { Utils::HttpStatus::gatewayTimeout, Scheduling::StoreError::Unknown });
+    RelayFixture fixture;
+    fixture.status = given.status;
+    bool done = false;
+    std::optional<Scheduling::CommitResult> result;
+    fixture.client.commit({ .transaction = { .writes = { { { "states", "scheduler", "job" }, "running" } } },
+        .timeout = 2s,
+        .done = [&](const Scheduling::CommitResult& given) {
+            done = true;
+            result = given;
+        } });
+    fixture.runUntil(done);
+    REQUIRE(result);
+    REQUIRE(std::holds_alternative<Scheduling::StoreError>(*result));
+    CHECK(std::get<Scheduling::StoreError>(*result) == given.error);
+}
+
 TEST_CASE("malformed watches of another daemon are not decoded")
 {
     for (const char* after : { "", "x", "-1", "1x", "99999999999999999999999" }) {
--- a/tests/auto/scheduling/tst_intake.cpp
+++ b/tests/auto/scheduling/tst_intake.cpp
@@ -230,3 +230,18 @@
     CHECK_FALSE(jobIdInPath("/cut/0123456789abcdef0", queue));
     CHECK_FALSE(jobIdInPath("/cut/", queue));
 }
+
+// The store's answer that it never accepts such a row was taken for a refusal for now.
+TEST_CASE("a job that is too large for the store is refused at once and for good")
+{
+    IntakeBench bench;
+    std::vector<StepSpecification> steps(900);
+    for (StepSpecification& step : steps)
+        step.requiredLabel = std::string(100, 'x');
+    bench.intake.submit(bench.context, jobId, { .payload = "round", .steps = steps }, StoreTime(5), bench.capture());
+    bench.settle();
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->outcome == CallerOutcome::Malformed);
+    CHECK(bench.store.invalidTransactions == 1);
+    CHECK_FALSE(bench.store.find({ StoreTable::jobs, StoreTable::intakePartition, jobId }));
+}
