JobRetention: a function that also notes a resubmitted row is not named like a question

Found by reading the diff: isRemoved() keeps the row of a job that is submitted again, and may begin the removal of its state. It is claimsRow() now, and its comment says where the row goes.

--- a/src/libs/scheduling/jobretention.cpp
+++ b/src/libs/scheduling/jobretention.cpp
@@ -47,7 +47,7 @@
         { { "job", row.key.key }, { "rowVersion", row.version }, { "reason", "left by an earlier release" } });
 }
 
-bool JobRetention::isRemoved(const Row& row, SteadyTime now)
+bool JobRetention::claimsRow(const Row& row, SteadyTime now)
 {
     const std::string& id = row.key.key;
     const auto gone = this->removed.find(id);
--- a/src/libs/scheduling/jobretention.h
+++ b/src/libs/scheduling/jobretention.h
@@ -45,9 +45,9 @@
     /// Removes a state or the progress of a job that has no row any more.
     void removeOrphan(const RowKey& key) { this->writer.remove(key); }
 
-    /// True when the job row is not to be taken as a new job now: it was read before its removal, or a removal of the
-    /// job under the same id is not complete.
-    bool isRemoved(const Row& row, SteadyTime now);
+    /// Returns true when a job row is not a new job for now: it was read before its removal, or the removal of a job
+    /// under the same id is not complete. In the latter case handleRemovedStates() returns the row later.
+    bool claimsRow(const Row& row, SteadyTime now);
 
     /// Removes what is due.
     void tick(SteadyTime now);
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -117,7 +117,7 @@
         this->tracker.cancelJob(*cancelled, now);
         return;
     }
-    if (this->retention.isRemoved(row, now) || this->board.jobs.contains(row.key.key)
+    if (this->retention.claimsRow(row, now) || this->board.jobs.contains(row.key.key)
         || this->unreadableJobs.contains(row.key.key))
         return;
     const std::optional<JobRecord> record = decodeJob(row.value);
