Daemons that were cut off from each other for more than 30 s hear each other again

Seen by callers: after a long cut between two zones the count of waiting jobs is answered 503 by the hosts that no longer hear the leader, hosts that the store rejects find no relay in the other zone, and successes of a former leader are not reported. Cause: a member that was silent for 30 s gets no more heartbeats, on both sides; its unchanged row in the directory does not count as a sign of life, so nothing ever makes either side send again. Evidence: a test with two directories hears 0 of 20 heartbeats after cuts of 32 s and 600 s, and 20 of 20 after 25 s. Change: each reading of the directory (every 10 s) lets one heartbeat go to every registered member that is silent. After: 20 of 20 in all three cases.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -322,7 +322,7 @@
 
 void FleetDaemon::sendHeartbeats(SteadyTime now)
 {
-    const std::vector<Scheduling::MemberRow> destinations = this->peers.destinations(now);
+    const std::vector<Scheduling::MemberRow> destinations = this->peers.takeDestinations(now);
     const Duration perPeer = heartbeatIntervalPerPeer * static_cast<std::int64_t>(destinations.size());
     this->nextHeartbeat = now
         + (this->scheduler.leadership().isLeader() ? leaderHeartbeatInterval : std::max(heartbeatInterval, perPeer));
--- a/src/libs/scheduling/peers.cpp
+++ b/src/libs/scheduling/peers.cpp
@@ -18,7 +18,8 @@
 constexpr Duration storeTimeout { 700 };
 constexpr Duration firstReadInterval { 1000 };
 constexpr Duration readInterval { 10'000 };
-/// A daemon that was silent for this long gets no more heartbeats; if it returns, its entry is read again.
+/// A daemon that was silent for this long gets a heartbeat only after each reading of the directory, so that daemons
+/// which were cut off from each other find each other again.
 constexpr Duration destinationExpiry { 30'000 };
 
 RowKey memberRow(const std::string& node) { return { StoreTable::members, "", node }; }
@@ -82,6 +83,8 @@
                     this->members[member->node] = *member;
                     this->memberSince[member->node] = readAt;
                 }
+                if (readAt - this->memberSince.at(member->node) >= destinationExpiry)
+                    this->probesDue.insert(member->node);
             }
         } });
 }
@@ -117,13 +120,14 @@
     return active;
 }
 
-std::vector<MemberRow> PeerDirectory::destinations(SteadyTime now) const
+std::vector<MemberRow> PeerDirectory::takeDestinations(SteadyTime now)
 {
     std::vector<MemberRow> destinations;
     for (const auto& [node, member] : this->members) {
-        if (now - this->memberSince.at(node) < destinationExpiry)
+        if (now - this->memberSince.at(node) < destinationExpiry || this->probesDue.contains(node))
             destinations.push_back(member);
     }
+    this->probesDue.clear();
     return destinations;
 }
 
--- a/src/libs/scheduling/peers.h
+++ b/src/libs/scheduling/peers.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,8 +71,8 @@
     /// Daemons whose latest heartbeat is at most `age` old.
     std::vector<const Peer*> activeWithin(Duration age, SteadyTime now) const;
 
-    /// Members to send heartbeats to: all that may be running.
-    std::vector<MemberRow> destinations(SteadyTime now) const;
+    /// Members to send the next heartbeat to: those heard lately, and now and then every other one that is registered.
+    std::vector<MemberRow> takeDestinations(SteadyTime now);
 
     /// Removes this daemon's entry from the store. `done` is called when the call to the store has ended, even if it
     /// failed.
@@ -90,6 +91,7 @@
     std::map<std::string, Peer> peers;
     std::map<std::string, MemberRow> members;
     std::map<std::string, SteadyTime> memberSince;
+    std::set<std::string> probesDue; ///< members that were silent for long and get the next heartbeat
     bool registered = false;
     bool callOpen = false;
     SteadyTime nextCall {};
--- a/tests/auto/scheduling/tst_peers.cpp
+++ b/tests/auto/scheduling/tst_peers.cpp
@@ -147,3 +147,58 @@
     CHECK(agreedWallOffset(Duration(3400), { &right, &close }) == 1010ms);
     CHECK(agreedWallOffset(Duration(1005), {}) == 1005ms);
 }
+
+// A member that was silent for long got no more heartbeats, and its unchanged row did not count as a sign of life.
+TEST_CASE("daemons that were cut off from each other for long hear each other again")
+{
+    struct Host {
+        explicit Host(MemberRow self, const SteadyTime& now)
+            : peers(this->effects, std::move(self), [&now]() { return now; })
+        {
+        }
+        Effects effects;
+        PeerDirectory peers;
+    };
+    SteadyTime now { 1000s };
+    Host first({ .node = "a", .address = "10.0.0.1", .heartbeatPort = 1, .incarnation = 1 }, now);
+    Host second({ .node = "b", .address = "10.0.0.2", .heartbeatPort = 1, .incarnation = 2 }, now);
+    const auto answerStoreCalls = [&](Host& host) {
+        host.peers.tick(now);
+        while (!host.effects.empty()) {
+            const Effect effect = host.effects.pop();
+            RowPage page;
+            for (const Host* member : { &first, &second })
+                page.rows.push_back({ .key = { StoreTable::members, "", member->peers.own().node },
+                    .value = encodeMember(member->peers.own()) });
+            if (const auto* read = std::get_if<ReadCall>(&effect))
+                read->done(page);
+            else if (const auto* commit = std::get_if<CommitCall>(&effect))
+                commit->done(Committed { .version = 1 });
+        }
+    };
+    int heard = 0;
+    const auto run = [&](Duration time, bool cut) {
+        const SteadyTime end = now + time;
+        while (now < end) {
+            now += 1s;
+            answerStoreCalls(first);
+            answerStoreCalls(second);
+            for (const auto& [sender, receiver] : { std::pair(&first, &second), std::pair(&second, &first) }) {
+                if (sender->peers.takeDestinations(now).empty() || cut)
+                    continue;
+                receiver->peers.handleHeartbeat({ .node = sender->peers.own().node,
+                                                    .address = sender->peers.own().address,
+                                                    .heartbeatPort = 1,
+                                                    .incarnation = sender->peers.own().incarnation },
+                    now);
+                ++heard;
+            }
+        }
+    };
+    run(20s, false);
+    run(Duration(GENERATE(25'000, 32'000, 600'000)), true);
+    run(15s, false);
+    heard = 0;
+    run(10s, false);
+    CHECK(heard == 20);
+}
