An end that cannot be stored does not cost the other runs of its server their lease

Seen by callers: while the store is away, or behind a cut, work on a server is thrown away and started again as soon as one task on it has ended; in the users' record the first of two runs ends as lapsed 1.4 s and 0.5 s after the second has started. Cause: ServerMonitor did not poll a server with an end record that is not stored, so its lease was not renewed. Evidence: the case on the store's outage fails before (3 starts instead of 2). Ruled out: acknowledgements of a former incarnation, the reason for the pause: they are sent only within 200 ms of an answer. Change: such a server is polled every 1.5 s, and at once when its ends are stored.

--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -24,6 +24,9 @@
 constexpr Duration failedPollPause { 150 };
 /// A server that answered this recently cannot have restarted since; a restart takes longer.
 constexpr Duration answerFreshness { 200 };
+/// Poll interval of a server with end records that are not stored, which answers every poll at once. The polls renew its
+/// lease.
+constexpr Duration unstoredEndPollInterval { 1500 };
 /// Poll interval of a server without runs, to detect runs that a delayed order has started.
 constexpr Duration idlePollInterval { 5000 };
 /// The clocks of backend servers may be slow by 2%; the margin covers the transit time of an order.
@@ -292,7 +295,7 @@
     this->reconcileRuns(server, answer, poll.sentAt, afterGap, now);
     server.nextPollAt = needsPolling(server) ? now : now + idlePollInterval;
     if (server.lastProcessedEnd > server.lastStoredEnd && server.lastStoredEnd == server.lastDiscardedEnd)
-        server.nextPollAt = SteadyTime::max(); // acknowledgeEnds() sets it once the end records are stored
+        server.nextPollAt = now + unstoredEndPollInterval; // at once when acknowledgeEnds() is called before
 }
 
 void ServerMonitor::handleRestart(
