A former leader starts nothing on a server that has forgotten its successor's token

Seen by callers: nothing yet. Cause: a successor relies on the fencing token of a server that it has reached. A restart under the same id makes the server forget it, and a former leader, which renewed leases and ordered starts for 8 s after its last confirmed transaction, has its pending start carried out there. Change: starts are ordered only while no other daemon can have claimed the leadership (isConfirmed), as planning needs already. Renewals go on for 8 s; a restarted server has no run that a former leader could renew.

--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -85,6 +85,9 @@
         return this->isLeader() && now - this->confirmedAt < this->options.rowTimeout;
     }
 
+    /// True while this daemon may order starts.
+    bool mayStartRuns(SteadyTime now) const { return this->isConfirmed(now) && !this->withdrawn; }
+
     /// True while a successor, if there is one, cannot take the leases that this leader renews for expired.
     bool mayRenewLeases(SteadyTime now) const
     {
--- a/tests/auto/scheduling/tst_scheduler_cutleader.cpp
+++ b/tests/auto/scheduling/tst_scheduler_cutleader.cpp
@@ -27,6 +27,12 @@
     }
 }
 
+void cutOffFromAllServers(SchedulerBench& bench, std::size_t daemon)
+{
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.cut(daemon, bench.server(index).entry.id);
+}
+
 /// Starts a job of two long tasks on one server and returns the server.
 FakeServer& startPair(SchedulerBench& bench)
 {
@@ -78,3 +84,33 @@
     CHECK(bench.activeTasks("job") == 1);
     CHECK(bench.startsOf("job") == 2);
 }
+
+TEST_CASE("a former leader starts nothing on a server that has forgotten its successor's token")
+{
+    for (Duration untilRestart = 1200ms; untilRestart <= 7s; untilRestart += 400ms) {
+        SchedulerBench bench({ .daemons = static_cast<int>(daemons) });
+        bench.run(2s);
+        const std::size_t former = bench.leader();
+        for (std::size_t index = 0; index < bench.serverCount(); ++index)
+            bench.server(index).startsToDelay = 1;
+        bench.submit("job", "ordinary", { makeStep(1, 1, longWork) });
+        bench.run(100ms); // the start is ordered and has no answer
+        bench.isolate(former);
+        cutOffFromAllServers(bench, former);
+        for (std::size_t index = 0; index < bench.serverCount(); ++index)
+            bench.server(index).startsToDelay = 0;
+        bench.run(untilRestart);
+        std::size_t ordered = 0;
+        while (ordered < bench.serverCount() && bench.server(ordered).active.empty())
+            ++ordered;
+        if (ordered == bench.serverCount())
+            continue; // the successor has not started the task yet
+        FakeServer& server = bench.server(ordered);
+        server.restart();
+        bench.heal();
+        cutOffWith(bench, former, server);
+        bench.run(25s);
+        INFO("the server restarts " << untilRestart.count() << " ms after the cut");
+        CHECK(bench.violations().empty());
+    }
+}
