A late start on the next life of its server does not run beside its successor

Seen by callers: nothing yet; found by review, and shown by a test: a task runs twice. Cause: a start without an answer was sent again and answered, so the run counted as active. When the server restarted, the run was lost and the task started elsewhere at once, though the first order could still be carried out: a restarted server knows neither the attempt nor the token, and takes a lease end by its former clock for a full lease. Change: such a run is stopped on the new life, whose confirmed stop refuses the late start, before its task starts elsewhere. Before: the case fails (2 tasks active). After: it passes. Left: starts of a former leader that are carried out late on a restarted server cannot be told; and a late acknowledgement can discard ends of the new life.

--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -24,8 +24,8 @@
 constexpr Duration failedPollPause { 150 };
 /// A server that answered this recently cannot have restarted since; a restart takes longer.
 constexpr Duration answerFreshness { 200 };
-/// Poll interval of a server with end records that are not stored, which answers every poll at once. The polls renew its
-/// lease.
+/// Poll interval of a server with end records that are not stored, which answers every poll at once. The polls renew
+/// its lease.
 constexpr Duration unstoredEndPollInterval { 1500 };
 /// Poll interval of a server without runs, to detect runs that a delayed order has started.
 constexpr Duration idlePollInterval { 5000 };
@@ -326,9 +326,15 @@
         }
         if (task->run->incarnation == answer.startedAt || known.contains(name))
             continue;
-        // An unanswered start may still reach the new incarnation; it is sent again, and the answer settles the run.
+        // An unanswered start may still reach the new incarnation, which knows of no earlier order. A start that is
+        // still wanted is sent again, and the answer settles the run; else the stop is ordered there.
         task->run->incarnation = answer.startedAt;
         task->run->orderedAt = now;
+        if (task->run->startUnanswered && task->run->phase != RunPhase::Ordered) {
+            task->run->stopConfirmedAt.reset();
+            task->run->nextOrderAt = now;
+            this->tracker.requestStop(name, "the server restarted while a start had no answer", now);
+        }
         if (mustHaveEnded(*task->run, sentAt, this->options.stopTime))
             this->tracker.runLost(name, RunLoss::ServerRestarted, now);
     }
--- a/tests/auto/scheduling/tst_scheduler_cutleader.cpp
+++ b/tests/auto/scheduling/tst_scheduler_cutleader.cpp
@@ -114,3 +114,27 @@
         CHECK(bench.violations().empty());
     }
 }
+
+// A restarted server has forgotten the attempt, and takes a lease end by its former clock for a full lease.
+TEST_CASE("a late start on the next life of its server does not run beside its successor")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 2 });
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).startsToDelay = 1;
+    bench.submit("job", "ordinary", { makeStep(1, 1, longWork) });
+    REQUIRE(bench.runUntilActive("job", 1, 3s)); // by the second order
+    FakeServer& server = bench.serverRunning("job");
+    const auto [task, run] = *server.active.begin();
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).startsToDelay = 0;
+    bench.run(500ms);
+    server.restart();
+    for (int ticks = 0; ticks < 400 && bench.startsOf("job") < 2; ++ticks)
+        bench.run(10ms);
+    server.handle(
+        StartOrder { .task = task, .attempt = run.attempt, .leaseEnd = ServerTime(500'000), .token = 1 }, {}, longWork);
+    bench.run(2s);
+    CHECK(bench.violations().empty());
+    CHECK(bench.activeTasks("job") == 1);
+}
