A leadership row from an earlier clock of the store does not delay lost work without bound

Seen by callers: nothing yet; found by review. After a restart of the store's clock, work of lost servers would never start again. Cause: a successor took over the time until which former leaders renew leases as it stood in the row, and no leader ever lowered it. Evidence: with a row of 90,000 s and a store time of 1,000 s the wait was 88,999 s.

--- a/src/libs/scheduling/leadership.cpp
+++ b/src/libs/scheduling/leadership.cpp
@@ -139,15 +139,14 @@
 void Leadership::claim(RowVersion expected, const LeadershipRow& previous)
 {
     const SteadyTime now = this->clock();
-    LeadershipRow wanted { .holder = this->options.node,
+    // No earlier leader renews for longer than the last one. A later time in the row is of an earlier clock of the store.
+    const StoreTime latest = this->storeClock.at(now) + this->options.unconfirmedRenewal;
+    const LeadershipRow wanted { .holder = this->options.node,
         .incarnation = this->options.incarnation,
         .term = previous.term + 1,
         .serial = previous.serial + 1,
-        .formerLeadersUntil = previous.formerLeadersUntil,
+        .formerLeadersUntil = this->mayStillLead(previous) ? latest : std::min(previous.formerLeadersUntil, latest),
         .leftoversRemoved = previous.leftoversRemoved || expected == 0 };
-    if (this->mayStillLead(previous))
-        wanted.formerLeadersUntil
-            = std::max(wanted.formerLeadersUntil, this->storeClock.at(now) + this->options.unconfirmedRenewal);
     this->callOpen = true;
     this->effects.push(CommitCall {
         .transaction = { .expected = { { rowKey(), expected } }, .writes = { { rowKey(), encodeLeadership(wanted) } } },
