A late sample of the store's clock does not shorten the wait for former leaders

Seen by callers: nothing yet; found by review. Two hand-overs within seconds around a slow transfer could let a task run twice. Cause: each transaction wrote the time until which former leaders renew leases anew, from the present estimate of the store's clock. An answer that takes seconds to arrive makes that estimate late, and the row too early by as much. Evidence: a sample that is 3 s late moved the row by 3,000 ms. Change: the row keeps the time as it was claimed; what a heartbeat of the former leader shortens holds in this leader only. Before: the case fails. After: it passes.

--- a/src/libs/scheduling/leadership.cpp
+++ b/src/libs/scheduling/leadership.cpp
@@ -127,11 +127,10 @@
     return now + (time - this->storeClock.at(now));
 }
 
-LeadershipRow Leadership::nextRow(SteadyTime now) const
+LeadershipRow Leadership::nextRow() const
 {
     LeadershipRow next = this->row;
     ++next.serial;
-    next.formerLeadersUntil = this->storeClock.at(now) + std::chrono::duration_cast<StoreTime>(this->formerUntil - now);
     next.leftoversRemoved = this->leftoversRemoved;
     return next;
 }
--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -65,7 +65,7 @@
     FencingToken knownTerm() const { return this->highestTerm; }
 
     /// The row for the next transaction of this leader. Precondition: isLeader().
-    LeadershipRow nextRow(SteadyTime now) const;
+    LeadershipRow nextRow() const;
 
     /// Version of the row as this leader last wrote it. Precondition: isLeader().
     RowVersion currentVersion() const { return this->version; }
--- a/src/libs/scheduling/statewriter.cpp
+++ b/src/libs/scheduling/statewriter.cpp
@@ -159,7 +159,7 @@
         batch.decisions.ends.clear();
     }
     this->collectRunTimes(batch, now);
-    batch.row = this->leadership.nextRow(now);
+    batch.row = this->leadership.nextRow();
     if (this->releaseCallback)
         batch.row.holder.clear();
     batch.transaction.expected.push_back({ Leadership::rowKey(), this->leadership.currentVersion() });
--- a/tests/auto/scheduling/tst_leadership.cpp
+++ b/tests/auto/scheduling/tst_leadership.cpp
@@ -85,3 +85,12 @@
     bench.elect();
     CHECK(bench.formerLeadersRenewFor() <= unconfirmedRenewal);
 }
+
+TEST_CASE("a late sample of the store's clock does not shorten the wait for former leaders in the row")
+{
+    LeadershipBench bench(rowOfFormerLeader());
+    bench.elect();
+    const StoreTime claimed = bench.leadership.nextRow().formerLeadersUntil;
+    bench.storeClock.addSample(bench.storeNow - StoreTime(3000), bench.now);
+    CHECK(bench.leadership.nextRow().formerLeadersUntil == claimed);
+}
