The daemon's clock goes on while its host is suspended

A leader whose host is suspended inside a cut renews leases, and takes its leadership for confirmed, for as long again as it was suspended, while the clocks of servers and store go on: tasks can run twice. Cause: CLOCK_MONOTONIC does not count that time. Change: Utils::steadyNow() reads CLOCK_BOOTTIME and is the only reading of the steady clock in src and platform. Left: a backend server whose own clock stands still outlives every bound of its lease; the protocol offers nothing against it.

--- a/src/app/fleetapi.cpp
+++ b/src/app/fleetapi.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/gangjobs.h"
 #include "utils/httpstatus.h"
 #include "utils/randomsource.h"
+#include "utils/steadytime.h"
 
 #include <chrono>
 
@@ -79,8 +80,7 @@
         this->server.respond(
             exchange, { .contentType = "text/plain; version=0.0.4", .body = this->handlers.metrics() });
     } else if (request.path == "/v1/dump" && request.method == "GET") {
-        this->respond(
-            exchange, HttpStatus::ok, Scheduling::dumpScheduler(this->scheduler, std::chrono::steady_clock::now()));
+        this->respond(exchange, HttpStatus::ok, Scheduling::dumpScheduler(this->scheduler, Utils::steadyNow()));
     } else if (request.path == jobsPath && request.method == "POST") {
         this->submitJob(exchange, request);
     } else if (request.path.starts_with(jobPrefix) && request.path.ends_with(explainSuffix)
@@ -175,7 +175,7 @@
 
 void FleetApi::explainJob(HttpExchangeId exchange, const std::string& id)
 {
-    const Json explained = Scheduling::explainJob(this->scheduler, id, std::chrono::steady_clock::now());
+    const Json explained = Scheduling::explainJob(this->scheduler, id, Utils::steadyNow());
     if (!explained.is_null()) {
         this->respond(exchange, HttpStatus::ok, explained);
         return;
--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -6,6 +6,7 @@
 #include "utils/eventlog.h"
 #include "utils/httpstatus.h"
 #include "utils/randomsource.h"
+#include "utils/steadytime.h"
 
 #include <algorithm>
 #include <chrono>
@@ -20,6 +21,7 @@
 using Utils::Duration;
 using Utils::Event;
 using Utils::Json;
+using Utils::steadyNow;
 
 constexpr Duration tickInterval { 10 };
 constexpr Duration leaderHeartbeatInterval { 200 }; ///< a third of the heartbeat timeout that starts a takeover
@@ -34,8 +36,6 @@
 constexpr Duration maximumStagger { 400 };
 constexpr Duration maximumRandomStagger { 100 };
 
-Utils::SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
-
 Scheduling::MemberRow ownMember(const FleetSettings& settings)
 {
     return { .node = settings.node,
--- a/src/libs/adapters/eventloop.cpp
+++ b/src/libs/adapters/eventloop.cpp
@@ -1,5 +1,7 @@
 #include "adapters/eventloop.h"
 
+#include "utils/steadytime.h"
+
 #include <algorithm>
 #include <csignal>
 #include <stdexcept>
@@ -67,7 +69,7 @@
 
 EventLoop::TimerId EventLoop::after(Duration delay, std::function<void()> action)
 {
-    const TimerId timer { std::chrono::steady_clock::now() + delay, ++this->lastTimer };
+    const TimerId timer { Utils::steadyNow() + delay, ++this->lastTimer };
     this->timers.emplace(timer, std::move(action));
     return timer;
 }
@@ -85,7 +87,7 @@
     if (this->timers.empty() || this->timers.begin()->first.first >= this->wakeUp.at)
         return;
     this->wakeUp.at = this->timers.begin()->first.first;
-    const auto wait = std::chrono::ceil<std::chrono::microseconds>(this->wakeUp.at - std::chrono::steady_clock::now());
+    const auto wait = std::chrono::ceil<std::chrono::microseconds>(this->wakeUp.at - Utils::steadyNow());
     lws_sul_schedule(this->lwsContext, 0, &this->wakeUp.entry, wakeUpFired, std::max<lws_usec_t>(1, wait.count()));
 }
 
@@ -100,7 +102,7 @@
 {
     // libwebsockets waits for whole milliseconds. Timers that are due within the next one run now, because waiting for
     // them would be polling.
-    const Utils::SteadyTime due = std::chrono::steady_clock::now() + waitResolution;
+    const Utils::SteadyTime due = Utils::steadyNow() + waitResolution;
     while (!this->timers.empty() && this->timers.begin()->first.first <= due) {
         const std::function<void()> action = std::move(this->timers.begin()->second);
         this->timers.erase(this->timers.begin());
--- a/src/libs/adapters/httpapi.cpp
+++ b/src/libs/adapters/httpapi.cpp
@@ -3,6 +3,7 @@
 #include "controllers/statedump.h"
 #include "utils/duration.h"
 #include "utils/httpstatus.h"
+#include "utils/steadytime.h"
 
 #include <algorithm>
 #include <charconv>
@@ -80,7 +81,7 @@
     const Model::CallerAnswer& answer = effect.answer;
     const auto arrival = this->arrivals.find(effect.caller);
     if (arrival != this->arrivals.end()) {
-        this->metrics.record(answer.outcome, std::chrono::steady_clock::now() - arrival->second);
+        this->metrics.record(answer.outcome, Utils::steadyNow() - arrival->second);
         this->arrivals.erase(arrival);
     }
     HttpResponse response { .status = answer.status, .headers = retryHeaders(answer.retryAfter) };
@@ -208,7 +209,7 @@
             exchange, Utils::HttpStatus::badRequest, "Wisteriahill-Deadline must be a duration such as 250ms or 2s");
         return;
     }
-    this->arrivals[exchange] = std::chrono::steady_clock::now();
+    this->arrivals[exchange] = Utils::steadyNow();
     Model::CallerRequest callerRequest { .account = *account,
         .service = Model::ServiceId(service),
         .body = std::move(request.body),
@@ -349,7 +350,7 @@
 {
     if (!this->authenticateTeam(exchange, request))
         return;
-    Json dump = this->core.dump(std::chrono::steady_clock::now());
+    Json dump = this->core.dump(Utils::steadyNow());
     dump["openExchanges"] = this->server.openExchanges();
     this->respondJson(exchange, Utils::HttpStatus::ok, dump);
 }
--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "adapters/httpclient.h"
 
+#include "utils/steadytime.h"
+
 #include <algorithm>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http.hpp>
@@ -206,7 +208,7 @@
 void HttpClient::addIdle(Connection& connection)
 {
     connection.idle = true;
-    connection.idleSince = std::chrono::steady_clock::now();
+    connection.idleSince = Utils::steadyNow();
     connection.age = this->idleByAge.insert(this->idleByAge.end(), &connection);
     this->idleByEndpoint[connection.endpoint].push_back(&connection);
     while (connection.idleSince - this->idleByAge.front()->idleSince > keepAliveTime)
@@ -289,7 +291,7 @@
 
 void HttpClient::noteReceived(Transaction& transaction, std::size_t length)
 {
-    transaction.lastReceivedAt = std::chrono::steady_clock::now();
+    transaction.lastReceivedAt = Utils::steadyNow();
     if (!transaction.beganAt) {
         transaction.beganAt = transaction.lastReceivedAt;
         if (transaction.call.stallTimeout.count() > 0)
@@ -348,7 +350,7 @@
 void HttpClient::handleTimeout(Transaction& transaction)
 {
     if (transaction.beganAt && transaction.call.stallTimeout.count() > 0) {
-        const Utils::SteadyTime now = std::chrono::steady_clock::now();
+        const Utils::SteadyTime now = Utils::steadyNow();
         const auto pause = std::chrono::duration_cast<Duration>(now - transaction.lastReceivedAt);
         if (pause < transaction.call.stallTimeout && now - *transaction.beganAt < maximumTransferTime) {
             this->armTimer(transaction, transaction.call.stallTimeout - pause);
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -46,8 +46,8 @@
     BackendServer& server = *known;
     Run& run = *task->run;
     const bool lookNeeded = run.startUnanswered && server.clockReadAt <= run.unansweredAt;
-    // A poll must show first what runs there. A server that has restarted does not refuse the start of a former leader, so
-    // that a leader starts nothing once another daemon may have claimed the leadership.
+    // A poll must show first what runs there. A server that has restarted does not refuse the start of a former leader,
+    // so that a leader starts nothing once another daemon may have claimed the leadership.
     if (!server.fenced || server.incarnation == 0 || server.unansweredPolls > 0 || lookNeeded
         || !this->leadership.mayStartRuns(now)) {
         run.nextOrderAt = now + orderRetryPause;
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -1,4 +1,5 @@
 #include "utils/eventlog.h"
+#include "utils/steadytime.h"
 
 #include <chrono>
 #include <fcntl.h>
@@ -104,7 +105,7 @@
 
 void logStructured(Event event, const nlohmann::json& fields)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const SteadyTime now = steadyNow();
     EventRate& rate = structuredLog().rates[event];
     if (now - rate.intervalStart > rateInterval) {
         const std::uint64_t dropped = std::exchange(rate.dropped, 0);
--- a/src/tools/wisteriahillctl/commands.cpp
+++ b/src/tools/wisteriahillctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "utils/checkedjson.h"
 #include "utils/httpstatus.h"
+#include "utils/steadytime.h"
 #include "wisteriahillctl/tableprinter.h"
 
 #include <cerrno>
@@ -187,9 +188,9 @@
 
 ExitStatus watchJob(CommandContext context, const std::string& job, Duration bound)
 {
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = Utils::steadyNow();
     std::string lastState;
-    while (std::chrono::steady_clock::now() - start < bound) {
+    while (Utils::steadyNow() - start < bound) {
         ExitStatus status = ExitStatus::Ok;
         const std::optional<Json> document = fetchDocument(context, "/v1/jobs/" + job, status);
         if (!document)
@@ -284,7 +285,7 @@
 
 ExitStatus waitForConfiguration(CommandContext context, const WaitOptions& options)
 {
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = Utils::steadyNow();
     auto nextProgress = start + progressInterval;
     std::uint64_t revision = options.revision;
     while (true) {
@@ -294,7 +295,7 @@
             return status;
         const Json& hosts = document->at("hosts");
         revision = revision == 0 ? highestRevision(hosts) : revision;
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = Utils::steadyNow();
         const bool inForce = everyLiveHostHasRevision(hosts, revision) && highestRevision(hosts) >= revision;
         if (inForce || now - start >= options.bound) {
             const auto waited = std::chrono::duration_cast<Duration>(now - start);
