CrashController: the bound by the number of crashes holds for lasting tasks too

Cause: such a server counts as unreliable, so its crash adds no suspicion to the task; and the bound of five crashes, which ends other jobs in that case, left out tasks that last, since these meet any number of power losses.

The bound now holds for every task. For a task that lasts, crashes in a mass restart are not counted and are taken back when a mass restart becomes apparent afterwards. A run of a minute clears the counts also when it is lost with a silent server.

--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -22,7 +22,7 @@
 constexpr int suspicionOfUnanswered = 1; ///< beside a newer start that was answered
 /// A server that crashed under an only suspect did not answer for longer than this after the start.
 constexpr Duration immediateCrashPeriod { 250 };
-/// Bound for tasks that crash servers some time after their start, when other runs may be suspect.
+/// Bound for tasks that crash servers some time after their start, or beside other runs that are suspect.
 constexpr int maximumCrashes = 5;
 /// A run that lasted for this long clears its task.
 constexpr Duration provenRunTime { 60'000 };
@@ -71,6 +71,12 @@
         suspects.front()->suspicion = suspicionOfOnlySuspect;
 }
 
+void clearCounts(Task& task)
+{
+    task.crashes = 0;
+    task.suspicion = 0;
+}
+
 } // namespace
 
 void CrashController::begin()
@@ -120,6 +126,8 @@
     constexpr std::int64_t none = 0;
     for (const ExposedRun& run : this->exposedRuns(server, none, server.clockReadAt)) {
         Task& task = *this->board.findTask(run.name);
+        if (run.age >= provenRunTime)
+            clearCounts(task);
         task.lostRuns.push_back(
             { .server = server.address.id, .incarnation = run.incarnation, .suspicion = run.suspicion });
         this->lost[server.address.id].insert(run.name);
@@ -211,16 +219,16 @@
         return;
     std::map<std::string, bool> isMass; // by job
     for (auto restart = recent; restart != this->restarts.end(); ++restart) {
-        std::erase_if(restart->counted, [&](const std::pair<TaskName, int>& counted) {
-            const auto& [name, suspicion] = counted;
-            const auto [job, isNew] = isMass.try_emplace(name.jobId, false);
+        std::erase_if(restart->counted, [&](const CountedCrash& counted) {
+            const auto [job, isNew] = isMass.try_emplace(counted.name.jobId, false);
             if (isNew)
-                job->second = this->isMassRestart(name.jobId);
+                job->second = this->isMassRestart(counted.name.jobId);
             if (!job->second)
                 return false;
-            if (Task* task = this->board.findTask(name)) {
-                task->suspicion = std::max(0, task->suspicion - suspicion);
-                this->tracker.markDirty(name);
+            if (Task* task = this->board.findTask(counted.name)) {
+                task->crashes = std::max(0, task->crashes - counted.crashes);
+                task->suspicion = std::max(0, task->suspicion - counted.suspicion);
+                this->tracker.markDirty(counted.name);
             }
             return true;
         });
@@ -284,23 +292,25 @@
     Job& job = this->board.jobs.at(run.name.jobId);
     if (job.ended())
         return;
-    if (run.age >= provenRunTime) {
-        task->crashes = 0;
-        task->suspicion = 0;
-    }
+    if (run.age >= provenRunTime)
+        clearCounts(*task);
     const Verdict verdict = this->verdictOn(server, run);
-    const bool counted = verdict == Verdict::Suspect;
+    const bool longRunning = this->board.stepOf(run.name).longRunning;
     ++task->crashes;
-    task->suspicion += counted ? run.suspicion : 0;
-    if (counted)
-        restart.counted.emplace_back(run.name, run.suspicion);
+    const int suspicion = verdict == Verdict::Suspect ? run.suspicion : 0;
+    task->suspicion += suspicion;
+    // A task that lasts meets any number of power losses.
+    const int explained = longRunning ? 1 : 0;
+    if (verdict == Verdict::MassRestart)
+        task->crashes -= explained;
+    else
+        restart.counted.push_back({ .name = run.name, .crashes = explained, .suspicion = suspicion });
     this->tracker.markDirty(run.name);
     this->effects.log(Event::ServerCrashedUnderTask,
         { { "task", formatTaskName(run.name) }, { "attempt", run.attempt }, { "server", server.address.id },
             { "incarnation", server.incarnation }, { "ageMs", run.age.count() }, { "verdict", verdictName(verdict) },
             { "crashes", task->crashes }, { "suspicion", task->suspicion } });
-    const bool longRunning = this->board.stepOf(run.name).longRunning;
-    if (task->suspicion >= maximumSuspicion || (task->crashes >= maximumCrashes && !longRunning))
+    if (task->suspicion >= maximumSuspicion || task->crashes >= maximumCrashes)
         this->tracker.giveUp(job,
             std::to_string(task->crashes) + " backend servers crashed under task " + formatTaskName(run.name), now);
 }
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -23,7 +23,8 @@
 /// Answers the load of tasks with a defect that crashes each server that starts them. A run is suspect when the server
 /// crashed soon after its start and no other run started later there; two or three such crashes end the job. Silent,
 /// drained and removed servers do not count, nor do power losses of many servers, nor servers that crash under any
-/// work. The counts are part of the task's stored row. Runs in the leader only. Thread safety: none.
+/// work. Whatever is suspect, a task is given up after a number of crashes in a row that no power loss or run of a
+/// minute explains. The counts are part of the task's stored row. Runs in the leader only. Thread safety: none.
 class CrashController {
 public:
     CrashController(Board& board, Effects& effects, JobTracker& tracker)
@@ -54,12 +55,19 @@
     void forgetJob(const Job& job);
 
 private:
+    /// What a restart added to the counts of a task, and what is taken back when it turns out as a mass restart.
+    struct CountedCrash {
+        TaskName name;
+        int crashes = 0;
+        int suspicion = 0;
+    };
+
     /// A restart of a server under runs.
     struct Restart {
         std::string server;
         SteadyTime at {};
         std::set<std::string> jobs; ///< jobs with runs on the server
-        std::vector<std::pair<TaskName, int>> counted; ///< suspicion added to tasks
+        std::vector<CountedCrash> counted;
     };
 
     enum class Verdict {
--- a/tests/auto/scheduling/tst_scheduler_crashes.cpp
+++ b/tests/auto/scheduling/tst_scheduler_crashes.cpp
@@ -253,3 +253,76 @@
     for (int number = 0; number < 8; ++number)
         CHECK(bench.runUntil("job-" + std::to_string(number), JobState::Completed, 20s));
 }
+
+TEST_CASE("a lasting task that crashes its servers is started at most twice more after three crashes under other jobs")
+{
+    constexpr int mostCrashes = 5;
+    const Duration crashDelay = GENERATE(30ms, 4s); // the second is longer than a start is suspect for
+    SchedulerBench bench({ .racks = 1 });
+    bench.deadly.options = { .crashDelay = crashDelay };
+    bench.run(2s);
+    StepSpecification lasting = makeStep(1, 1, 4s);
+    lasting.longRunning = true;
+    for (const char* job : { "deadly-1", "deadly-2", "deadly-3" }) {
+        bench.deadly.jobs.insert(job);
+        bench.submit(job, "ordinary", { lasting });
+        bench.setRunTime(job, 3600s);
+        bench.runUntil(job, JobState::Failed, 120s);
+        CHECK(bench.storedState(job) == JobState::Failed);
+        CHECK(bench.deadly.crashesUnder(job) <= mostCrashes);
+    }
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("lasting tasks beside jobs that crash servers, and through losses of all servers, are not given up")
+{
+    SchedulerBench bench({});
+    bench.deadly.jobs = { "deadly-1", "deadly-2" };
+    bench.run(2s);
+    StepSpecification lasting = makeStep(1, 5, 4s);
+    lasting.longRunning = true;
+    std::vector<std::string> sound;
+    for (std::size_t number = 0; number < bench.serverCount(); ++number) {
+        sound.push_back("sound-" + std::to_string(number));
+        bench.submit(sound.back(), "ordinary", { lasting });
+        bench.setRunTime(sound.back(), 3600s);
+    }
+    bench.run(5s);
+    for (const char* job : { "deadly-1", "deadly-2" }) {
+        bench.submit(job, "ordinary", { makeStep(1, 1, 4s) });
+        CHECK(bench.runUntil(job, JobState::Failed, 60s));
+    }
+    for (int round = 0; round < 7; ++round) {
+        bench.run(12s);
+        for (std::size_t index = 0; index < bench.serverCount(); ++index)
+            bench.server(index).restart();
+    }
+    for (const std::string& job : sound)
+        CHECK(bench.runUntilActive(job, 1, 20s));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("long runs of a lasting task that are lost with silent servers clear it")
+{
+    const bool restarts = GENERATE(true, false);
+    SchedulerBench bench({ .racks = 1 });
+    bench.run(2s);
+    StepSpecification lasting = makeStep(1, 1, 4s);
+    lasting.longRunning = true;
+    bench.submit("sound", "ordinary", { lasting });
+    bench.setRunTime("sound", 3600s);
+    for (int round = 0; round < 7; ++round) {
+        REQUIRE(bench.runUntilActive("sound", 1, 20s));
+        bench.run(62s);
+        FakeServer& server = bench.serverRunning("sound");
+        if (restarts)
+            server.restart();
+        server.alive = false;
+        bench.run(9s); // longer than the lease
+        server.alive = true;
+        bench.run(2s);
+    }
+    CHECK(bench.runUntilActive("sound", 1, 20s));
+    CHECK(bench.storedState("sound") != JobState::Failed);
+    CHECK(storedCrashes(bench, "sound") <= 1);
+}
