Scheduler: the limit on failed runs holds when a job's queue is back

A task that had failed MaxAttempts times while its route was dropped from the configuration was started a fourth time when the route came back; clients saw a job that had failed for good run on.

Cause: JobTracker::countFailure() compares the failures with the limit at the moment of a failure only. A job without a queue has no limit then, and nothing compared them when the queue was back, nor when a limit was lowered. Ruled out: a lost count. The failures are in the progress rows, also those of gangs, and outlive a change of the leader.

A job with a waiting task that has used its attempts now ends when a configuration is put in force and when a leader has read its state; each start is checked once more. A run at work is not stopped because a limit falls.

--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/jobtracker.h"
 
+#include "scheduling/attemptlimit.h"
 #include "scheduling/outlook.h"
 #include "scheduling/placement.h"
 #include "scheduling/rowcodec.h"
@@ -412,22 +413,16 @@
 
 void JobTracker::countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now)
 {
-    const StepSpecification& specification = specificationOf(job, name.step);
-    int failures = 0;
-    if (specification.gang) {
+    if (specificationOf(job, name.step).gang) {
         // Several members that fail in one attempt count as one failure of the gang.
-        Task& counter = step.tasks.front();
         if (step.lastFailedAttempt != task.run->attempt)
-            ++counter.failures;
+            ++step.tasks.front().failures;
         step.lastFailedAttempt = task.run->attempt;
-        failures = counter.failures;
     } else {
-        failures = ++task.failures;
+        ++task.failures;
     }
-    const int limit = job.queue ? job.queue->maximumAttempts : 0;
-    if (limit > 0 && failures >= limit && !specification.longRunning)
-        this->endJob(job, JobState::Failed,
-            "task " + formatTaskName(name) + " failed " + std::to_string(failures) + " times", now);
+    if (hasUsedAttempts(job, name))
+        this->endJob(job, JobState::Failed, exhaustionReason(job, name), now);
 }
 
 void JobTracker::requeue(const TaskName& name, Step& step, Task& task, SteadyTime now)
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/scheduler.h"
 
+#include "scheduling/attemptlimit.h"
 #include "scheduling/rowcodec.h"
 
 #include <algorithm>
@@ -70,9 +71,21 @@
 void Scheduler::setConfiguration(std::shared_ptr<const FleetConfiguration> configuration)
 {
     this->board.setConfiguration(std::move(configuration));
+    if (this->isActive())
+        this->endExhaustedJobs(this->clock());
     this->nextSchedule = SteadyTime();
 }
 
+void Scheduler::endExhaustedJobs(SteadyTime now)
+{
+    for (auto& [id, job] : this->board.jobs) {
+        if (job.ended() || !job.queue)
+            continue;
+        if (const std::optional<TaskName> task = findExhaustedTask(job))
+            this->tracker.giveUp(job, exhaustionReason(job, *task), now);
+    }
+}
+
 void Scheduler::releaseLeadership(std::function<void()> done)
 {
     this->leader.withdraw();
@@ -287,8 +300,13 @@
         this->tracker.requestStop(stop.task, "preempted for " + stop.forJob, now);
         this->monitor.orderStop(stop.task, now);
     }
-    for (const PlannedStart& start : plan.starts)
-        this->startRun(start, now);
+    for (const PlannedStart& start : plan.starts) {
+        Job& job = this->board.jobs.at(start.task.jobId);
+        if (hasUsedAttempts(job, start.task))
+            this->tracker.giveUp(job, exhaustionReason(job, start.task), now);
+        if (!job.ended())
+            this->startRun(start, now);
+    }
 }
 
 void Scheduler::startRun(const PlannedStart& start, SteadyTime now)
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -113,6 +113,8 @@
     void applyJobRow(const Row& row, SteadyTime now);
     void applyServerRow(const Row& row, SteadyTime now);
     void reloadServers(const std::vector<Row>& rows, SteadyTime now);
+    /// Ends jobs with a task that failed for the last time while the job had no queue, or under a higher limit.
+    void endExhaustedJobs(SteadyTime now);
     void schedule(SteadyTime now);
     void startRun(const PlannedStart& start, SteadyTime now);
     void handleStoredDecisions(const StoredDecisions& decisions, SteadyTime now);
--- a/src/libs/scheduling/schedulerload.cpp
+++ b/src/libs/scheduling/schedulerload.cpp
@@ -60,6 +60,7 @@
     for (auto& [id, server] : this->board.servers)
         server.address.id = id;
     this->applySuccesses(this->board.unstoredSuccesses.takeAll(), now); // successes from an earlier term of this daemon
+    this->endExhaustedJobs(now);
     this->crashes.begin();
     this->monitor.begin(this->leader.term(), now);
     this->effects.log(Event::SchedulerLoaded,
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -111,6 +111,11 @@
         this->isolated.clear();
     }
 
+    /// Puts a configuration without the queue in force at all daemons, and returns the queue.
+    Scheduling::Queue removeQueue(const std::string& name);
+    /// Puts a configuration with the queue in force at all daemons.
+    void addQueue(const Scheduling::Queue& queue);
+
     Scheduling::SteadyTime now() const { return this->time; }
     Scheduling::StoreTime storeNow() const { return this->storeClock.at(this->time); }
 
@@ -152,6 +157,7 @@
         bool paused = false;
     };
 
+    void setConfiguration(Scheduling::FleetConfiguration next);
     void runTick();
     void performEffects(std::size_t daemon);
     void answer(std::size_t daemon, std::function<void()> deliver, Scheduling::Duration delay);
--- a/tests/support/schedulerbenchdaemons.cpp
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -2,6 +2,7 @@
 
 #include "support/schedulerbench.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace WisteriaHill::TestSupport {
@@ -50,6 +51,33 @@
     daemon.scheduler->setConfiguration(this->configuration);
 }
 
+void SchedulerBench::setConfiguration(FleetConfiguration next)
+{
+    next.version = this->configuration->version + 1;
+    this->configuration = std::make_shared<const FleetConfiguration>(std::move(next));
+    for (const auto& daemon : this->daemons) {
+        if (daemon->alive)
+            daemon->scheduler->setConfiguration(this->configuration);
+    }
+}
+
+Queue SchedulerBench::removeQueue(const std::string& name)
+{
+    FleetConfiguration next = *this->configuration;
+    const auto found = std::ranges::find(next.queues, name, &Queue::name);
+    Queue queue = *found;
+    next.queues.erase(found);
+    this->setConfiguration(std::move(next));
+    return queue;
+}
+
+void SchedulerBench::addQueue(const Queue& queue)
+{
+    FleetConfiguration next = *this->configuration;
+    next.queues.push_back(queue);
+    this->setConfiguration(std::move(next));
+}
+
 void SchedulerBench::stopDaemon(std::size_t index)
 {
     bool released = false;
