Intake: a caller sees and cancels the jobs of its own account at their queue only

A GET or DELETE with the key of another client account, or at another queue, was answered for any job whose id is known; a DELETE ended another account's job. A submission under the id of such a job was answered as accepted, though it never ran.

Cause: a call was admitted by its key and queue, and the job was then looked up by its id alone.

The account and the queue of the job's row are compared with those of the call. Everything else is answered as an unknown job and logged as 835; a submission under a taken id is refused for good. The owner costs one read of the store for an id at each daemon other than the one that accepted the job. A state whose job's row is removed is that of an unknown job.

Evidence: seven new cases in tst_intake.

--- a/src/app/fleetapi.cpp
+++ b/src/app/fleetapi.cpp
@@ -164,8 +164,9 @@
         this->sendAnswer(exchange, id, { .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
         return;
     }
-    // Jobs are looked up by id alone, so any queue can admit the call.
-    const CallerContext context = contextFor(queues.front(), id, request);
+    // Jobs are named by id alone, so any queue can admit the call.
+    CallerContext context = contextFor(queues.front(), id, request);
+    context.anyQueue = true;
     const auto answer = [this, exchange, id](const CallerAnswer& given) { this->sendAnswer(exchange, id, given); };
     if (request.method == "DELETE")
         this->handlers.jobs.cancel(context, id, answer);
--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -15,7 +15,7 @@
 constexpr Duration answerMargin { 250 }; ///< part of the client's deadline that is left for the response
 constexpr int maximumRefusedAttempts = 3; ///< limit for a submission of which the store has refused every attempt
 constexpr Duration retryAfterStoreFailure { 1000 };
-constexpr std::size_t maximumCachedStates = 20'000;
+constexpr std::size_t maximumKnownJobs = 20'000;
 
 RowKey jobRow(const std::string& id) { return { StoreTable::jobs, StoreTable::intakePartition, id }; }
 
@@ -26,6 +26,13 @@
     return { .outcome = outcome, .retryAfter = retryAfterStoreFailure, .reason = "the state store does not answer" };
 }
 
+/// The job that a submission met under its id; std::nullopt when its row cannot be read.
+std::optional<JobRecord> storedJob(const Conflict& conflict, const std::string& id)
+{
+    const auto row = std::ranges::find(conflict.current, jobRow(id), &Row::key);
+    return row == conflict.current.end() ? std::nullopt : decodeJob(row->value);
+}
+
 } // namespace
 
 struct Intake::Submission {
@@ -42,6 +49,9 @@
     RowVersion version = 0;
     AnswerCallback answer;
     bool cancelling = false;
+    Owner caller;
+    bool anyQueue = false;
+    std::optional<JobState> state; ///< read, and not answered until the owner is known
 };
 
 std::optional<std::string> jobIdInPath(const std::string& path, const Queue& queue)
@@ -136,7 +146,15 @@
 {
     const std::string& id = submission->record.id;
     const auto* conflict = std::get_if<Conflict>(&result);
+    const Owner caller = ownerOf(submission->record);
+    if (const std::optional<JobRecord> stored = conflict ? storedJob(*conflict, id) : std::nullopt;
+        stored && !mayAccess(ownerOf(*stored), caller, false)) {
+        this->handleTakenId(submission, ownerOf(*stored));
+        return;
+    }
     if (std::holds_alternative<Committed>(result) || conflict) {
+        if (!conflict)
+            this->remember(id, caller);
         // The id exists already, from an earlier attempt of this submission or an earlier submission by the client.
         this->effects.log(Event::JobStored,
             { { "job", id }, { "queue", submission->record.pathPrefix }, { "account", submission->record.account },
@@ -165,18 +183,70 @@
     submission->answer(storeUnavailable(CallerOutcome::Uncertain));
 }
 
-void Intake::cancel(const CallerContext& context, const std::string& id, AnswerCallback answer)
+std::shared_ptr<Intake::JobRequest> Intake::makeRequest(
+    const CallerContext& context, const std::string& id, AnswerCallback answer)
 {
     const Queue* queue = nullptr;
     const ClientAccount* account = nullptr;
     if (const std::optional<CallerAnswer> refusal = this->admit(context, queue, account)) {
         answer(*refusal);
-        return;
+        return nullptr;
     }
     auto request = std::make_shared<JobRequest>();
     request->id = id;
     request->deadline = this->clock() + context.deadline;
     request->answer = std::move(answer);
+    request->caller
+        = { .host = queue->host, .pathPrefix = queue->pathPrefix, .account = account ? account->name : std::string() };
+    request->anyQueue = context.anyQueue;
+    return request;
+}
+
+bool Intake::mayAccess(const Owner& owner, const Owner& caller, bool anyQueue)
+{
+    if (anyQueue)
+        return owner.account == caller.account;
+    return owner.host == caller.host && owner.pathPrefix == caller.pathPrefix
+        && (owner.account.empty() || caller.account.empty() || owner.account == caller.account);
+}
+
+Intake::KnownJob& Intake::remember(const std::string& id, Owner owner)
+{
+    if (this->knownJobs.size() >= maximumKnownJobs)
+        this->knownJobs.clear();
+    return this->knownJobs[id] = { .owner = std::move(owner), .finalState = {} };
+}
+
+void Intake::handleTakenId(const std::shared_ptr<Submission>& submission, const Owner& owner)
+{
+    const JobRecord& record = submission->record;
+    this->logForeignJob(record.id, "submit", ownerOf(record), owner);
+    if (submission->uncertain) { // an earlier attempt may still be carried out once the other job is removed
+        this->effects.log(Event::JobUncertain, { { "job", record.id }, { "sendings", submission->attempts } });
+        submission->answer({ .outcome = CallerOutcome::Uncertain, .reason = "the id belongs to another job" });
+        return;
+    }
+    this->refuse(record.id, { .outcome = CallerOutcome::NotAccepted, .reason = "the id belongs to another job" },
+        submission->answer);
+}
+
+void Intake::logForeignJob(const std::string& id, const char* call, const Owner& caller, const Owner& owner)
+{
+    this->effects.log(Event::ForeignJob,
+        { { "job", id }, { "call", call }, { "account", caller.account }, { "queue", caller.pathPrefix },
+            { "owner", owner.account }, { "queueOfJob", owner.pathPrefix } });
+}
+
+Intake::Owner Intake::ownerOf(const JobRecord& record)
+{
+    return { .host = record.host, .pathPrefix = record.pathPrefix, .account = record.account };
+}
+
+void Intake::cancel(const CallerContext& context, const std::string& id, AnswerCallback answer)
+{
+    const std::shared_ptr<JobRequest> request = this->makeRequest(context, id, std::move(answer));
+    if (!request)
+        return;
     request->cancelling = true;
     this->readJob(request);
 }
@@ -205,21 +275,15 @@
 
 void Intake::state(const CallerContext& context, const std::string& id, AnswerCallback answer)
 {
-    const Queue* queue = nullptr;
-    const ClientAccount* account = nullptr;
-    if (const std::optional<CallerAnswer> refusal = this->admit(context, queue, account)) {
-        answer(*refusal);
+    const std::shared_ptr<JobRequest> request = this->makeRequest(context, id, std::move(answer));
+    if (!request)
         return;
-    }
-    const auto ended = this->finalStates.find(id);
-    if (ended != this->finalStates.end()) {
-        answer({ .outcome = CallerOutcome::State, .state = ended->second });
+    const auto known = this->knownJobs.find(id);
+    if (known != this->knownJobs.end() && known->second.finalState
+        && mayAccess(known->second.owner, request->caller, request->anyQueue)) {
+        request->answer({ .outcome = CallerOutcome::State, .state = *known->second.finalState });
         return;
     }
-    auto request = std::make_shared<JobRequest>();
-    request->id = id;
-    request->deadline = this->clock() + context.deadline;
-    request->answer = std::move(answer);
     this->readState(request);
 }
 
@@ -249,15 +313,24 @@
                     { .outcome = CallerOutcome::NotReady, .reason = "the stored state of the job is not readable" });
                 return;
             }
-            if (*state != JobState::Queued && *state != JobState::Running) {
-                if (this->finalStates.size() >= maximumCachedStates)
-                    this->finalStates.clear();
-                this->finalStates[request->id] = *state;
-            }
-            request->answer({ .outcome = CallerOutcome::State, .state = *state });
+            this->handleState(request, *state);
         } });
 }
 
+void Intake::handleState(const std::shared_ptr<JobRequest>& request, JobState state)
+{
+    const auto known = this->knownJobs.find(request->id);
+    if (known == this->knownJobs.end() || !mayAccess(known->second.owner, request->caller, request->anyQueue)) {
+        // The id may have been used again since the owner was read.
+        request->state = state;
+        this->readJob(request);
+        return;
+    }
+    if (state != JobState::Queued && state != JobState::Running)
+        known->second.finalState = state;
+    request->answer({ .outcome = CallerOutcome::State, .state = state });
+}
+
 void Intake::readJob(const std::shared_ptr<JobRequest>& request)
 {
     this->effects.push(ReadCall { .range = singleRow(jobRow(request->id)),
@@ -271,13 +344,36 @@
                 request->answer(storeUnavailable(CallerOutcome::NotReady));
             } else if (page->rows.empty()) {
                 request->answer({ .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
-            } else if (request->cancelling) {
-                request->version = page->rows.front().version;
-                this->sendCancel(request);
             } else {
-                request->answer({ .outcome = CallerOutcome::State, .state = JobState::Queued });
+                this->handleJob(request, page->rows.front());
             }
         } });
 }
 
+void Intake::handleJob(const std::shared_ptr<JobRequest>& request, const Row& row)
+{
+    const std::optional<JobRecord> record = decodeJob(row.value);
+    if (!record) {
+        this->effects.log(Event::RowUnreadable, { { "table", StoreTable::jobs }, { "key", request->id } });
+        request->answer({ .outcome = CallerOutcome::NotReady, .reason = "the stored job is not readable" });
+        return;
+    }
+    const Owner owner = ownerOf(*record);
+    KnownJob& known = this->remember(request->id, owner);
+    if (!mayAccess(owner, request->caller, request->anyQueue)) {
+        this->logForeignJob(request->id, request->cancelling ? "cancel" : "state", request->caller, owner);
+        request->answer({ .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
+        return;
+    }
+    if (request->cancelling) {
+        request->version = row.version;
+        this->sendCancel(request);
+        return;
+    }
+    const JobState state = request->state.value_or(JobState::Queued);
+    if (state != JobState::Queued && state != JobState::Running)
+        known.finalState = state;
+    request->answer({ .outcome = CallerOutcome::State, .state = state });
+}
+
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/intake.h
+++ b/src/libs/scheduling/intake.h
@@ -40,6 +40,7 @@
     std::string path;
     std::string key;
     Duration deadline { 3000 }; ///< time from the request within which the client expects the answer
+    bool anyQueue = false; ///< the job may belong to any queue, as in an interface that names jobs by their id alone
 };
 
 using AnswerCallback = std::function<void(const CallerAnswer&)>;
@@ -87,12 +88,35 @@
     struct Submission;
     struct JobRequest;
 
+    /// To whom a job belongs.
+    struct Owner {
+        std::string host; ///< of the queue
+        std::string pathPrefix;
+        std::string account; ///< empty when the job was submitted without a key
+    };
+
+    struct KnownJob {
+        Owner owner;
+        std::optional<JobState> finalState; ///< a final state never changes
+    };
+
     void sendSubmission(const std::shared_ptr<Submission>& submission);
     void handleSubmissionResult(const std::shared_ptr<Submission>& submission, const CommitResult& result);
     void sendCancel(const std::shared_ptr<JobRequest>& request);
     void handleCancelResult(const std::shared_ptr<JobRequest>& request, const CommitResult& result);
+    /// Admits a request about a job; null when it was answered with a refusal.
+    std::shared_ptr<JobRequest> makeRequest(const CallerContext& context, const std::string& id, AnswerCallback answer);
     void readState(const std::shared_ptr<JobRequest>& request);
+    void handleState(const std::shared_ptr<JobRequest>& request, JobState state);
     void readJob(const std::shared_ptr<JobRequest>& request);
+    void handleJob(const std::shared_ptr<JobRequest>& request, const Row& row);
+    void handleTakenId(const std::shared_ptr<Submission>& submission, const Owner& owner);
+    void logForeignJob(const std::string& id, const char* call, const Owner& caller, const Owner& owner);
+    static Owner ownerOf(const JobRecord& record);
+    KnownJob& remember(const std::string& id, Owner owner);
+    /// True when a caller may see and cancel a job. A caller without an account has been admitted by an anonymous
+    /// queue, and a job without one was; only the queue is compared then.
+    static bool mayAccess(const Owner& owner, const Owner& caller, bool anyQueue);
     void logRefusal(Utils::Json fields, const CallerAnswer& answer);
     void refuse(const std::string& id, const CallerAnswer& answer, const AnswerCallback& reply);
     bool mayRetry(SteadyTime deadline) const;
@@ -104,7 +128,7 @@
     std::function<bool()> storeFails;
     std::shared_ptr<const FleetConfiguration> configuration;
     SteadyTime configurationSince {}; ///< when `configuration` was set
-    std::unordered_map<std::string, JobState> finalStates; ///< cache by job id; a final state never changes
+    std::unordered_map<std::string, KnownJob> knownJobs; ///< cache by job id
 };
 
 /// The job id after the queue's prefix in a request path; std::nullopt when it is not 16 hexadecimal digits.
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -155,6 +155,9 @@
         Event::CancelStored, Information, "CancelStored", "The request to cancel a job is stored.", "None." },
     EventDescription {
         Event::StatusUnknown, Warning, "StatusUnknown", "The state of a job could not be read in time.", "See 801." },
+    EventDescription { Event::ForeignJob, Warning, "ForeignJob",
+        "A call named a job of another client account or queue; it was answered as if there were no such job.",
+        "Ask the account's owner if it repeats." },
     EventDescription { Event::JobTaken, Information, "JobTaken", "The scheduler queued a stored job.", "None." },
     EventDescription {
         Event::OccurrenceDue, Information, "OccurrenceDue", "An occurrence of a scheduled job is due.", "None." },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -77,6 +77,7 @@
     JobUncertain = 832,
     CancelStored = 833,
     StatusUnknown = 834,
+    ForeignJob = 835,
     JobTaken = 840,
     OccurrenceDue = 841,
     RunPlaced = 842,
--- a/tests/auto/scheduling/tst_intake.cpp
+++ b/tests/auto/scheduling/tst_intake.cpp
@@ -18,13 +18,19 @@
     bool storeFails = false;
     Intake intake { this->effects, [this]() { return this->now; }, [this]() { return this->storeFails; } };
     std::optional<CallerAnswer> answer;
+    int reads = 0; ///< of the store
+    int foreignCalls = 0; ///< that were logged
     CallerContext context { .host = "mill.example", .path = std::string("/cut/") + jobId, .key = "key" };
 
     IntakeBench()
     {
         FleetConfiguration configuration { .version = 3 };
         configuration.queues.push_back({ .name = "cut", .host = "mill.example", .pathPrefix = "/cut/" });
-        configuration.accounts.push_back({ .name = "mill", .keys = { "key" } });
+        configuration.queues.push_back({ .name = "plan", .host = "mill.example", .pathPrefix = "/plan/" });
+        configuration.queues.push_back(
+            { .name = "open", .host = "mill.example", .pathPrefix = "/open/", .anonymous = true });
+        configuration.accounts.push_back({ .name = "mill", .keys = { "key", "next-key" } });
+        configuration.accounts.push_back({ .name = "shop", .keys = { "shop-key" } });
         this->intake.setConfiguration(std::make_shared<const FleetConfiguration>(configuration));
     }
 
@@ -40,6 +46,44 @@
         this->settle();
     }
 
+    void submitAt(const std::string& prefix, const std::string& key)
+    {
+        this->use(prefix, key);
+        this->submit();
+    }
+
+    void use(const std::string& prefix, const std::string& key)
+    {
+        this->context.path = prefix + jobId;
+        this->context.key = key;
+    }
+
+    CallerAnswer state()
+    {
+        this->answer.reset();
+        this->intake.state(this->context, jobId, this->capture());
+        this->settle();
+        return this->answer.value();
+    }
+
+    CallerAnswer cancel()
+    {
+        this->answer.reset();
+        this->intake.cancel(this->context, jobId, this->capture());
+        this->settle();
+        return this->answer.value();
+    }
+
+    void storeState(JobState state)
+    {
+        this->store.put({ StoreTable::states, StoreTable::schedulerPartition, jobId }, encodeState(state));
+    }
+
+    bool cancelIsStored()
+    {
+        return this->store.find({ StoreTable::jobs, StoreTable::intakePartition, cancelKey(jobId) }).has_value();
+    }
+
     /// Executes effects; a call without an answer takes its whole time-out.
     void settle()
     {
@@ -50,7 +94,10 @@
                 const auto* error = std::get_if<StoreError>(&result);
                 this->now += error && *error == StoreError::Unknown ? commit->timeout : Duration(2);
                 commit->done(result);
+            } else if (const auto* line = std::get_if<LogLine>(&effect)) {
+                this->foreignCalls += line->event == WisteriaHill::Utils::Event::ForeignJob ? 1 : 0;
             } else if (const auto* read = std::get_if<ReadCall>(&effect)) {
+                ++this->reads;
                 const ReadResult result = this->store.read(read->range);
                 this->now += std::holds_alternative<StoreError>(result) ? read->timeout : Duration(2);
                 read->done(result);
@@ -245,3 +292,112 @@
     CHECK(bench.store.invalidTransactions == 1);
     CHECK_FALSE(bench.store.find({ StoreTable::jobs, StoreTable::intakePartition, jobId }));
 }
+
+TEST_CASE("a call with another account's key, or at another queue, sees and cancels no job whose id is known")
+{
+    const auto stored = GENERATE(as<std::optional<JobState>> {}, std::nullopt, JobState::Running, JobState::Completed);
+    const bool ownerAskedBefore = GENERATE(true, false);
+    const std::string prefix = GENERATE("/cut/", "/plan/", "/open/");
+    const std::string key = GENERATE("key", "shop-key");
+    if (prefix == "/cut/" && key == "key")
+        return;
+    IntakeBench bench;
+    const RowKey row { StoreTable::jobs, StoreTable::intakePartition, jobId };
+    bench.store.put(row, encodeJob({ .id = jobId, .host = "mill.example", .pathPrefix = "/cut/", .account = "mill" }));
+    if (stored)
+        bench.storeState(*stored);
+    if (ownerAskedBefore)
+        CHECK(bench.state().outcome == CallerOutcome::State);
+    bench.use(prefix, key);
+    CHECK(bench.state().outcome == CallerOutcome::UnknownJob);
+    CHECK(bench.cancel().outcome == CallerOutcome::UnknownJob);
+    CHECK_FALSE(bench.cancelIsStored());
+    CHECK(bench.foreignCalls == 2);
+    bench.use("/cut/", "next-key"); // of the same account
+    CHECK(bench.state().state == stored.value_or(JobState::Queued));
+    CHECK(bench.cancel().outcome == CallerOutcome::Accepted);
+}
+
+TEST_CASE("an interface that names jobs by their id alone sees those of the caller's account only")
+{
+    IntakeBench bench;
+    bench.submit();
+    bench.storeState(JobState::Running);
+    bench.context.anyQueue = true;
+    bench.use("/plan/", "key");
+    CHECK(bench.state().outcome == CallerOutcome::State);
+    bench.use("/plan/", "shop-key");
+    CHECK(bench.state().outcome == CallerOutcome::UnknownJob);
+    CHECK(bench.cancel().outcome == CallerOutcome::UnknownJob);
+    CHECK_FALSE(bench.cancelIsStored());
+}
+
+TEST_CASE("a job that was submitted without a key is seen and cancelled at its queue")
+{
+    IntakeBench bench;
+    bench.submitAt("/open/", "");
+    bench.storeState(JobState::Running);
+    CHECK(bench.state().outcome == CallerOutcome::State);
+    bench.use("/cut/", "key");
+    CHECK(bench.state().outcome == CallerOutcome::UnknownJob);
+    bench.use("/open/", "");
+    CHECK(bench.cancel().outcome == CallerOutcome::Accepted);
+}
+
+TEST_CASE("the owner of a job costs at most one read of the store at each daemon")
+{
+    IntakeBench bench;
+    bench.submit();
+    bench.storeState(JobState::Running);
+    bench.state();
+    CHECK(bench.reads == 1);
+    IntakeBench other;
+    other.store.put({ StoreTable::jobs, StoreTable::intakePartition, jobId },
+        encodeJob({ .id = jobId, .host = "mill.example", .pathPrefix = "/cut/", .account = "mill" }));
+    other.storeState(JobState::Running);
+    other.state();
+    other.state();
+    CHECK(other.reads == 3);
+    other.storeState(JobState::Completed);
+    other.state();
+    other.state();
+    CHECK(other.reads == 4);
+}
+
+TEST_CASE("a state whose job is removed is the state of an unknown job")
+{
+    IntakeBench bench;
+    bench.storeState(JobState::Completed);
+    CHECK(bench.state().outcome == CallerOutcome::UnknownJob);
+}
+
+TEST_CASE("an id that is used again belongs to the account that uses it")
+{
+    IntakeBench bench;
+    const RowKey row { StoreTable::jobs, StoreTable::intakePartition, jobId };
+    bench.store.put(row, encodeJob({ .id = jobId, .host = "mill.example", .pathPrefix = "/cut/", .account = "mill" }));
+    bench.storeState(JobState::Completed);
+    CHECK(bench.state().outcome == CallerOutcome::State);
+    bench.store.put(row, encodeJob({ .id = jobId, .host = "mill.example", .pathPrefix = "/cut/", .account = "shop" }));
+    bench.storeState(JobState::Running);
+    bench.use("/cut/", "shop-key");
+    CHECK(bench.state().state == JobState::Running);
+    bench.use("/cut/", "key");
+    CHECK(bench.state().outcome == CallerOutcome::UnknownJob);
+}
+
+TEST_CASE("a submission under the id of another account's job, or of a job at another queue, is refused for good")
+{
+    IntakeBench bench;
+    bench.submit();
+    const RowKey row { StoreTable::jobs, StoreTable::intakePartition, jobId };
+    const std::optional<std::string> stored = bench.store.find(row);
+    const auto [prefix, key]
+        = GENERATE(table<std::string, std::string>({ { "/cut/", "shop-key" }, { "/plan/", "key" }, { "/open/", "" } }));
+    bench.submitAt(prefix, key);
+    CHECK(bench.answer->outcome == CallerOutcome::NotAccepted);
+    CHECK(bench.store.find(row) == stored);
+    CHECK(bench.foreignCalls == 1);
+    bench.submitAt("/cut/", "next-key");
+    CHECK(bench.answer->outcome == CallerOutcome::Accepted);
+}
