Row codec: the attempt in which a gang failed is stored with its failures

A gang whose members fail in one attempt was given up one attempt early when the leader changed between the two ends.

Cause: such members are one failure, and the attempt that was counted (lastFailedAttempt) was not stored, so the next leader counted it again. Ruled out: a lost or repeated end record.

--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -89,8 +89,9 @@
 }
 
 /// A task with at least one attempt, as [index, phase, attempts, failures, checkpoint]; while it runs, followed by
-/// server, incarnation and the checkpoint that it started from. Counts of server crashes follow as an object, if any.
-Json taskToJson(std::size_t index, const Task& task)
+/// server, incarnation and the checkpoint that it started from. Counts of server crashes follow as an object, if any;
+/// in that of a gang's first task is the newest attempt in which a member failed.
+Json taskToJson(std::size_t index, const Task& task, int lastFailedAttempt)
 {
     Json json { index, static_cast<int>(task.phase), task.attempts, task.failures, task.checkpoint };
     if (task.run) {
@@ -98,17 +99,20 @@
         json.push_back(task.run->incarnation);
         json.push_back(task.run->checkpoint);
     }
-    if (task.crashes > 0 || !task.lostRuns.empty()) {
+    if (task.crashes > 0 || !task.lostRuns.empty() || lastFailedAttempt > 0) {
         Json counts { { "crashes", task.crashes }, { "suspicion", task.suspicion } };
         for (const LostRun& run : task.lostRuns)
             counts["lost"].push_back({ run.server, run.incarnation, run.suspicion });
+        if (lastFailedAttempt > 0)
+            counts["failedAttempt"] = lastFailedAttempt;
         json.push_back(std::move(counts));
     }
     return json;
 }
 
-void crashesFromJson(const Json& json, Task& task)
+void countsFromJson(const Json& json, Step& step, Task& task)
 {
+    step.lastFailedAttempt = json.value("failedAttempt", step.lastFailedAttempt);
     task.crashes = json.at("crashes").get<int>();
     task.suspicion = json.at("suspicion").get<int>();
     for (const Json& run : json.value("lost", Json::array()))
@@ -131,7 +135,7 @@
     task.failures = json.at(3).get<int>();
     task.checkpoint = json.at(4).get<std::string>();
     if (json.back().is_object())
-        crashesFromJson(json.back(), task);
+        countsFromJson(json.back(), step, task);
     if (task.phase != TaskPhase::Running)
         return;
     if (json.size() < fieldsOfRunningTask) {
@@ -277,7 +281,7 @@
                 continue;
             const Task& task = step.tasks[index];
             if (task.phase != TaskPhase::Waiting || task.attempts > 0)
-                tasks.push_back(taskToJson(index, task));
+                tasks.push_back(taskToJson(index, task, index == 0 ? step.lastFailedAttempt : 0));
         }
         steps.push_back(std::move(tasks));
     }
--- a/tests/auto/scheduling/tst_scheduler_attempts.cpp
+++ b/tests/auto/scheduling/tst_scheduler_attempts.cpp
@@ -110,3 +110,31 @@
         CHECK(bench.startsOf("job") == 3);
     }
 }
+
+TEST_CASE("two members of a gang that fail in one attempt are one failure also when the leader changes in between")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeFailingStep(true) });
+    runUntilAttempt(bench, 3, 1);
+    std::vector<FakeServer*> used;
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        if (!bench.server(index).active.empty())
+            used.push_back(&bench.server(index));
+    }
+    REQUIRE(used.size() == 3);
+    const std::size_t leader = bench.leader();
+    bench.cut(leader, used[1]->entry.id);
+    used[0]->health = ServerHealth::FailsAll;
+    used[1]->health = ServerHealth::FailsAll;
+    bench.run(300ms);
+    bench.killDaemon(leader);
+    bench.heal();
+    used[0]->health = ServerHealth::Healthy;
+    used[1]->health = ServerHealth::Healthy;
+    REQUIRE(bench.runUntilActive("job", 3, 20s));
+    failRuns(bench);
+    CHECK(bench.storedState("job") != JobState::Failed);
+    CHECK(bench.runUntil("job", JobState::Completed, 20s));
+    CHECK(bench.startsOf("job") == 9);
+}
