HttpServer: input that follows a request no longer hangs the process, and a half-closed client gets its answer

What callers saw: a client that sent anything behind the body of a POST before the answer (a second request, an extra line end) stopped the whole daemon: it took no more calls, answered none, led on without acting and did not end at SIGTERM. A client that closed its sending half after a request got no answer, although its job was stored.

Cause: libwebsockets 4.1.6 stays in the state "body" after a POST's body is complete. Further input is kept and offered to that state again and again inside one call of lws_service(), so nothing else runs. And it closes a connection at the end of its input, also while a request is open.

Ruled out: the stop itself (the daemon hangs without one), the store, the intake: the same happens with HttpServer alone.

Evidence: gdb of the hung daemon: EventLoop::runOnce, lws_service, lws_service_do_ripe_rxflow. The log of libwebsockets repeats "http post body: remain 0" and "HTTP_BODY_COMPLETION" without end; at the other fault recv() of 0 bytes is followed by the close.

Nothing is received from the moment a request is handled until its response is written; the response is written from the loop, because libwebsockets gives no writeable callback while it receives nothing. Servers that report disconnections go on receiving until input follows the request.

Conclusion: one client could take a daemon down without a process's end. Not fixed: a POST in one packet with two earlier requests, or behind one that has ended, is read wrongly by libwebsockets; its connection is closed without an answer to it.

--- a/src/libs/adapters/httpserver.cpp
+++ b/src/libs/adapters/httpserver.cpp
@@ -17,6 +17,8 @@
 constexpr int maximumHeaderValueBytes = 2048;
 constexpr int headerTimeoutSeconds = 20;
 constexpr int keepAliveSeconds = 60;
+constexpr int receivingOff = 0;
+constexpr int receivingOn = 1;
 
 constexpr std::array customHeaders { HeaderName::idempotencyKey, HeaderName::changeId, HeaderName::deadline,
     HeaderName::account, HeaderName::requestId };
@@ -101,13 +103,13 @@
     HttpResponse response;
     bool handedOver = false; ///< the handler got the request, or the server answered it itself
     bool responded = false;
-    bool headersWritten = false;
+    bool receivingOff = false; ///< nothing is received until the response is written
     bool closeAfter = false; ///< close the connection after the response, because the request's body is not read
-    std::size_t written = 0; ///< number of bytes of the response body that were written
 };
 
 struct HttpServer::Session {
     Exchange* exchange;
+    bool closing; ///< the last response was written; the connection ends when it is sent
 };
 
 HttpServer::HttpServer(
@@ -157,10 +159,9 @@
     case LWS_CALLBACK_HTTP_BODY:
         return server->onBody(wsi, *session, static_cast<const char*>(in), length);
     case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-        server->onBodyComplete(*session);
-        return 0;
+        return server->onBodyComplete(wsi, *session);
     case LWS_CALLBACK_HTTP_WRITEABLE:
-        return server->onWriteable(wsi, *session);
+        return session->closing ? -1 : 0;
     case LWS_CALLBACK_CLOSED_HTTP:
     case LWS_CALLBACK_HTTP_DROP_PROTOCOL:
         if (session)
@@ -198,7 +199,7 @@
                 .body = R"({"error":"the body has )" + std::to_string(bodyLength) + " bytes; the limit is "
                     + std::to_string(this->options.maximumBody) + R"( bytes"})" });
     } else if (!hasBody || bodyLength == 0) {
-        this->onBodyComplete(session);
+        return this->onBodyComplete(wsi, session);
     }
     return 0;
 }
@@ -211,12 +212,24 @@
     return session.exchange->request.body.size() > this->options.maximumBody ? -1 : 0;
 }
 
-void HttpServer::onBodyComplete(Session& session)
+int HttpServer::onBodyComplete(lws* wsi, Session& session)
 {
-    if (!session.exchange || session.exchange->handedOver || !this->handler)
-        return;
+    if (session.closing)
+        return -1;
+    if (!session.exchange || !this->handler)
+        return 0;
+    // While a request is handled, libwebsockets closes the connection at the end of the input, and calls this over and
+    // over when it has received more than the body. Only servers that report disconnections go on receiving until then.
+    if (session.exchange->receivingOff)
+        return -1;
+    if (session.exchange->handedOver || !this->disconnectHandler) {
+        session.exchange->receivingOff = true;
+        lws_rx_flow_control(wsi, receivingOff);
+    }
+    if (session.exchange->handedOver)
+        return 0;
     session.exchange->handedOver = true;
-    lws_set_timeout(session.exchange->wsi, NO_PENDING_TIMEOUT, 0);
+    lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
     const HttpExchangeId id = session.exchange->id;
     bool handled = false;
     this->loop.guarded([&]() {
@@ -225,6 +238,7 @@
     });
     if (!handled)
         this->respond(id, { .status = Utils::HttpStatus::internalServerError });
+    return 0;
 }
 
 void HttpServer::respond(HttpExchangeId id, HttpResponse response)
@@ -234,7 +248,12 @@
         return;
     found->second->response = std::move(response);
     found->second->responded = true;
-    lws_callback_on_writable(found->second->wsi);
+    // Not in the writeable callback, which does not come while nothing is received, and not here, where libwebsockets
+    // may be in a callback of this connection.
+    this->loop.post([this, id, alive = std::weak_ptr(this->alive)]() {
+        if (!alive.expired())
+            this->writeResponse(id);
+    });
 }
 
 void HttpServer::abort(HttpExchangeId id)
@@ -271,38 +290,38 @@
     return lws_finalize_write_http_header(wsi, start, &position, end);
 }
 
-int HttpServer::onWriteable(lws* wsi, Session& session)
+bool HttpServer::writeBody(lws* wsi, const std::string& body)
 {
-    if (!session.exchange || !session.exchange->responded)
-        return 0;
-    Exchange& exchange = *session.exchange;
-    const std::string& body = exchange.response.body;
-    if (!exchange.headersWritten) {
-        exchange.headersWritten = true;
-        if (this->writeHeaders(wsi, exchange))
-            return -1;
-        if (!body.empty()) {
-            lws_callback_on_writable(wsi);
-            return 0;
-        }
-    }
-    if (exchange.written < body.size()) {
-        const std::size_t chunk = std::min(bodyChunkBytes, body.size() - exchange.written);
-        const bool last = exchange.written + chunk == body.size();
-        std::vector<unsigned char> buffer(LWS_PRE + chunk);
-        std::copy_n(body.data() + exchange.written, chunk, buffer.data() + LWS_PRE);
+    std::vector<unsigned char> buffer(LWS_PRE + std::min(bodyChunkBytes, body.size()));
+    for (std::size_t written = 0; written < body.size();) {
+        const std::size_t chunk = std::min(bodyChunkBytes, body.size() - written);
+        const bool last = written + chunk == body.size();
+        std::copy_n(body.data() + written, chunk, buffer.data() + LWS_PRE);
         if (lws_write(wsi, buffer.data() + LWS_PRE, chunk, last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0)
-            return -1;
-        exchange.written += chunk;
-        if (!last) {
-            lws_callback_on_writable(wsi);
-            return 0;
-        }
+            return false;
+        written += chunk;
     }
-    const bool close = exchange.closeAfter || this->closing;
-    session.exchange = nullptr;
-    this->exchanges.erase(exchange.id);
-    return close || lws_http_transaction_completed(wsi) ? -1 : 0;
+    return true;
+}
+
+void HttpServer::writeResponse(HttpExchangeId id)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end())
+        return;
+    const std::unique_ptr<Exchange> exchange = std::move(found->second);
+    this->exchanges.erase(found);
+    lws* wsi = exchange->wsi;
+    const auto session = [wsi]() { return static_cast<Session*>(lws_wsi_user(wsi)); };
+    session()->exchange = nullptr;
+    const bool written = !this->writeHeaders(wsi, *exchange) && this->writeBody(wsi, exchange->response.body);
+    // The completion of a transaction allocates the session anew.
+    const bool keep = written && !exchange->closeAfter && !this->closing && lws_http_transaction_completed(wsi) == 0;
+    lws_rx_flow_control(wsi, receivingOn);
+    if (keep)
+        return;
+    session()->closing = true;
+    lws_callback_on_writable(wsi);
 }
 
 void HttpServer::onClosed(Session& session)
--- a/src/libs/adapters/httpserver.h
+++ b/src/libs/adapters/httpserver.h
@@ -30,8 +30,9 @@
     using DisconnectHandler = std::function<void(HttpExchangeId)>;
 
     /// `handler` is called with each complete request, which gets status 500 when the handler throws;
-    /// `disconnectHandler` is called when the connection ends before respond() was called for that request. Throws
-    /// std::runtime_error when the server cannot listen on the address. The loop must outlive the server.
+    /// `disconnectHandler` is called when the connection ends before respond() was called for that request. Without it
+    /// a client may close its sending half and still gets the response. Throws std::runtime_error when the server
+    /// cannot listen on the address. The loop must outlive the server.
     HttpServer(
         EventLoop& loop, HttpServerOptions options, RequestHandler handler, DisconnectHandler disconnectHandler = {});
     ~HttpServer();
@@ -57,8 +58,9 @@
     static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
     int onRequest(lws* wsi, Session& session);
     int onBody(lws* wsi, Session& session, const char* data, std::size_t length);
-    void onBodyComplete(Session& session);
-    int onWriteable(lws* wsi, Session& session);
+    int onBodyComplete(lws* wsi, Session& session);
+    void writeResponse(HttpExchangeId id);
+    static bool writeBody(lws* wsi, const std::string& body);
     int writeHeaders(lws* wsi, Exchange& exchange);
     void onClosed(Session& session);
 
@@ -71,6 +73,7 @@
     std::map<HttpExchangeId, std::unique_ptr<Exchange>> exchanges;
     HttpExchangeId lastExchange = 0;
     bool closing = false;
+    std::shared_ptr<const bool> alive = std::make_shared<const bool>(true); ///< for actions posted to the loop
 };
 
 } // namespace WisteriaHill::Adapters
--- /dev/null
+++ b/tests/auto/adapters/tst_httpserver.cpp
@@ -0,0 +1,191 @@
+#include "adapters/httpserver.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace WisteriaHill::Adapters;
+
+namespace {
+
+constexpr std::uint16_t testPort = 18'473;
+constexpr Duration answerDelay { 40 };
+
+/// A server in a process of its own, because a server that hangs must not hang the test. It answers each request with
+/// the request's path, those whose path begins with /late after a delay.
+class ServerProcess {
+public:
+    ServerProcess()
+        : process(fork())
+    {
+        if (this->process == 0)
+            serve();
+    }
+
+    ~ServerProcess()
+    {
+        kill(this->process, SIGKILL);
+        waitpid(this->process, nullptr, 0);
+    }
+
+    ServerProcess(const ServerProcess&) = delete;
+    ServerProcess& operator=(const ServerProcess&) = delete;
+
+private:
+    [[noreturn]] static void serve()
+    {
+        EventLoop loop;
+        HttpServer* answering = nullptr;
+        HttpServer server(loop, { .address = "127.0.0.1", .port = testPort },
+            [&](HttpExchangeId exchange, const HttpRequest& request) {
+                const auto answer
+                    = [&answering, exchange, path = request.path]() { answering->respond(exchange, { .body = path }); };
+                if (request.path.starts_with("/late"))
+                    loop.after(answerDelay, answer);
+                else
+                    answer();
+            });
+        answering = &server;
+        loop.run();
+        std::_Exit(0);
+    }
+
+    pid_t process;
+};
+
+/// A client's connection, with blocking calls.
+class Connection {
+public:
+    Connection()
+    {
+        sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(testPort), .sin_addr = {}, .sin_zero = {} };
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (this->socket < 0 && std::chrono::steady_clock::now() < end) {
+            const int opened = ::socket(AF_INET, SOCK_STREAM, 0);
+            if (connect(opened, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
+                this->socket = opened;
+                break;
+            }
+            close(opened);
+            usleep(5000);
+        }
+        REQUIRE(this->socket >= 0);
+        const timeval patience { .tv_sec = 2, .tv_usec = 0 };
+        setsockopt(this->socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+        const int on = 1;
+        setsockopt(this->socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+
+    ~Connection() { close(this->socket); }
+
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    void send(const std::string& bytes) const
+    {
+        REQUIRE(::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    }
+
+    void shutDownSending() const { shutdown(this->socket, SHUT_WR); }
+
+    /// The body of the next response; an empty string when the connection ended or nothing came in time.
+    std::string nextBody()
+    {
+        for (;;) {
+            const std::size_t headEnd = this->received.find("\r\n\r\n");
+            const std::size_t field = this->received.find("content-length: ");
+            if (headEnd != std::string::npos && field < headEnd) {
+                const std::size_t length = std::strtoull(this->received.c_str() + field + 16, nullptr, 10);
+                if (this->received.size() >= headEnd + 4 + length) {
+                    const std::string body = this->received.substr(headEnd + 4, length);
+                    this->received.erase(0, headEnd + 4 + length);
+                    return body;
+                }
+            }
+            std::array<char, 4096> buffer {};
+            const ssize_t count = recv(this->socket, buffer.data(), buffer.size(), 0);
+            if (count <= 0)
+                return {};
+            this->received.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    }
+
+private:
+    int socket = -1;
+    std::string received;
+};
+
+std::string get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n"; }
+
+std::string post(const std::string& path, const std::string& body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+} // namespace
+
+TEST_CASE("a client that closes its sending half after the request gets the answer")
+{
+    const ServerProcess server;
+    for (const std::string& request : { get("/late"), post("/late", "{}"), get("/at-once"), post("/at-once", "{}") }) {
+        Connection connection;
+        connection.send(request);
+        connection.shutDownSending();
+        INFO(request);
+        CHECK(!connection.nextBody().empty());
+    }
+}
+
+TEST_CASE("requests without a body that arrive with an earlier one get answers in order")
+{
+    const ServerProcess server;
+    for (const std::string prefix : { "/late", "/at-once" }) {
+        Connection connection;
+        connection.send(post(prefix + "/1", "{}") + get(prefix + "/2") + get(prefix + "/3") + get(prefix + "/4"));
+        for (const char* number : { "/1", "/2", "/3", "/4" }) {
+            INFO(prefix << number);
+            CHECK(connection.nextBody() == prefix + number);
+        }
+    }
+}
+
+TEST_CASE("input that arrives while a request is handled does not hang the server")
+{
+    const ServerProcess server;
+    Connection other;
+    for (const std::string& first : { post("/late/1", "{}"), get("/late/1") }) {
+        for (const std::string& next : { get("/2"), post("/2", "{}"), post("/2", "{}") + get("/3") }) {
+            Connection connection;
+            connection.send(first);
+            usleep(5000);
+            connection.send(next);
+            INFO(first + next);
+            CHECK(connection.nextBody() == "/late/1");
+            CHECK(connection.nextBody() == "/2");
+            other.send(get("/other"));
+            CHECK(other.nextBody() == "/other");
+        }
+    }
+}
+
+TEST_CASE("three requests in one packet do not hang the server")
+{
+    const ServerProcess server;
+    Connection other;
+    for (const std::string prefix : { "/late", "/at-once" }) {
+        for (const std::string& second : { get(prefix + "/2"), post(prefix + "/2", "{}") }) {
+            Connection connection;
+            connection.send(post(prefix + "/1", "{}") + second + get(prefix + "/3"));
+            CHECK(connection.nextBody() == prefix + "/1");
+            other.send(get("/other"));
+            CHECK(other.nextBody() == "/other");
+        }
+    }
+}
