FleetDaemon: calls that are open at the stop bound are answered before the process ends

What callers saw: with a store that does not answer, a daemon that was stopped ended 5 s after SIGTERM while calls waited for the store; their connections ended without an answer, up to 4.6 s after the request, also of clients whose deadline was 3 s.

Cause: exitWhenIdle() ended the process at the stop bound whatever was open. Calls stay open that long because each waits behind others for one of two connections to the store.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -455,11 +455,15 @@
     const SteadyTime now = steadyNow();
     const bool noticePeriodOver = now - this->stopBegan > stopNotice;
     const bool released = this->leadershipReleased || !this->scheduler.leadership().isLeader();
-    if ((noticePeriodOver && released && this->callers.openCalls() == 0)
-        || now - this->stopBegan > this->settings.stopBound - stopReserve) {
+    if (noticePeriodOver && released && this->callers.openCalls() == 0) {
         this->loop.stop();
         return;
     }
+    if (now - this->stopBegan > this->settings.stopBound - stopReserve) {
+        this->callers.answerOpenCalls();
+        this->loop.after(exitCheckInterval, [this]() { this->loop.stop(); });
+        return;
+    }
     this->loop.after(exitCheckInterval, [this]() { this->exitWhenIdle(); });
 }
 
--- a/src/libs/adapters/httpserver.cpp
+++ b/src/libs/adapters/httpserver.cpp
@@ -256,6 +256,14 @@
     });
 }
 
+void HttpServer::respondToAll(const HttpResponse& response)
+{
+    for (const auto& [id, exchange] : this->exchanges) {
+        if (exchange->handedOver)
+            this->respond(id, response);
+    }
+}
+
 void HttpServer::abort(HttpExchangeId id)
 {
     const auto found = this->exchanges.find(id);
--- a/src/libs/adapters/httpserver.h
+++ b/src/libs/adapters/httpserver.h
@@ -42,6 +42,9 @@
     /// Sends the response. Does nothing when the connection has ended or the exchange already has a response.
     void respond(HttpExchangeId exchange, HttpResponse response);
 
+    /// Sends `response` to every complete request that has none yet.
+    void respondToAll(const HttpResponse& response);
+
     /// Closes the connection without a response.
     void abort(HttpExchangeId exchange);
 
--- a/tests/auto/adapters/tst_httpserver.cpp
+++ b/tests/auto/adapters/tst_httpserver.cpp
@@ -4,10 +4,12 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <memory>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace WisteriaHill::Adapters;
 
@@ -17,7 +19,7 @@
 constexpr Duration answerDelay { 40 };
 
 /// A server in a process of its own, because a server that hangs must not hang the test. It answers each request with
-/// the request's path, those whose path begins with /late after a delay.
+/// the request's path: those whose path begins with /late after a delay, /never not before SIGTERM, which it ends at.
 class ServerProcess {
 public:
     ServerProcess()
@@ -36,6 +38,8 @@
     ServerProcess(const ServerProcess&) = delete;
     ServerProcess& operator=(const ServerProcess&) = delete;
 
+    void terminate() const { kill(this->process, SIGTERM); }
+
 private:
     [[noreturn]] static void serve()
     {
@@ -47,10 +51,15 @@
                     = [&answering, exchange, path = request.path]() { answering->respond(exchange, { .body = path }); };
                 if (request.path.starts_with("/late"))
                     loop.after(answerDelay, answer);
-                else
+                else if (!request.path.starts_with("/never"))
                     answer();
             });
         answering = &server;
+        loop.onTerminationSignal([&]() {
+            server.closeConnectionsAfterResponses();
+            server.respondToAll({ .body = "stopped" });
+            loop.after(answerDelay, [&]() { loop.stop(); });
+        });
         loop.run();
         std::_Exit(0);
     }
@@ -189,3 +198,19 @@
         }
     }
 }
+
+TEST_CASE("requests that are open when the process must end are answered")
+{
+    const ServerProcess server;
+    constexpr std::size_t count = 50;
+    std::vector<std::unique_ptr<Connection>> connections;
+    while (connections.size() < count) {
+        connections.push_back(std::make_unique<Connection>());
+        connections.back()->send(connections.size() % 2 == 0 ? get("/never") : post("/never", "{}"));
+        connections.back()->send(connections.size() % 3 == 0 ? get("/behind") : "");
+    }
+    usleep(50'000);
+    server.terminate();
+    for (const auto& connection : connections)
+        CHECK(connection->nextBody() == "stopped");
+}
