--- a/tests/auto/adapters/tst_httpserver.cpp
+++ b/tests/auto/adapters/tst_httpserver.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::uint16_t testPort = 18'473;
 constexpr Duration answerDelay { 40 };
+constexpr std::size_t largeBody = 12'000'000; ///< more than the buffers of a connection hold
 
 /// A server in a process of its own, because a server that hangs must not hang the test. It answers each request with
 /// the request's path: those whose path begins with /late after a delay, /never not before SIGTERM, which it ends at.
@@ -51,6 +52,8 @@
                     = [&answering, exchange, path = request.path]() { answering->respond(exchange, { .body = path }); };
                 if (request.path.starts_with("/late"))
                     loop.after(answerDelay, answer);
+                else if (request.path.starts_with("/large"))
+                    answering->respond(exchange, { .body = std::string(largeBody, 'x') });
                 else if (!request.path.starts_with("/never"))
                     answer();
             });
@@ -117,7 +120,7 @@
                     return body;
                 }
             }
-            std::array<char, 4096> buffer {};
+            std::array<char, 65'536> buffer {};
             const ssize_t count = recv(this->socket, buffer.data(), buffer.size(), 0);
             if (count <= 0)
                 return {};
@@ -214,3 +217,23 @@
     for (const auto& connection : connections)
         CHECK(connection->nextBody() == "stopped");
 }
+
+TEST_CASE("a response that does not fit into the connection's buffers arrives whole")
+{
+    const ServerProcess server;
+    for (const std::string& behind : { std::string(), get("/behind") }) {
+        Connection connection;
+        connection.send(get("/large"));
+        usleep(50'000);
+        connection.send(behind);
+        usleep(50'000);
+        CHECK(connection.nextBody().size() == largeBody);
+        connection.send(behind.empty() ? get("/next") : "");
+        CHECK(connection.nextBody() == (behind.empty() ? "/next" : "/behind"));
+        Connection ending;
+        ending.send(get("/large"));
+        ending.shutDownSending();
+        usleep(50'000);
+        CHECK(ending.nextBody().size() == largeBody);
+    }
+}
