--- a/tests/auto/adapters/tst_httpserver.cpp
+++ b/tests/auto/adapters/tst_httpserver.cpp
@@ -4,10 +4,13 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 #include <memory>
 #include <netinet/tcp.h>
+#include <random>
 #include <sys/socket.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -17,17 +20,19 @@
 
 constexpr std::uint16_t testPort = 18'473;
 constexpr Duration answerDelay { 40 };
+constexpr Duration noticePeriod { 100 };
 constexpr std::size_t largeBody = 12'000'000; ///< more than the buffers of a connection hold
 
 /// A server in a process of its own, because a server that hangs must not hang the test. It answers each request with
-/// the request's path: those whose path begins with /late after a delay, /never not before SIGTERM, which it ends at.
+/// the request's path: those whose path begins with /late after a delay, /never not before SIGTERM. At SIGTERM it ends,
+/// a graceful one after a notice period and with the last response.
 class ServerProcess {
 public:
-    ServerProcess()
+    explicit ServerProcess(bool graceful = false)
         : process(fork())
     {
         if (this->process == 0)
-            serve();
+            serve(graceful);
     }
 
     ~ServerProcess()
@@ -41,8 +46,16 @@
 
     void terminate() const { kill(this->process, SIGTERM); }
 
+    /// Returns true when the process has ended by itself.
+    bool hasEnded() const
+    {
+        siginfo_t info {};
+        return waitid(P_PID, static_cast<id_t>(this->process), &info, WEXITED | WNOHANG | WNOWAIT) == 0
+            && info.si_pid == this->process && info.si_code == CLD_EXITED;
+    }
+
 private:
-    [[noreturn]] static void serve()
+    [[noreturn]] static void serve(bool graceful)
     {
         EventLoop loop;
         HttpServer* answering = nullptr;
@@ -60,6 +73,10 @@
         answering = &server;
         loop.onTerminationSignal([&]() {
             server.closeConnectionsAfterResponses();
+            if (graceful) {
+                exitWhenIdle(loop, server);
+                return;
+            }
             server.respondToAll({ .body = "stopped" });
             loop.after(answerDelay, [&]() { loop.stop(); });
         });
@@ -67,6 +84,16 @@
         std::_Exit(0);
     }
 
+    static void exitWhenIdle(EventLoop& loop, const HttpServer& server)
+    {
+        loop.after(noticePeriod, [&]() {
+            if (server.openExchanges() == 0)
+                loop.stop();
+            else
+                exitWhenIdle(loop, server);
+        });
+    }
+
     pid_t process;
 };
 
@@ -104,6 +131,12 @@
         REQUIRE(::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
     }
 
+    /// Returns false when the connection has ended already.
+    bool trySend(const std::string& bytes) const
+    {
+        return ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    }
+
     void shutDownSending() const { shutdown(this->socket, SHUT_WR); }
 
     /// The body of the next response; an empty string when the connection ended or nothing came in time.
@@ -237,3 +270,69 @@
         CHECK(ending.nextBody().size() == largeBody);
     }
 }
+
+TEST_CASE("a planned stop loses no request that was sent long enough before the end")
+{
+    using Clock = std::chrono::steady_clock;
+    constexpr Duration sendingTime { 450 };
+    constexpr Duration stopAfter { 150 };
+    constexpr Duration lossSlack { 200 };
+    constexpr int rounds = 12;
+    constexpr int clients = 120;
+    std::mt19937 random(1);
+    const auto below = [&random](int limit) { return static_cast<int>(random() % static_cast<unsigned int>(limit)); };
+    int judged = 0;
+    for (int round = 0; round < rounds; ++round) {
+        struct Client {
+            std::unique_ptr<Connection> connection;
+            std::string request;
+            std::size_t sent = 0;
+            bool closesHalf = false;
+            bool refused = false;
+            Clock::time_point lastByte {};
+        };
+        const ServerProcess server(true);
+        std::vector<Client> all;
+        std::multimap<Duration, std::pair<std::size_t, std::size_t>> sends; ///< client and end of its part, by time
+        for (std::size_t index = 0; index < clients; ++index) {
+            const std::string path = below(2) == 0 ? "/late" : "/at-once";
+            Client client { .connection = std::make_unique<Connection>(),
+                .request
+                = below(2) == 0 ? get(path) : post(path, std::string(static_cast<std::size_t>(below(900)), 'x')),
+                .closesHalf = below(3) == 0 };
+            const Duration at { below(static_cast<int>(sendingTime.count())) };
+            if (below(3) == 0)
+                sends.emplace(at - Duration(below(30)), std::pair(index, 1 + client.request.size() / 2));
+            sends.emplace(at, std::pair(index, client.request.size()));
+            all.push_back(std::move(client));
+        }
+        const Clock::time_point begin = Clock::now();
+        bool stopped = false;
+        for (const auto& [at, part] : sends) {
+            if (at >= stopAfter && !stopped) {
+                server.terminate();
+                stopped = true;
+            }
+            std::this_thread::sleep_until(begin + at);
+            Client& client = all[part.first];
+            client.refused = client.refused
+                || !client.connection->trySend(client.request.substr(client.sent, part.second - client.sent));
+            client.sent = part.second;
+            client.lastByte = Clock::now();
+            if (client.sent == client.request.size() && client.closesHalf)
+                client.connection->shutDownSending();
+        }
+        while (!server.hasEnded() && Clock::now() < begin + std::chrono::seconds(5))
+            std::this_thread::sleep_for(Duration(1));
+        const Clock::time_point end = Clock::now();
+        REQUIRE(server.hasEnded());
+        for (const Client& client : all) {
+            if (client.refused || client.lastByte + lossSlack > end)
+                continue;
+            ++judged;
+            INFO("round " << round << ", " << client.request);
+            CHECK(!client.connection->nextBody().empty());
+        }
+    }
+    CHECK(judged > rounds);
+}
