tst_storeclient: calls that wait for a connection to a silent store, known to be red

What callers see: while the store does not answer, calls are answered after their clients' deadline: 28 of 60 that were sent at once with a deadline of 3 s, up to 7.6 s after they were sent (store stand-in under SIGSTOP for 7.5 s).

Cause: the time-out of a call to the store begins when it gets one of two connections, not when the call is made.

--- a/tests/auto/adapters/tst_httpserver.cpp
+++ b/tests/auto/adapters/tst_httpserver.cpp
@@ -148,7 +148,7 @@
             if (headEnd != std::string::npos && field < headEnd) {
                 const std::size_t length = std::strtoull(this->received.c_str() + field + 16, nullptr, 10);
                 if (this->received.size() >= headEnd + 4 + length) {
-                    const std::string body = this->received.substr(headEnd + 4, length);
+                    std::string body = this->received.substr(headEnd + 4, length);
                     this->received.erase(0, headEnd + 4 + length);
                     return body;
                 }
@@ -227,7 +227,10 @@
     for (const std::string prefix : { "/late", "/at-once" }) {
         for (const std::string& second : { get(prefix + "/2"), post(prefix + "/2", "{}") }) {
             Connection connection;
-            connection.send(post(prefix + "/1", "{}") + second + get(prefix + "/3"));
+            std::string packet = post(prefix + "/1", "{}");
+            packet += second;
+            packet += get(prefix + "/3");
+            connection.send(packet);
             CHECK(connection.nextBody() == prefix + "/1");
             other.send(get("/other"));
             CHECK(other.nextBody() == "/other");
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -133,3 +133,32 @@
     request.query = { { "Table", "op" }, { "After", "1" }, { "WaitMs", "30001" } };
     CHECK_FALSE(Platform::decodeWatchRequest(request));
 }
+
+TEST_CASE("calls that wait for a connection to a silent store end within their time-outs")
+{
+    constexpr std::uint16_t silentPort = 18'453;
+    constexpr Scheduling::Duration timeout { 200 };
+    constexpr int calls = 10;
+    Adapters::EventLoop loop;
+    const Adapters::HttpServer silent(loop, { .address = "127.0.0.1", .port = silentPort },
+        [](Adapters::HttpExchangeId, const Adapters::HttpRequest&) {});
+    Scheduling::StoreClock clock;
+    Platform::StoreClient client(loop,
+        { .choose =
+                []() {
+                    return Scheduling::StoreEndpoint { .relay = "peer", .address = "127.0.0.1", .port = silentPort };
+                },
+            .report = [](const Scheduling::StoreEndpoint&, bool) {},
+            .direct = {} },
+        clock);
+    int ended = 0;
+    for (int call = 0; call < calls; ++call)
+        client.read({ .range = Scheduling::singleRow({ "op", "", "config" }),
+            .timeout = timeout,
+            .done = [&](const Scheduling::ReadResult&) { ++ended; } });
+    bool over = false;
+    loop.after(timeout + timeout / 2, [&]() { over = true; });
+    while (!over)
+        loop.runOnce();
+    CHECK(ended == calls);
+}
