Settings: heartbeats may be received at another endpoint than other daemons send them to

A host behind address translation registers an address and a heartbeat port that it can't bind. The optional setting `heartbeats` names the endpoint that it binds; without it nothing changes.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -104,7 +104,7 @@
     , services(this->loop,
           { .advice = { .address = this->settings.advisor.address, .port = this->settings.advisor.port },
               .machines = { .address = this->settings.machines.address, .port = this->settings.machines.port } })
-    , heartbeats(this->loop, { .address = this->settings.address, .port = this->settings.heartbeatPort },
+    , heartbeats(this->loop, { .address = this->settings.heartbeats.address, .port = this->settings.heartbeats.port },
           [this](const std::string& bytes) { this->heartbeatReceived(bytes); })
     , callers(this->loop, this->settings.callers.address, this->settings.callers.port,
           { .jobs = this->callerHandlers(),
--- a/src/app/fleetsettings.cpp
+++ b/src/app/fleetsettings.cpp
@@ -55,6 +55,9 @@
     settings.relay = readEndpoint(reader, "relay");
     settings.metrics = readEndpoint(reader, "metrics");
     settings.heartbeatPort = static_cast<std::uint16_t>(reader.integer("heartbeatPort", { 1, 65535 }));
+    settings.heartbeats = readEndpoint(reader, "heartbeats", true);
+    if (settings.heartbeats.port == 0)
+        settings.heartbeats = { .address = settings.address, .port = settings.heartbeatPort };
     settings.store = readEndpoint(reader, "store");
     settings.advisor = readEndpoint(reader, "advisor", true);
     settings.machines = readEndpoint(reader, "machines", true);
--- a/src/app/fleetsettings.h
+++ b/src/app/fleetsettings.h
@@ -24,7 +24,8 @@
     Endpoint readiness; ///< listens for the balancer's readiness polls
     Endpoint relay; ///< listens for store calls of other daemons
     Endpoint metrics; ///< listens for the product's own interface: metrics, dump, jobs, explanations
-    std::uint16_t heartbeatPort = 0; ///< UDP
+    std::uint16_t heartbeatPort = 0; ///< UDP; where other daemons send heartbeats, at `address`
+    Endpoint heartbeats; ///< receives and sends heartbeats; `address` and `heartbeatPort` unless they are translated
     Endpoint store; ///< of the state store
     Endpoint advisor; ///< of the placement advice service; port 0 when there is none
     Endpoint machines; ///< of the machine service; port 0 when there is none
