Soak: availability zones, and cuts of whole zones that outlast leases

Users saw tasks run twice on real processes after a zone with the leader had been cut off for 30 s. The soak could not play that: its faults end after 4 s at leases of 6 s, all daemons share the proxy of a server, and heartbeats and the relay between daemons passed by the proxies.

Daemons and servers now have zones. A proxy knows which daemon has opened a connection (its port -> /proc/net/tcp -> /proc/PID/fd) and holds back the bytes of those that a cut separates from the target. Heartbeats and the relay run through proxies at 127.0.0.2, and so do the servers' heartbeats to the store, so that a server that is cut off from the store loses its entry. Bytes that were held back are delivered late or dropped. Tasks run 16 times as long.

--- a/tests/scripts/soak.sh
+++ b/tests/scripts/soak.sh
@@ -3,8 +3,8 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 failed=0
-for seconds in $(awk '/^[0-9]/ { print $2 }' tests/soak/seeds.txt | sort -un); do
-  mapfile -t seeds < <(awk -v seconds="$seconds" '/^[0-9]/ && $2 == seconds { print $1 }' tests/soak/seeds.txt)
-  scripts/soak --seconds "$seconds" --parallel 3 --build "${1:-build}" "${seeds[@]}" || failed=1
-done
+while read -r seconds zones; do
+  mapfile -t seeds < <(awk -v kind="$seconds $zones" '/^[0-9]/ && $2 " " $3 == kind { print $1 }' tests/soak/seeds.txt)
+  scripts/soak --seconds "$seconds" --zones "$zones" --parallel 3 --build "${1:-build}" "${seeds[@]}" || failed=1
+done < <(awk '/^[0-9]/ { print $2, $3 }' tests/soak/seeds.txt | sort -n -u -k1,1 -k2,2)
 exit "$failed"
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -62,11 +62,12 @@
     std::unique_ptr<HttpConnection> connection;
 };
 
-Callers::Callers(asio::io_context& context, Fleet& fleet, History& history, std::uint64_t seed)
+Callers::Callers(asio::io_context& context, Fleet& fleet, History& history, std::uint64_t seed, LoadScale scale)
     : context(context)
     , fleet(fleet)
     , history(history)
     , random(seed)
+    , scale(scale)
 {
 }
 
@@ -107,13 +108,15 @@
         id << std::hex << std::setw(16) << std::setfill('0') << this->random.number();
         caller->id = id.str();
         caller->queue = this->random.chance(urgentPercent) ? "/cut/" : "/score/";
-        const std::vector<PlannedStep> steps = this->randomSteps();
+        std::vector<PlannedStep> steps = this->randomSteps();
+        for (PlannedStep& step : steps)
+            step.work *= this->scale.work;
         caller->body = bodyOf(steps);
         this->history.jobs[caller->id].steps = steps;
         ++this->openCount;
         asio::spawn(
             this->context, [this, caller](const asio::yield_context& yield) { this->followJob(caller, yield); });
-        waitFor(this->context, this->random.between(minimumPause, maximumPause), yield);
+        waitFor(this->context, this->random.between(minimumPause, maximumPause) * this->scale.pause, yield);
     }
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -10,10 +10,16 @@
 
 namespace WisteriaHill::Soak {
 
+/// Factors of the load.
+struct LoadScale {
+    int work = 1; ///< of the run times of tasks
+    int pause = 1; ///< of the pauses between jobs
+};
+
 /// Thread safety: none; all on the context's thread.
 class Callers {
 public:
-    Callers(boost::asio::io_context& context, Fleet& fleet, History& history, std::uint64_t seed);
+    Callers(boost::asio::io_context& context, Fleet& fleet, History& history, std::uint64_t seed, LoadScale scale);
 
     /// Starts to submit jobs; returns at once.
     void start();
@@ -37,6 +43,7 @@
     Fleet& fleet;
     History& history;
     SeededRandom random;
+    LoadScale scale;
     bool submitting = true;
     int openCount = 0;
 };
--- a/tests/soak/childprocess.h
+++ b/tests/soak/childprocess.h
@@ -28,6 +28,9 @@
 
     bool isRunning() const { return this->pid > 0; }
 
+    /// Zero when the process does not run.
+    pid_t id() const { return this->pid; }
+
 private:
     std::vector<std::string> arguments;
     std::string outputPath;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -3,6 +3,7 @@
 #include "soak/httpconnection.h"
 
 #include <csignal>
+#include <sstream>
 
 namespace WisteriaHill::Soak {
 
@@ -16,6 +17,17 @@
 constexpr Duration maximumFaultDuration { 4000 };
 constexpr Duration maximumDelay { 400 }; ///< per chunk, of a slow link
 constexpr int repeatPercent = 20; ///< of faults that are injected twice
+constexpr Duration minimumCut { 12'000 }; ///< twice the lease
+constexpr Duration maximumCut { 30'000 };
+constexpr Duration minimumCutGap { -2000 }; ///< from the end of a cut to the start of the next; they may overlap
+constexpr Duration maximumCutGap { 8000 };
+constexpr Duration maximumFaultGap { 8000 }; ///< between faults of processes during cuts
+constexpr Duration metricsTimeout { 300 };
+constexpr int leaderPercent = 75; ///< of cuts that are around the leader
+constexpr int zonePercent = 60; ///< of cuts that are of a whole zone
+constexpr int groupPercent = 50; ///< of the others; those that cut off the leader with some servers
+constexpr int serverPercent = 50; ///< of servers that such a cut concerns
+constexpr int dropPercent = 50; ///< of cuts at whose end the bytes that were held back are dropped
 
 HttpRequest postRequest(const std::string& path, const std::string& body)
 {
@@ -34,7 +46,13 @@
 
 void FaultInjector::start(Moment end)
 {
-    asio::spawn(this->context, [this, end](const asio::yield_context& yield) { this->run(end, yield); });
+    asio::spawn(this->context, [this, end](const asio::yield_context& yield) {
+        if (this->fleet.zoneCount() > 1)
+            this->runCuts(end, yield);
+        else
+            this->run(end, yield);
+        this->finished = true;
+    });
 }
 
 void FaultInjector::run(Moment end, const boost::asio::yield_context& yield)
@@ -50,7 +68,88 @@
             waitFor(this->context, this->random.between(minimumGap, maximumGap), yield);
         }
     }
-    this->finished = true;
+}
+
+void FaultInjector::runCuts(Moment end, const boost::asio::yield_context& yield)
+{
+    waitFor(this->context, this->random.between(minimumFaultDuration, maximumCutGap), yield);
+    while (now() < end) {
+        const Duration length = this->random.between(minimumCut, maximumCut);
+        const Moment next = now() + length + this->random.between(minimumCutGap, maximumCutGap);
+        this->startFault(this->randomCut(yield), length);
+        while (now() < next) {
+            waitFor(this->context, std::min(this->random.between(minimumGap, maximumFaultGap), next - now()), yield);
+            if (now() < next)
+                this->startFault(
+                    this->processFault(), this->random.between(minimumFaultDuration, maximumFaultDuration));
+        }
+    }
+}
+
+void FaultInjector::startFault(const Fault& fault, Duration length)
+{
+    ++this->active;
+    asio::spawn(
+        this->context, [this, fault, length](const asio::yield_context& yield) { this->inject(fault, length, yield); });
+}
+
+/// The daemon that leads in the latest term; a random one when none leads.
+int FaultInjector::leader(const boost::asio::yield_context& yield)
+{
+    int leader = this->random.between(0, this->fleet.daemonCount() - 1);
+    std::uint64_t latestTerm = 0;
+    for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon) {
+        HttpConnection connection(this->context, this->fleet.metricsPort(daemon));
+        std::istringstream lines(connection.call({ .path = "/metrics", .timeout = metricsTimeout }, yield).body);
+        std::uint64_t term = 0;
+        bool leading = false;
+        std::string name;
+        for (std::string line; std::getline(lines, line);) {
+            std::istringstream words(line);
+            words >> name;
+            if (name == "wisteriahill_term")
+                words >> term;
+            else if (name == "wisteriahill_leading")
+                words >> leading;
+        }
+        if (leading && term > latestTerm) {
+            latestTerm = term;
+            leader = daemon;
+        }
+    }
+    return leader;
+}
+
+FaultInjector::Fault FaultInjector::randomCut(const boost::asio::yield_context& yield)
+{
+    const int daemon = this->random.chance(leaderPercent) ? this->leader(yield)
+                                                          : this->random.between(0, this->fleet.daemonCount() - 1);
+    std::set<std::string> someServers;
+    std::string names;
+    const int certain = this->random.between(0, this->fleet.serverCount() - 1);
+    for (int server = 0; server < this->fleet.serverCount(); ++server) {
+        if (!this->random.chance(serverPercent) && server != certain)
+            continue;
+        someServers.insert(Fleet::serverName(server));
+        names += " " + std::to_string(server);
+    }
+    Cut cut;
+    std::string name;
+    if (this->random.chance(zonePercent)) {
+        cut.inside = this->fleet.processesOfZone(this->fleet.zoneOf(daemon));
+        name = "cut off zone of daemon " + std::to_string(daemon);
+    } else if (this->random.chance(groupPercent)) {
+        cut.inside = someServers;
+        cut.inside.insert(Fleet::daemonName(daemon));
+        name = "cut off daemon " + std::to_string(daemon) + " with servers" + names;
+    } else {
+        cut = { .inside = { Fleet::daemonName(daemon) }, .outside = someServers };
+        name = "cut daemon " + std::to_string(daemon) + " from servers" + names;
+    }
+    const bool drop = this->random.chance(dropPercent);
+    auto handle = std::make_shared<Partition::Handle>();
+    return { name + (drop ? ", bytes dropped," : ", bytes delivered late,"),
+        [=, this]() { *handle = this->fleet.beginCut(cut); }, [=, this]() { this->fleet.endCut(*handle, drop); } };
 }
 
 void FaultInjector::inject(const Fault& fault, Duration length, const boost::asio::yield_context& yield)
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -15,7 +15,8 @@
 public:
     FaultInjector(boost::asio::io_context& context, Fleet& fleet, const std::string& logPath, std::uint64_t seed);
 
-    /// Injects faults until `end`; returns at once.
+    /// Injects faults until `end`; returns at once. A fleet with several availability zones gets cuts that outlast
+    /// leases, mostly around the leader, and faults of processes meanwhile.
     void start(Moment end);
 
     /// True when all faults have ended and no further one begins.
@@ -29,6 +30,10 @@
     };
 
     void run(Moment end, const boost::asio::yield_context& yield);
+    void runCuts(Moment end, const boost::asio::yield_context& yield);
+    void startFault(const Fault& fault, Duration length);
+    int leader(const boost::asio::yield_context& yield);
+    Fault randomCut(const boost::asio::yield_context& yield);
     void inject(const Fault& fault, Duration length, const boost::asio::yield_context& yield);
     void postToStandIn(
         std::uint16_t port, const std::string& path, const std::string& body, const boost::asio::yield_context& yield);
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -8,12 +8,15 @@
 
 namespace WisteriaHill::Soak {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr Duration restartDelay { 300 };
 constexpr int storeLinkPortOffset = 10; ///< offsets up to daemonPortOffset count from the first port
 constexpr int serverPortOffset = 20;
 constexpr int serverLinkPortOffset = 50;
+constexpr int serverStoreLinkPortOffset = 75;
 constexpr int daemonPortOffset = 100;
 constexpr int portsPerDaemon = 10;
 constexpr int callersPortOffset = 0; ///< offsets from here on count from the first port of a daemon
@@ -22,6 +25,10 @@
 constexpr int metricsPortOffset = 3;
 constexpr int heartbeatPortOffset = 4;
 constexpr int callersProxyPortOffset = 5;
+constexpr const char* storeName = "store";
+constexpr const char* translatedAddress = "127.0.0.2"; ///< where daemons reach each other, through proxies
+
+std::string zoneName(int zone) { return "zone-" + std::to_string(zone); }
 
 } // namespace
 
@@ -31,32 +38,104 @@
           this->logPath("store"))
 {
     this->store.start();
-    for (int number = 0; number < this->options.servers; ++number) {
-        const auto linkPort = static_cast<std::uint16_t>(this->options.firstPort + serverLinkPortOffset + number);
-        Server server;
-        server.link = std::make_unique<Proxy>(context, linkPort, this->serverPort(number));
-        server.process = std::make_unique<ChildProcess>(
-            std::vector<std::string> { this->options.buildDirectory + "/tests/serverstandin",
-                std::to_string(this->serverPort(number)), std::to_string(number), std::to_string(this->storePort()),
-                std::to_string(linkPort) },
-            this->logPath("server-" + std::to_string(number)));
-        server.process->start();
-        this->servers.push_back(std::move(server));
+    for (int number = 0; number < this->options.servers; ++number)
+        this->servers.push_back(this->startedServer(context, number));
+    for (int number = 0; number < this->options.daemons; ++number)
+        this->daemons.push_back(this->startedDaemon(context, number));
+}
+
+Fleet::Server Fleet::startedServer(asio::io_context& context, int number)
+{
+    const int linkPort = this->options.firstPort + serverLinkPortOffset + number;
+    const int storeProxy = this->options.firstPort + serverStoreLinkPortOffset + number;
+    const std::string name = serverName(number);
+    Server server;
+    server.link = std::make_unique<Proxy>(context, this->link(linkPort, this->serverPort(number), name));
+    ProxyOptions storeLink = this->link(storeProxy, this->storePort(), storeName);
+    storeLink.identify = [name](std::uint16_t) { return name; };
+    server.storeLink = std::make_unique<Proxy>(context, storeLink);
+    server.process = std::make_unique<ChildProcess>(
+        std::vector<std::string> { this->options.buildDirectory + "/tests/serverstandin",
+            std::to_string(this->serverPort(number)), std::to_string(number), std::to_string(storeProxy),
+            std::to_string(linkPort), zoneName(this->zoneOf(number)) },
+        this->logPath(name));
+    server.process->start();
+    return server;
+}
+
+Fleet::Daemon Fleet::startedDaemon(asio::io_context& context, int number)
+{
+    const std::string name = daemonName(number);
+    this->writeSettings(number);
+    Daemon daemon;
+    ProxyOptions storeLink
+        = this->link(this->options.firstPort + storeLinkPortOffset + number, this->storePort(), storeName);
+    storeLink.identify = [name](std::uint16_t) { return name; };
+    daemon.storeLink = std::make_unique<Proxy>(context, storeLink);
+    daemon.callersLink = std::make_unique<Proxy>(context,
+        ProxyOptions { .port = this->callersPort(number), .targetPort = this->daemonPort(number, callersPortOffset) });
+    const std::uint16_t relayPort = this->daemonPort(number, relayPortOffset);
+    ProxyOptions relayLink = this->link(relayPort, relayPort, name);
+    relayLink.address = translatedAddress;
+    daemon.relayLink = std::make_unique<Proxy>(context, relayLink);
+    daemon.heartbeatLink = std::make_unique<DatagramProxy>(
+        context, translatedAddress, this->daemonPort(number, heartbeatPortOffset), [this, name](std::uint16_t port) {
+            const int sender = (port - this->daemonPort(0, heartbeatPortOffset)) / portsPerDaemon;
+            return this->partition.separates(daemonName(sender), name);
+        });
+    daemon.process = std::make_unique<ChildProcess>(
+        std::vector<std::string> { this->options.buildDirectory + "/src/app/wisteriahilld", "--settings",
+            this->options.workDirectory + "/" + name + ".json" },
+        this->logPath(name));
+    daemon.process->start();
+    return daemon;
+}
+
+ProxyOptions Fleet::link(int port, int targetPort, const std::string& target)
+{
+    const auto listened = static_cast<std::uint16_t>(port);
+    return { .port = listened,
+        .targetPort = static_cast<std::uint16_t>(targetPort),
+        .identify = [this, listened](std::uint16_t clientPort) { return this->clientOf(clientPort, listened); },
+        .isCut = [this, target](const std::string& client) { return this->partition.separates(client, target); } };
+}
+
+std::string Fleet::clientOf(std::uint16_t clientPort, std::uint16_t port) const
+{
+    const std::string link = socketLink(clientPort, port);
+    for (std::size_t number = 0; number < this->daemons.size(); ++number) {
+        if (hasDescriptor(this->daemons[number].process->id(), link))
+            return daemonName(static_cast<int>(number));
     }
-    for (int number = 0; number < this->options.daemons; ++number) {
-        const auto storeProxy = static_cast<std::uint16_t>(this->options.firstPort + storeLinkPortOffset + number);
-        this->writeSettings(number);
-        Daemon daemon;
-        daemon.storeLink = std::make_unique<Proxy>(context, storeProxy, this->storePort());
-        daemon.callersLink
-            = std::make_unique<Proxy>(context, this->callersPort(number), this->daemonPort(number, callersPortOffset));
-        daemon.process = std::make_unique<ChildProcess>(
-            std::vector<std::string> { this->options.buildDirectory + "/src/app/wisteriahilld", "--settings",
-                this->options.workDirectory + "/daemon-" + std::to_string(number) + ".json" },
-            this->logPath("daemon-" + std::to_string(number)));
-        daemon.process->start();
-        this->daemons.push_back(std::move(daemon));
+    return {};
+}
+
+std::set<std::string> Fleet::processesOfZone(int zone) const
+{
+    std::set<std::string> names;
+    for (int number = 0; number < std::max(this->options.daemons, this->options.servers); ++number) {
+        if (this->zoneOf(number) != zone)
+            continue;
+        names.insert(daemonName(number));
+        names.insert(serverName(number));
+    }
+    return names;
+}
+
+void Fleet::endCut(Partition::Handle cut, bool drop)
+{
+    for (const Server& server : this->servers) {
+        server.storeLink->resetCutConnections(); // a late heartbeat could announce an earlier start of the server
+        if (drop)
+            server.link->resetCutConnections();
+    }
+    for (const Daemon& daemon : this->daemons) {
+        if (!drop)
+            continue;
+        daemon.storeLink->resetCutConnections();
+        daemon.relayLink->resetCutConnections();
     }
+    this->partition.remove(cut);
 }
 
 std::uint16_t Fleet::daemonPort(int daemon, int offset) const
@@ -66,6 +145,7 @@
 
 std::uint16_t Fleet::callersPort(int daemon) const { return this->daemonPort(daemon, callersProxyPortOffset); }
 std::uint16_t Fleet::readinessPort(int daemon) const { return this->daemonPort(daemon, readinessPortOffset); }
+std::uint16_t Fleet::metricsPort(int daemon) const { return this->daemonPort(daemon, metricsPortOffset); }
 
 std::uint16_t Fleet::serverPort(int server) const
 {
@@ -78,12 +158,13 @@
 {
     const auto endpoint = [](int port) { return "127.0.0.1:" + std::to_string(port); };
     const Utils::Json settings { { "fleet",
-        { { "node", "host-" + std::to_string(daemon) }, { "zone", "sawshed" }, { "address", "127.0.0.1" },
-            { "callers", endpoint(this->daemonPort(daemon, callersPortOffset)) },
+        { { "node", "host-" + std::to_string(daemon) }, { "zone", zoneName(this->zoneOf(daemon)) },
+            { "address", translatedAddress }, { "callers", endpoint(this->daemonPort(daemon, callersPortOffset)) },
             { "readiness", endpoint(this->daemonPort(daemon, readinessPortOffset)) },
             { "relay", endpoint(this->daemonPort(daemon, relayPortOffset)) },
             { "metrics", endpoint(this->daemonPort(daemon, metricsPortOffset)) },
             { "heartbeatPort", this->daemonPort(daemon, heartbeatPortOffset) },
+            { "heartbeats", endpoint(this->daemonPort(daemon, heartbeatPortOffset)) },
             { "store", endpoint(this->options.firstPort + storeLinkPortOffset + daemon) },
             { "leases", { { "maximum", "6s" }, { "stopTime", "200ms" } } }, { "stopBound", "6s" } } } };
     std::ofstream(this->options.workDirectory + "/daemon-" + std::to_string(daemon) + ".json") << settings.dump();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -25,7 +25,7 @@
 constexpr const char* usage = R"(Runs a fleet of real processes under random faults and checks its invariants.
 
 Usage:
-  soak --seed=N --build=DIR --work=DIR [--seconds=N] [--port=N] [--daemons=N] [--servers=N]
+  soak --seed=N --build=DIR --work=DIR [--seconds=N] [--port=N] [--daemons=N] [--servers=N] [--zones=N]
 
 Options:
   --seed=N      seed of the faults and the load
@@ -35,12 +35,16 @@
   --port=N      first of 200 ports on loopback [default: 19000]
   --daemons=N   [default: 3]
   --servers=N   [default: 6]
+  --zones=N     availability zones; if more than one, the faults are cuts that outlast leases, and tasks are longer
+                [default: 1]
 )";
 
 constexpr Duration tickInterval { 10 };
 constexpr Duration startBound { 15'000 }; ///< until every daemon must be ready
 constexpr Duration faultFreeTime { 3000 }; ///< after the last fault, until time limits apply again
 constexpr Duration settleBound { 40'000 }; ///< until every job must have ended
+constexpr Duration longestJob { 4800 }; ///< three attempts of each task
+constexpr LoadScale scaleOfCuts { .work = 16, .pause = 8 }; ///< runs span cuts, which outlast leases
 constexpr Duration configurationBound { 2000 }; ///< until a change must be active
 constexpr Duration stopBound { 7000 }; ///< above the 6 s that a stop may take
 
@@ -57,8 +61,9 @@
 public:
     SoakRun(asio::io_context& context, const FleetOptions& options, std::uint64_t seed, Duration faultTime)
         : context(context)
+        , scale(options.zones > 1 ? scaleOfCuts : LoadScale())
         , fleet(context, options)
-        , callers(context, this->fleet, this->history, seed)
+        , callers(context, this->fleet, this->history, seed, this->scale)
         , faults(context, this->fleet, options.workDirectory + "/faults.log", seed + 1)
         , faultTime(faultTime)
     {
@@ -79,7 +84,8 @@
         for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
             this->replace(daemon, yield);
         this->callers.stopSubmitting();
-        this->waitWhile([this]() { return this->callers.openJobs() > 0; }, now() + settleBound, yield);
+        this->waitWhile([this]() { return this->callers.openJobs() > 0; },
+            now() + settleBound + longestJob * (this->scale.work - 1), yield);
         this->stopAll(yield);
         this->history.finished = now();
         this->fleet.readHistory(this->history);
@@ -186,6 +192,7 @@
     }
 
     asio::io_context& context;
+    LoadScale scale;
     Fleet fleet;
     History history;
     Callers callers;
@@ -209,7 +216,8 @@
             .workDirectory = arguments.at("--work").asString(),
             .firstPort = static_cast<std::uint16_t>(number("--port")),
             .daemons = static_cast<int>(number("--daemons")),
-            .servers = static_cast<int>(number("--servers")) },
+            .servers = static_cast<int>(number("--servers")),
+            .zones = static_cast<int>(number("--zones")) },
         static_cast<std::uint64_t>(number("--seed")), std::chrono::seconds(number("--seconds")));
     asio::spawn(context, [&soakRun](const asio::yield_context& yield) { soakRun.run(yield); });
     context.run();
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -41,12 +41,14 @@
     tcp::socket client;
     tcp::socket server;
     bool silenced = false; ///< permanently
+    std::string clientName;
 };
 
-Proxy::Proxy(asio::io_context& context, std::uint16_t port, std::uint16_t targetPort)
+Proxy::Proxy(asio::io_context& context, ProxyOptions givenOptions)
     : context(context)
-    , acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), port))
-    , target(asio::ip::address_v4::loopback(), targetPort)
+    , options(std::move(givenOptions))
+    , acceptor(context, tcp::endpoint(asio::ip::make_address(this->options.address), this->options.port))
+    , target(asio::ip::address_v4::loopback(), this->options.targetPort)
 {
     asio::spawn(context, [this](const asio::yield_context& yield) { this->accept(yield); });
 }
@@ -65,6 +67,21 @@
     }
 }
 
+void Proxy::resetCutConnections()
+{
+    for (const std::weak_ptr<Session>& open : this->sessions) {
+        const std::shared_ptr<Session> session = open.lock();
+        if (session && this->options.identify && this->options.isCut(session->clientName))
+            session->reset();
+    }
+}
+
+bool Proxy::isHeld(const Session& session, bool toTarget) const
+{
+    return (toTarget ? this->fault.silentToTarget : this->fault.silentToClient) || session.silenced
+        || (this->options.identify && this->options.isCut(session.clientName));
+}
+
 void Proxy::silenceOpenConnections()
 {
     for (const std::weak_ptr<Session>& open : this->sessions) {
@@ -82,6 +99,9 @@
             session->reset();
             continue;
         }
+        error_code closed; // a client that has gone remains without a name
+        if (const tcp::endpoint client = session->client.remote_endpoint(closed); !closed && this->options.identify)
+            session->clientName = this->options.identify(client.port());
         this->sessions.remove_if([](const std::weak_ptr<Session>& open) { return open.expired(); });
         this->sessions.push_back(session);
         asio::spawn(
@@ -114,7 +134,7 @@
     error_code error;
     while (!error) {
         const std::size_t size = from.async_read_some(asio::buffer(chunk), yield[error]);
-        while ((toTarget ? this->fault.silentToTarget : this->fault.silentToClient) || session->silenced) {
+        while (this->isHeld(*session, toTarget)) {
             timer.expires_after(heldCheckInterval);
             timer.async_wait(yield);
             if (!session->client.is_open())
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -6,8 +6,10 @@
 #include <boost/asio/spawn.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
+#include <string>
 
 namespace WisteriaHill::Soak {
 
@@ -19,11 +21,21 @@
     std::chrono::milliseconds delay { 0 }; ///< of each forwarded chunk
 };
 
+struct ProxyOptions {
+    std::string address = "127.0.0.1"; ///< where clients connect
+    std::uint16_t port = 0;
+    std::uint16_t targetPort = 0; ///< on 127.0.0.1
+    /// Names the client that has this port, asked once per connection; empty when clients are not told apart.
+    std::function<std::string(std::uint16_t clientPort)> identify;
+    /// True while bytes from and to the client are held back; precondition of a call: `identify` is set.
+    std::function<bool(const std::string& client)> isCut;
+};
+
 /// Thread safety: none; all on the context's thread, and the context must outlive the proxy.
 class Proxy {
 public:
     /// Starts to listen; throws boost::system::system_error when the port is taken.
-    Proxy(boost::asio::io_context& context, std::uint16_t port, std::uint16_t targetPort);
+    Proxy(boost::asio::io_context& context, ProxyOptions options);
 
     void setFault(const LinkFault& fault) { this->fault = fault; }
     bool isFaulty() const;
@@ -31,17 +43,22 @@
     /// Ends each open connection with a reset.
     void resetConnections();
 
+    /// Ends the connections of clients that are cut off now, with the bytes that are held back.
+    void resetCutConnections();
+
     /// Open connections forward nothing any more; new ones work.
     void silenceOpenConnections();
 
 private:
     struct Session;
 
+    bool isHeld(const Session& session, bool toTarget) const;
     void accept(const boost::asio::yield_context& yield);
     void connect(const std::shared_ptr<Session>& session, const boost::asio::yield_context& yield);
     void forward(const std::shared_ptr<Session>& session, bool toTarget, const boost::asio::yield_context& yield);
 
     boost::asio::io_context& context;
+    ProxyOptions options;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::ip::tcp::endpoint target;
     LinkFault fault;
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -48,6 +48,7 @@
     int number = 0;
     std::uint16_t storePort = 0;
     std::uint16_t announcedPort = 0; ///< that daemons connect to
+    std::string zone;
 };
 
 std::int64_t wallNowMs()
@@ -212,7 +213,7 @@
         const std::string rack = "r1-" + std::to_string(this->options.number / serversPerRack);
         const Json entry { { Wire::service, "scoring" },
             { Wire::address, std::string(loopback) + ":" + std::to_string(this->options.announcedPort) },
-            { Wire::zone, "sawshed" }, { Wire::state, Wire::stateReady },
+            { Wire::zone, this->options.zone }, { Wire::state, Wire::stateReady },
             { Wire::capacity,
                 { { Wire::cpu, capacity.milliCores }, { Wire::memory, capacity.memoryMb },
                     { Wire::accelerators, capacity.accelerators } } },
@@ -242,8 +243,9 @@
 
 int main(int argc, char** argv)
 {
-    if (argc < 4 || argc > 5) {
-        std::cerr << "usage: serverstandin PORT NUMBER STORE-PORT [ANNOUNCED-PORT]\n";
+    constexpr int argumentsWithZone = 6;
+    if (argc < 4 || argc > argumentsWithZone) {
+        std::cerr << "usage: serverstandin PORT NUMBER STORE-PORT [ANNOUNCED-PORT [ZONE]]\n";
         return 2;
     }
     const auto port = [argv](int index) { return static_cast<std::uint16_t>(std::stoi(argv[index])); };
@@ -252,7 +254,8 @@
         { .port = port(1),
             .number = std::stoi(argv[2]),
             .storePort = port(3),
-            .announcedPort = port(argc == 5 ? 4 : 1) });
+            .announcedPort = port(argc >= 5 ? 4 : 1),
+            .zone = argc == argumentsWithZone ? argv[argumentsWithZone - 1] : "sawshed" });
     loop.onTerminationSignal([&loop]() { loop.stop(); });
     loop.run();
     std::cout.flush();
