--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -52,7 +52,7 @@
     Server server;
     server.link = std::make_unique<Proxy>(context, this->link(linkPort, this->serverPort(number), name));
     ProxyOptions storeLink = this->link(storeProxy, this->storePort(), storeName);
-    storeLink.identify = [name](std::uint16_t) { return name; };
+    storeLink.identify = [name](std::uint16_t) { return std::string(name); };
     server.storeLink = std::make_unique<Proxy>(context, storeLink);
     server.process = std::make_unique<ChildProcess>(
         std::vector<std::string> { this->options.buildDirectory + "/tests/serverstandin",
@@ -70,7 +70,7 @@
     Daemon daemon;
     ProxyOptions storeLink
         = this->link(this->options.firstPort + storeLinkPortOffset + number, this->storePort(), storeName);
-    storeLink.identify = [name](std::uint16_t) { return name; };
+    storeLink.identify = [name](std::uint16_t) { return std::string(name); };
     daemon.storeLink = std::make_unique<Proxy>(context, storeLink);
     daemon.callersLink = std::make_unique<Proxy>(context,
         ProxyOptions { .port = this->callersPort(number), .targetPort = this->daemonPort(number, callersPortOffset) });
