--- a/tests/soak/partition.cpp
+++ b/tests/soak/partition.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <sstream>
 
 namespace WisteriaHill::Soak {
@@ -15,11 +16,12 @@
 
 constexpr std::size_t maximumDatagram = 65'536;
 
-/// The port of an address as in /proc/net/tcp, such as 0100007F:4A38.
-std::uint16_t portOf(const std::string& address)
+/// An address on 127.0.0.1, and any other, as in /proc/net/tcp, end with the port.
+std::string portText(std::uint16_t port)
 {
-    constexpr int hexadecimal = 16;
-    return static_cast<std::uint16_t>(std::stoul(address.substr(address.find(':') + 1), nullptr, hexadecimal));
+    std::ostringstream text;
+    text << ':' << std::hex << std::uppercase << std::setw(4) << std::setfill('0') << port;
+    return text.str();
 }
 
 } // namespace
@@ -39,23 +41,23 @@
 
 std::string socketLink(std::uint16_t port, std::uint16_t remotePort)
 {
+    constexpr std::size_t addressLength = 8;
+    const std::string local = portText(port) + ' ';
+    const std::string remote = portText(remotePort) + ' ';
     std::ifstream table("/proc/net/tcp");
     std::string line;
-    std::getline(table, line);
     while (std::getline(table, line)) {
+        // Most lines are of other connections; only the right one is split into its fields.
+        const std::size_t found = line.find(local);
+        if (found == std::string::npos
+            || line.compare(found + local.size() + addressLength, remote.size(), remote) != 0)
+            continue;
+        constexpr int fieldsBeforeInode = 9;
         std::istringstream fields(line);
-        std::string number;
-        std::string local;
-        std::string remote;
-        std::string skipped;
         std::string inode;
-        fields >> number >> local >> remote;
-        constexpr int fieldsBeforeInode = 6;
-        for (int field = 0; field < fieldsBeforeInode; ++field)
-            fields >> skipped;
-        fields >> inode;
-        if (portOf(local) == port && portOf(remote) == remotePort)
-            return "socket:[" + inode + "]";
+        for (int field = 0; field <= fieldsBeforeInode; ++field)
+            fields >> inode;
+        return "socket:[" + inode + "]";
     }
     return {};
 }
