Soak: connections are attributed to daemons only while there is a cut

A suspect is the look-up in /proc at each accepted connection, which slows down when daemons retry; it is not proven.

--- a/tests/auto/soak/tst_partition.cpp
+++ b/tests/auto/soak/tst_partition.cpp
@@ -40,7 +40,8 @@
         return { .port = this->port,
             .targetPort = this->target.local_endpoint().port(),
             .identify = [this](std::uint16_t client) { return client == this->firstPort() ? "daemon-0" : "daemon-1"; },
-            .isCut = [this](const std::string& client) { return this->partition.separates(client, "server-0"); } };
+            .isCut = [this](const std::string& client) { return this->partition.separates(client, "server-0"); },
+            .isAnyCut = [this]() { return !this->partition.isEmpty(); } };
     }
 
     std::uint16_t firstPort() const { return this->clients[0].local_endpoint().port(); }
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -97,7 +97,8 @@
     return { .port = listened,
         .targetPort = static_cast<std::uint16_t>(targetPort),
         .identify = [this, listened](std::uint16_t clientPort) { return this->clientOf(clientPort, listened); },
-        .isCut = [this, target](const std::string& client) { return this->partition.separates(client, target); } };
+        .isCut = [this, target](const std::string& client) { return this->partition.separates(client, target); },
+        .isAnyCut = [this]() { return !this->partition.isEmpty(); } };
 }
 
 std::string Fleet::clientOf(std::uint16_t clientPort, std::uint16_t port) const
--- a/tests/soak/partition.h
+++ b/tests/soak/partition.h
@@ -27,6 +27,8 @@
     Handle add(Cut cut) { return this->cuts.insert(this->cuts.end(), std::move(cut)); }
     void remove(Handle cut) { this->cuts.erase(cut); }
 
+    bool isEmpty() const { return this->cuts.empty(); }
+
     /// True when nothing passes between the two. An empty name stands for a process that could not be identified; it
     /// is separated from every process at which a cut is in force.
     bool separates(const std::string& first, const std::string& second) const;
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <optional>
 
 namespace WisteriaHill::Soak {
 
@@ -41,7 +42,7 @@
     tcp::socket client;
     tcp::socket server;
     bool silenced = false; ///< permanently
-    std::string clientName;
+    std::optional<std::string> clientName; ///< set once it was needed
 };
 
 Proxy::Proxy(asio::io_context& context, ProxyOptions givenOptions)
@@ -71,15 +72,27 @@
 {
     for (const std::weak_ptr<Session>& open : this->sessions) {
         const std::shared_ptr<Session> session = open.lock();
-        if (session && this->options.identify && this->options.isCut(session->clientName))
+        if (session && this->isCutOff(*session))
             session->reset();
     }
 }
 
-bool Proxy::isHeld(const Session& session, bool toTarget) const
+bool Proxy::isCutOff(Session& session) const
+{
+    if (!this->options.identify || !this->options.isAnyCut())
+        return false;
+    if (!session.clientName) {
+        error_code closed; // a client that has gone remains without a name
+        const tcp::endpoint client = session.client.remote_endpoint(closed);
+        session.clientName = closed ? std::string() : this->options.identify(client.port());
+    }
+    return this->options.isCut(*session.clientName);
+}
+
+bool Proxy::isHeld(Session& session, bool toTarget) const
 {
     return (toTarget ? this->fault.silentToTarget : this->fault.silentToClient) || session.silenced
-        || (this->options.identify && this->options.isCut(session.clientName));
+        || this->isCutOff(session);
 }
 
 void Proxy::silenceOpenConnections()
@@ -99,9 +112,6 @@
             session->reset();
             continue;
         }
-        error_code closed; // a client that has gone remains without a name
-        if (const tcp::endpoint client = session->client.remote_endpoint(closed); !closed && this->options.identify)
-            session->clientName = this->options.identify(client.port());
         this->sessions.remove_if([](const std::weak_ptr<Session>& open) { return open.expired(); });
         this->sessions.push_back(session);
         asio::spawn(
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -25,10 +25,12 @@
     std::string address = "127.0.0.1"; ///< where clients connect
     std::uint16_t port = 0;
     std::uint16_t targetPort = 0; ///< on 127.0.0.1
-    /// Names the client that has this port, asked once per connection; empty when clients are not told apart.
+    /// Names the client that has this port, asked once per connection while there is a cut; empty when clients are not
+    /// told apart.
     std::function<std::string(std::uint16_t clientPort)> identify;
     /// True while bytes from and to the client are held back; precondition of a call: `identify` is set.
     std::function<bool(const std::string& client)> isCut;
+    std::function<bool()> isAnyCut; ///< set together with `identify`; false while there is no cut at all
 };
 
 /// Thread safety: none; all on the context's thread, and the context must outlive the proxy.
@@ -52,7 +54,8 @@
 private:
     struct Session;
 
-    bool isHeld(const Session& session, bool toTarget) const;
+    bool isHeld(Session& session, bool toTarget) const;
+    bool isCutOff(Session& session) const;
     void accept(const boost::asio::yield_context& yield);
     void connect(const std::shared_ptr<Session>& session, const boost::asio::yield_context& yield);
     void forward(const std::shared_ptr<Session>& session, bool toTarget, const boost::asio::yield_context& yield);
