--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <optional>
 
 namespace WisteriaHill::Soak {
 
@@ -41,12 +42,14 @@
     tcp::socket client;
     tcp::socket server;
     bool silenced = false; ///< permanently
+    std::optional<std::string> clientName; ///< set once it was needed
 };
 
-Proxy::Proxy(asio::io_context& context, std::uint16_t port, std::uint16_t targetPort)
+Proxy::Proxy(asio::io_context& context, ProxyOptions givenOptions)
     : context(context)
-    , acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), port))
-    , target(asio::ip::address_v4::loopback(), targetPort)
+    , options(std::move(givenOptions))
+    , acceptor(context, tcp::endpoint(asio::ip::make_address(this->options.address), this->options.port))
+    , target(asio::ip::address_v4::loopback(), this->options.targetPort)
 {
     asio::spawn(context, [this](const asio::yield_context& yield) { this->accept(yield); });
 }
@@ -65,6 +68,33 @@
     }
 }
 
+void Proxy::resetCutConnections()
+{
+    for (const std::weak_ptr<Session>& open : this->sessions) {
+        const std::shared_ptr<Session> session = open.lock();
+        if (session && this->isCutOff(*session))
+            session->reset();
+    }
+}
+
+bool Proxy::isCutOff(Session& session) const
+{
+    if (!this->options.identify || !this->options.isAnyCut())
+        return false;
+    if (!session.clientName) {
+        error_code closed; // a client that has gone remains without a name
+        const tcp::endpoint client = session.client.remote_endpoint(closed);
+        session.clientName = closed ? std::string() : this->options.identify(client.port());
+    }
+    return this->options.isCut(*session.clientName);
+}
+
+bool Proxy::isHeld(Session& session, bool toTarget) const
+{
+    return (toTarget ? this->fault.silentToTarget : this->fault.silentToClient) || session.silenced
+        || this->isCutOff(session);
+}
+
 void Proxy::silenceOpenConnections()
 {
     for (const std::weak_ptr<Session>& open : this->sessions) {
@@ -114,7 +144,7 @@
     error_code error;
     while (!error) {
         const std::size_t size = from.async_read_some(asio::buffer(chunk), yield[error]);
-        while ((toTarget ? this->fault.silentToTarget : this->fault.silentToClient) || session->silenced) {
+        while (this->isHeld(*session, toTarget)) {
             timer.expires_after(heldCheckInterval);
             timer.async_wait(yield);
             if (!session->client.is_open())
