--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Duration maximumLease { 6000 };
 constexpr std::int64_t wholePercent = 100;
 constexpr Duration longRunningWork = std::chrono::hours(1); ///< from this run time on, a task reports 100 %
 
@@ -55,22 +54,23 @@
     if (running != this->active.end() && running->second.attempt == order.attempt)
         return OrderDone { this->clock };
     const auto closed = this->closedAttempts.find(order.task);
-    if ((closed != this->closedAttempts.end() && order.attempt <= closed->second) || running != this->active.end())
+    if ((closed != this->closedAttempts.end() && order.attempt <= closed->second) || running != this->active.end()) {
+        this->extendLeases(order.leaseEnd);
         return OrderRefusal::Outdated;
+    }
     if (order.leaseEnd <= this->clock)
         return OrderRefusal::LeaseExpired;
     Resources free = this->entry.capacity;
     for (const auto& [name, taken] : this->needs)
         free -= taken;
-    if (!free.holds(need) && this->enforcesCapacity)
+    if (!free.holds(need) && this->enforcesCapacity) {
+        this->extendLeases(order.leaseEnd);
         return OrderRefusal::NoCapacity;
+    }
     this->startsOverCapacity += free.holds(need) ? 0 : 1;
-    this->active[order.task]
-        = { .attempt = order.attempt, .work = work, .leaseEnd = std::min(order.leaseEnd, this->clock + maximumLease) };
+    this->active[order.task] = { .attempt = order.attempt, .work = work };
     this->needs[order.task] = need;
-    this->leaseEnd = std::max(this->leaseEnd, std::min(order.leaseEnd, this->clock + maximumLease));
-    for (auto& [name, task] : this->active)
-        task.leaseEnd = std::max(task.leaseEnd, std::min(order.leaseEnd, this->clock + maximumLease));
+    this->extendLeases(order.leaseEnd);
     this->report({ .kind = RunEvent::Kind::Started, .task = order.task, .attempt = order.attempt });
     return OrderDone { this->clock };
 }
@@ -111,9 +111,15 @@
 {
     if (!this->alive || !this->reachable || order.token < this->highestToken || !order.leaseEnd)
         return;
-    this->leaseEnd = std::max(this->leaseEnd, std::min(*order.leaseEnd, this->clock + maximumLease));
+    this->extendLeases(*order.leaseEnd);
+}
+
+void FakeServer::extendLeases(ServerTime end)
+{
+    const ServerTime granted = std::min(end, this->clock + this->maximumLease);
+    this->leaseEnd = std::max(this->leaseEnd, granted);
     for (auto& [name, task] : this->active)
-        task.leaseEnd = std::max(task.leaseEnd, std::min(*order.leaseEnd, this->clock + maximumLease));
+        task.leaseEnd = std::max(task.leaseEnd, granted);
 }
 
 OrderResult FakeServer::poll(const PollOrder& order)
@@ -171,7 +177,10 @@
 {
     if (!this->alive)
         return;
-    this->clock += time;
+    this->clockArrears += time.count() * this->clockSlowness;
+    const std::int64_t lost = this->clockArrears / 1000;
+    this->clockArrears -= lost * 1000;
+    this->clock += time - Duration(lost);
     if (this->clock >= this->leaseEnd) {
         for (const EndedRun& unread : this->ended)
             this->done.erase(unread.task);
@@ -189,7 +198,7 @@
                 this->end(name, RunEnd::Stopped);
             continue;
         }
-        if (this->health == ServerHealth::Stalled)
+        if (this->health == ServerHealth::Stalled || task.standsStill)
             continue;
         if (this->health == ServerHealth::FailsAll) {
             this->end(name, RunEnd::Failed);
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -42,11 +42,14 @@
         Scheduling::ServerTime leaseEnd { 0 };
         bool stopping = false;
         Scheduling::Duration stopTimeLeft { 0 };
+        bool standsStill = false; ///< makes no progress
     };
 
     Scheduling::ServerEntry entry;
     std::int64_t startedAt = 0;
     Scheduling::Duration stopTime { 200 }; ///< from a stop order until the run has ended
+    Scheduling::Duration maximumLease { 6000 }; ///< longer leases are shortened to it
+    int clockSlowness = 0; ///< the lease clock loses so many thousandths
     bool reachable = true;
     bool alive = true;
     ServerHealth health = ServerHealth::Healthy;
@@ -74,6 +77,9 @@
     /// Renews the lease as a poll does when it arrives, before it waits for an end.
     void renewLease(const Scheduling::PollOrder& order);
 
+    /// False once the lease of all runs has expired.
+    bool holdsLease() const { return this->clock < this->leaseEnd; }
+
     /// Executes the delayed starts.
     void releaseDelayedStarts();
 
@@ -102,10 +108,12 @@
         const Scheduling::StartOrder& order, const Scheduling::Resources& need, Scheduling::Duration work);
     Scheduling::OrderResult stop(const Scheduling::StopOrder& order);
     Scheduling::OrderResult poll(const Scheduling::PollOrder& order);
+    void extendLeases(Scheduling::ServerTime end);
     int latencyMs() const;
     void report(const RunEvent& event) const;
 
     Scheduling::ServerTime clock { 0 };
+    std::int64_t clockArrears = 0; ///< thousandths of a millisecond that the clock has yet to lose
     Scheduling::FencingToken highestToken = 0;
     std::map<Scheduling::TaskName, Scheduling::Resources> needs;
     std::map<Scheduling::TaskName, int> closedAttempts; ///< highest attempt that was stopped or has ended
--- a/tests/support/fakestore.cpp
+++ b/tests/support/fakestore.cpp
@@ -77,11 +77,13 @@
     if (this->silent)
         return StoreError::Unknown;
     RowPage page { .version = this->newest };
-    for (const auto& [key, row] : this->rows) {
-        const bool inside = key.table == range.table && key.partition == range.partition && key.key >= range.from
-            && (range.to.empty() || key.key < range.to);
+    for (auto position = this->rows.lower_bound({ range.table, range.partition, range.from });
+         position != this->rows.end(); ++position) {
+        const auto& [key, row] = *position;
+        const bool inside
+            = key.table == range.table && key.partition == range.partition && (range.to.empty() || key.key < range.to);
         if (!inside)
-            continue;
+            break;
         if (static_cast<int>(page.rows.size()) == range.limit) {
             page.more = true;
             break;
@@ -100,9 +102,10 @@
     if (after < this->compactedUpTo)
         return HistoryCompacted {};
     RowPage page { .version = this->newest };
-    for (const Row& row : this->history) {
-        if (row.key.table == table && row.version > after)
-            page.rows.push_back(row);
+    for (auto position = std::ranges::upper_bound(this->history, after, {}, &Row::version);
+         position != this->history.end(); ++position) {
+        if (position->key.table == table)
+            page.rows.push_back(*position);
     }
     return page;
 }
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration tick { 10 };
 constexpr Duration networkDelay { 2 };
+constexpr Duration watchTimeout { 2000 }; ///< after the wait that the call asked for
 constexpr const char* service = "scoring";
 constexpr std::int64_t firstStart = 1'000'000; ///< of the servers, Unix milliseconds
 constexpr Resources serverCapacity { .milliCores = 128'000, .memoryMb = 512'000, .accelerators = 8 };
@@ -58,15 +59,19 @@
     for (int rack = 0; rack < this->options.racks; ++rack) {
         for (int position = 0; position < this->options.serversPerRack; ++position) {
             const std::string number = std::to_string(rack) + "-" + std::to_string(position);
-            this->servers.push_back(std::make_unique<FakeServer>(ServerEntry { .id = "server-" + number,
-                                                                     .service = service,
-                                                                     .address = "10.0.0.1",
-                                                                     .port = 80,
-                                                                     .rack = "rack-" + std::to_string(rack),
-                                                                     .machine = "machine-" + number,
-                                                                     .capacity = serverCapacity },
+            this->servers.push_back(std::make_unique<FakeServer>(
+                ServerEntry { .id = "server-" + number,
+                    .service = service,
+                    .address = "10.0.0.1",
+                    .port = 80,
+                    .zone
+                    = this->options.zones == 0 ? std::string() : "zone-" + std::to_string(rack % this->options.zones),
+                    .rack = "rack-" + std::to_string(rack),
+                    .machine = "machine-" + number,
+                    .capacity = serverCapacity },
                 firstStart));
             this->servers.back()->stopTime = this->options.stopTime;
+            this->servers.back()->maximumLease = this->options.maximumLease;
             this->putEntry(*this->servers.back());
         }
     }
@@ -156,31 +161,13 @@
     this->answers.push_back({ this->time + delay, daemon, this->daemons.at(daemon)->generation, std::move(deliver) });
 }
 
-void SchedulerBench::executeServerCall(std::size_t daemon, ServerCall call)
-{
-    FakeServer* target = this->findServer(call.server.id);
-    Resources need;
-    Duration work { 0 };
-    if (const auto* start = std::get_if<StartOrder>(&call.order)) {
-        need = countedNeed(
-            this->submitted.at(start->task.jobId).specification.steps.at(static_cast<std::size_t>(start->task.step)));
-        work = this->runTimeOf(start->task);
-    }
-    const bool isCut = this->cuts.contains({ daemon, call.server.id });
-    const OrderResult result = target && !isCut ? target->handle(call.order, need, work) : OrderResult(NoAnswer {});
-    const Duration delay = std::holds_alternative<NoAnswer>(result) ? call.timeout : networkDelay;
-    this->answer(
-        daemon, [done = std::move(call.done), result]() { done(result); }, delay);
-}
-
 void SchedulerBench::performEffects(std::size_t index)
 {
     Daemon& daemon = *this->daemons.at(index);
     while (daemon.alive && !daemon.scheduler->pendingEffects().empty()) {
         Effect effect = daemon.scheduler->pendingEffects().pop();
         if (auto* commit = std::get_if<CommitCall>(&effect)) {
-            const CommitResult result = this->isolated.contains(index) ? CommitResult(StoreError::Unknown)
-                                                                       : this->store.commit(commit->transaction);
+            const CommitResult result = this->commit(index, commit->transaction);
             const bool lost
                 = std::holds_alternative<StoreError>(result) && std::get<StoreError>(result) == StoreError::Unknown;
             this->answer(
@@ -188,11 +175,11 @@
                 lost ? commit->timeout : networkDelay);
         } else if (auto* read = std::get_if<ReadCall>(&effect)) {
             ++this->storeReads;
-            const bool silent = this->store.silent || this->isolated.contains(index);
-            const ReadResult result = silent ? ReadResult(StoreError::Unknown) : this->store.read(read->range);
+            const ReadResult result = this->read(index, read->range);
+            const bool lost
+                = std::holds_alternative<StoreError>(result) && std::get<StoreError>(result) == StoreError::Unknown;
             this->answer(
-                index, [done = std::move(read->done), result]() { done(result); },
-                silent ? read->timeout : networkDelay);
+                index, [done = std::move(read->done), result]() { done(result); }, lost ? read->timeout : networkDelay);
         } else if (auto* watch = std::get_if<WatchCall>(&effect)) {
             this->watches.push_back({ this->time + watch->wait, index, daemon.generation, std::move(*watch) });
         } else if (const auto* advice = std::get_if<AdviceCall>(&effect)) {
@@ -202,7 +189,7 @@
         } else if (auto* call = std::get_if<ServerCall>(&effect)) {
             const auto* poll = std::get_if<PollOrder>(&call->order);
             if (FakeServer* target = this->findServer(call->server.id);
-                poll && target && !this->cuts.contains({ index, call->server.id }))
+                poll && target && !this->isCut(index, call->server.id))
                 target->renewLease(*poll);
             if (poll && poll->wait.count() > 0)
                 this->polls.push_back({ this->time + poll->wait, index, daemon.generation, std::move(*call) });
@@ -290,15 +277,18 @@
     }
     std::vector<WaitingWatch> changed;
     std::erase_if(this->watches, [&](WaitingWatch& watch) {
-        const WatchResult result = this->store.changes(watch.call.table, watch.call.after);
+        const WatchResult result = this->changes(watch.daemon, watch.call);
         const auto* page = std::get_if<RowPage>(&result);
-        if (this->time < watch.until && page && page->rows.empty())
+        const auto* error = std::get_if<StoreError>(&result);
+        const bool isEmpty = page && page->rows.empty();
+        const bool isCutOff = error && *error == StoreError::Unknown && !this->store.silent;
+        if ((this->time < watch.until && isEmpty) || (this->time < watch.until + watchTimeout && isCutOff))
             return false;
         changed.push_back(std::move(watch));
         return true;
     });
     for (WaitingWatch& watch : changed) {
-        const WatchResult result = this->store.changes(watch.call.table, watch.call.after);
+        const WatchResult result = this->changes(watch.daemon, watch.call);
         if (this->daemons.at(watch.daemon)->generation == watch.generation)
             this->answer(
                 watch.daemon, [done = std::move(watch.call.done), result]() { done(result); }, networkDelay);
@@ -339,6 +329,7 @@
     for (const auto& server : this->servers)
         server->advance(tick);
     this->finishUpkeeps();
+    this->carryOutLateCalls();
     this->answerWaitingCalls();
     std::vector<PendingAnswer> due;
     std::erase_if(this->answers, [&](PendingAnswer& pending) {
@@ -363,8 +354,10 @@
         daemon.scheduler->tick(this->time, this->storeClock.at(this->time));
         this->performEffects(index);
     }
+    this->endStoppedDaemons();
     this->gangWatch.check(this->servers, this->submitted, this->time);
-    this->checkInvariants();
+    if (this->options.checksInvariants)
+        this->checkInvariants();
 }
 
 void SchedulerBench::run(Duration duration)
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -1,6 +1,7 @@
 /// Schedulers, a state store and backend servers on one fake clock; invariants are checked after every tick.
 #pragma once
 
+#include "support/benchlinks.h"
 #include "support/deadlytasks.h"
 #include "support/fakeserver.h"
 #include "support/fakestore.h"
@@ -24,12 +25,32 @@
         int racks = 2;
         int serversPerRack = 4;
         Scheduling::Duration stopTime { 200 }; ///< from a stop order until the run has ended
+        int zones = 0; ///< racks are distributed over them in turn; zero for servers without a zone
+        Scheduling::Duration maximumLease { 6000 };
+        bool checksInvariants = true; ///< when false, violations() and startsOf() stay empty
+    };
+
+    /// The order that a server is carrying out.
+    struct OrderOrigin {
+        std::size_t daemon = 0; ///< that sent it
+        Scheduling::SteadyTime sentAt {};
     };
 
     explicit SchedulerBench(Options options);
 
     FakeStore store;
     DeadlyTasks deadly;
+    BenchLinks links;
+    std::set<std::size_t> turnedAway; ///< daemons whose calls the store rejects
+    int commitsToDelay = 0; ///< so many of the next commits get no answer and are carried out after commitDelay
+    Scheduling::Duration commitDelay { 0 };
+    struct LateOrders {
+        int count = 0; ///< so many of the next orders get no answer and are carried out after `delay`
+        Scheduling::Duration delay { 0 };
+    };
+    std::map<std::string, LateOrders> lateOrders; ///< by server id
+    std::map<std::string, std::string> successors; ///< server ids by former ids; orders to these name a wrong instance
+    OrderOrigin origin; ///< valid while a server reports the event of a run that an order caused
 
     std::set<std::string> advisedServers; ///< that the placement advice allows for every step
     int storeReads = 0; ///< by all daemons, including rejected ones
@@ -69,6 +90,12 @@
 
     int activeTasks(const std::string& id) const;
 
+    /// Precondition: the task's job was submitted.
+    const Scheduling::StepSpecification& specificationOf(const Scheduling::TaskName& task) const
+    {
+        return this->submitted.at(task.jobId).specification.steps.at(static_cast<std::size_t>(task.step));
+    }
+
     /// How many starts of the job's tasks the servers executed.
     int startsOf(const std::string& id) const;
 
@@ -83,6 +110,8 @@
     /// Removes a server's entry from the store.
     void removeEntry(const FakeServer& server);
     void putEntry(const FakeServer& server);
+    /// Stores an entry that keeps stating what the server states of itself now, until the next one is stored.
+    void putEntryAsOfNow(const FakeServer& server);
     /// Stores an entry of an earlier life of the server's machine, under another id.
     void putEntryOfEarlierLife(const FakeServer& server);
 
@@ -97,19 +126,23 @@
     void killDaemon(std::size_t index);
     /// Lets a daemon release its leadership and ends it.
     void stopDaemon(std::size_t index);
+    /// The same, in the course of run().
+    void beginStop(std::size_t index);
+    bool isAlive(std::size_t index) const { return this->daemons.at(index)->alive; }
+    bool isPaused(std::size_t index) const { return this->daemons.at(index)->paused; }
+    std::size_t daemonCount() const { return this->daemons.size(); }
     void startDaemon(std::size_t index);
     void pauseDaemon(std::size_t index) { this->daemons.at(index)->paused = true; }
     void resumeDaemon(std::size_t index) { this->daemons.at(index)->paused = false; }
 
     /// Cuts a daemon off from a server: orders have no effect and get no answer.
-    void cut(std::size_t daemon, const std::string& server) { this->cuts.emplace(daemon, server); }
-    /// Cuts a daemon off from the store and the other daemons.
-    void isolate(std::size_t daemon) { this->isolated.insert(daemon); }
-    void heal()
+    void cut(std::size_t daemon, const std::string& server)
     {
-        this->cuts.clear();
-        this->isolated.clear();
+        this->links.cut({ BenchLinks::daemon(daemon) }, { server });
     }
+    /// Cuts a daemon off from the store and the other daemons.
+    void isolate(std::size_t daemon);
+    void heal() { this->links.clear(); }
 
     Scheduling::SteadyTime now() const { return this->time; }
     Scheduling::StoreTime storeNow() const { return this->storeClock.at(this->time); }
@@ -145,17 +178,45 @@
         Scheduling::WatchCall call;
     };
 
+    struct LateOrder {
+        Scheduling::SteadyTime at {};
+        std::string server;
+        Scheduling::ServerOrder order;
+        OrderOrigin origin;
+    };
+
+    struct LateCommit {
+        Scheduling::SteadyTime at {};
+        Scheduling::Transaction transaction;
+    };
+
     struct Daemon {
         std::unique_ptr<Scheduling::Scheduler> scheduler;
         std::uint64_t generation = 0;
         bool alive = false;
         bool paused = false;
+        std::optional<Scheduling::SteadyTime> stopsAt; ///< set while the daemon stops; at the latest then it ends
     };
 
     void runTick();
     void performEffects(std::size_t daemon);
     void answer(std::size_t daemon, std::function<void()> deliver, Scheduling::Duration delay);
     void executeServerCall(std::size_t daemon, Scheduling::ServerCall call);
+    Scheduling::OrderResult carryOut(
+        FakeServer& target, const Scheduling::ServerOrder& order, const OrderOrigin& sender);
+    void carryOutLateCalls();
+    bool isCut(std::size_t daemon, const std::string& host) const
+    {
+        return this->links.isCut(BenchLinks::daemon(daemon), host);
+    }
+    bool isAnswerCut(std::size_t daemon, const std::string& host) const
+    {
+        return this->links.isCut(host, BenchLinks::daemon(daemon));
+    }
+    Scheduling::CommitResult commit(std::size_t daemon, const Scheduling::Transaction& transaction);
+    Scheduling::ReadResult read(std::size_t daemon, const Scheduling::RowRange& range);
+    Scheduling::WatchResult changes(std::size_t daemon, const Scheduling::WatchCall& call) const;
+    void endStoppedDaemons();
     void advise(std::size_t daemon, const Scheduling::AdviceCall& call);
     void performUpkeep(std::size_t daemon, const Scheduling::UpkeepCall& call);
     void finishUpkeeps();
@@ -175,8 +236,9 @@
     GangWatch gangWatch;
     std::vector<WaitingPoll> polls;
     std::vector<WaitingWatch> watches;
-    std::set<std::pair<std::size_t, std::string>> cuts;
-    std::set<std::size_t> isolated;
+    std::vector<LateOrder> waitingOrders;
+    std::vector<LateCommit> waitingCommits;
+    std::vector<Scheduling::ServerEntry> writtenEntries; ///< that rows of the server table name by their index
     std::map<std::string, Scheduling::ServerEntry> earlierEntries; ///< by server id
     std::map<std::string, Scheduling::JobRecord> submitted;
     std::map<std::string, Scheduling::Duration> runTimes; ///< by job id, instead of the declared run time
--- a/tests/support/schedulerbenchdaemons.cpp
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -21,10 +21,11 @@
     daemon.generation = ++this->lastGeneration;
     daemon.alive = true;
     daemon.paused = false;
+    daemon.stopsAt.reset();
     SchedulerOptions schedulerOptions { .leadership = { .node = "daemon-" + std::to_string(index),
                                             .incarnation = daemon.generation,
                                             .stagger = Duration(20 * static_cast<std::int64_t>(index)) },
-        .servers = { .stopTime = this->options.stopTime },
+        .servers = { .maximumLease = this->options.maximumLease, .stopTime = this->options.stopTime },
         .upkeep = { .waveTable = "waves",
             .wavePrefix = "wave/",
             .statusTable = "status",
@@ -38,6 +39,8 @@
         [this](const Row& row) -> std::optional<ServerEntry> {
             if (const auto earlier = this->earlierEntries.find(row.key.key); earlier != this->earlierEntries.end())
                 return earlier->second;
+            if (const std::size_t number = row.value.find(' '); number != std::string::npos)
+                return this->writtenEntries.at(std::stoul(row.value.substr(number)));
             const FakeServer* found = this->findServer(row.key.key);
             if (!found || row.value.empty())
                 return std::nullopt;
@@ -50,14 +53,36 @@
     daemon.scheduler->setConfiguration(this->configuration);
 }
 
-void SchedulerBench::stopDaemon(std::size_t index)
+void SchedulerBench::putEntryAsOfNow(const FakeServer& server)
+{
+    ServerEntry entry = server.entry;
+    entry.startedAt = server.startedAt;
+    this->store.put({ serverTable, "", entry.id }, "entry " + std::to_string(this->writtenEntries.size()));
+    this->writtenEntries.push_back(std::move(entry));
+}
+
+void SchedulerBench::beginStop(std::size_t index)
 {
-    bool released = false;
-    this->daemons.at(index)->scheduler->releaseLeadership([&]() { released = true; });
+    Daemon& daemon = *this->daemons.at(index);
+    daemon.stopsAt = this->time + stopBound;
+    daemon.scheduler->releaseLeadership([this, &daemon]() { daemon.stopsAt = this->time; });
     this->performEffects(index);
-    for (const SteadyTime limit = this->time + stopBound; !released && this->time < limit;)
+}
+
+void SchedulerBench::endStoppedDaemons()
+{
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        const Daemon& daemon = *this->daemons[index];
+        if (daemon.alive && daemon.stopsAt && *daemon.stopsAt <= this->time)
+            this->killDaemon(index);
+    }
+}
+
+void SchedulerBench::stopDaemon(std::size_t index)
+{
+    this->beginStop(index);
+    while (this->isAlive(index))
         this->runTick();
-    this->killDaemon(index);
 }
 
 void SchedulerBench::killDaemon(std::size_t index)
@@ -70,9 +95,8 @@
 {
     if (this->time.time_since_epoch() % heartbeatInterval != std::chrono::nanoseconds(0))
         return;
-    const auto canExchange = [this](std::size_t index) {
-        return this->daemons[index]->alive && !this->daemons[index]->paused && !this->isolated.contains(index);
-    };
+    const auto canExchange
+        = [this](std::size_t index) { return this->daemons[index]->alive && !this->daemons[index]->paused; };
     for (std::size_t sender = 0; sender < this->daemons.size(); ++sender) {
         if (!canExchange(sender))
             continue;
@@ -80,7 +104,7 @@
         const Leadership& leading = std::as_const(from).leadership();
         const std::vector<ReportedSuccess> successes = from.successesToReport(this->time);
         for (std::size_t receiver = 0; receiver < this->daemons.size(); ++receiver) {
-            if (!canExchange(receiver) || receiver == sender)
+            if (!canExchange(receiver) || receiver == sender || this->isCut(sender, BenchLinks::daemon(receiver)))
                 continue;
             Scheduler& to = *this->daemons[receiver]->scheduler;
             if (leading.isLeader())
