--- a/tests/emulator/emulator.cpp
+++ b/tests/emulator/emulator.cpp
@@ -51,6 +51,14 @@
     }
 }
 
+void Emulator::onDaemonLog(std::function<void(const std::string&)> handler)
+{
+    this->bench.onLog = [this, handler = std::move(handler)](std::size_t daemon, const LogLine& line) {
+        handler(std::to_string(this->millisecondsPlayed()) + " daemon-" + std::to_string(daemon) + " "
+            + std::string(Utils::describeEvent(line.event).meaning) + " " + line.fields.dump());
+    };
+}
+
 std::int64_t Emulator::millisecondsPlayed() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(this->bench.now() - this->begin).count();
--- a/tests/emulator/emulator.h
+++ b/tests/emulator/emulator.h
@@ -32,6 +32,9 @@
     /// `handler` is called with a line for each step, each event of a run and each change of the leader.
     void onEvent(std::function<void(const std::string&)> handler) { this->log = std::move(handler); }
 
+    /// `handler` is called with each line that a daemon logs.
+    void onDaemonLog(std::function<void(const std::string&)> handler);
+
 private:
     using Hosts = TestSupport::BenchLinks::Hosts;
 
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -186,6 +186,9 @@
             this->advise(index, *advice);
         } else if (const auto* upkeep = std::get_if<UpkeepCall>(&effect)) {
             this->performUpkeep(index, *upkeep);
+        } else if (const auto* line = std::get_if<LogLine>(&effect)) {
+            if (this->onLog)
+                this->onLog(index, *line);
         } else if (auto* call = std::get_if<ServerCall>(&effect)) {
             const auto* poll = std::get_if<PollOrder>(&call->order);
             if (FakeServer* target = this->findServer(call->server.id);
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -50,6 +50,7 @@
     };
     std::map<std::string, LateOrders> lateOrders; ///< by server id
     std::map<std::string, std::string> successors; ///< server ids by former ids; orders to these name a wrong instance
+    std::function<void(std::size_t daemon, const Scheduling::LogLine&)> onLog; ///< may be empty
     OrderOrigin origin; ///< valid while a server reports the event of a run that an order caused
 
     std::set<std::string> advisedServers; ///< that the placement advice allows for every step
@@ -181,6 +182,7 @@
     struct LateOrder {
         Scheduling::SteadyTime at {};
         std::string server;
+        std::int64_t startedAt = 0; ///< of the life of the server that has received the order
         Scheduling::ServerOrder order;
         OrderOrigin origin;
     };
