--- a/tests/emulator/history.cpp
+++ b/tests/emulator/history.cpp
@@ -16,7 +16,7 @@
 constexpr const char* leader = "leader";
 constexpr std::int64_t longestTime = 3'600'000; ///< ms
 constexpr int largestFleet = 200;
-constexpr int mostTasks = 64;
+constexpr int mostTasks = 5000;
 constexpr int mostAccelerators = 8;
 constexpr std::int64_t milliCoresPerTask = 4000;
 constexpr std::int64_t memoryPerTask = 16'000;
--- a/tests/emulator/historygenerator.cpp
+++ b/tests/emulator/historygenerator.cpp
@@ -47,7 +47,9 @@
         fleet.daemons = this->choices.between(std::max(3, fleet.zones), 5);
         fleet.servers = fleet.zones * this->choices.one({ 3, 3, 4, 6, 8, 16 });
         fleet.lease = Duration(this->choices.one({ 6000, 10'000 }));
-        this->history.length = Duration(this->choices.between(60, 180) * 1000);
+        this->history.length = Duration(1000
+            * this->choices.one(
+                { this->choices.between(60, 120), this->choices.between(120, 240), this->choices.between(200, 360) }));
         this->drawClocks();
         this->drawJobs();
         this->drawFaults();
@@ -125,6 +127,10 @@
 
     void drawJobs()
     {
+        if (this->choices.chance(5)) // its rows are larger than the store accepts in one
+            this->add(this->choices.between(0, this->lengthMs() / 2), "submit",
+                { { "id", "large" }, { "queue", "ordinary" },
+                    { "steps", this->choices.text(1000, 2000) + "x0:" + this->choices.text(200, 1500) } });
         const int jobs = this->choices.between(6, 12 + this->history.fleet.servers);
         for (int index = 0; index < jobs; ++index) {
             const std::string id = "job-" + std::to_string(index);
--- a/tests/emulator/main.cpp
+++ b/tests/emulator/main.cpp
@@ -2,6 +2,7 @@
 #include "emulator/historygenerator.h"
 #include "emulator/shrink.h"
 
+#include <algorithm>
 #include <chrono>
 #include <docopt.h>
 #include <fstream>
@@ -17,7 +18,7 @@
 
 Usage:
   emulator run --seed=N [--log | --daemon-log]
-  emulator search --first-seed=N [--histories=N] [--minutes=N] [--keep=DIR]
+  emulator search --first-seed=N [--histories=N] [--minutes=N] [--keep=DIR] [--until=RULE]
   emulator replay FILE [--log | --daemon-log]
   emulator shrink FILE [--out=FILE]
   emulator print --seed=N
@@ -36,6 +37,7 @@
   --histories=N   Number of histories.
   --minutes=N     Time of the search.
   --keep=DIR      Writes histories that break a rule to this folder, as SEED.history.
+  --until=RULE    Ends the search with the first history that breaks this rule.
   --log           Prints each step and each event of a run.
   --daemon-log    Prints these and all that the daemons log.
   --out=FILE      Where the shorter history is written; standard output by default.
@@ -108,6 +110,11 @@
                   << std::setprecision(0) << virtualSeconds / seconds << " virtual seconds a second, "
                   << static_cast<double>(played) * 60 / seconds << " histories a minute" << std::endl;
     };
+    const auto isFound = [&](const Outcome& outcome) {
+        return arguments.at("--until") && std::ranges::any_of(outcome.violations, [&](const std::string& violation) {
+            return violation.starts_with(arguments.at("--until").asString() + " ");
+        });
+    };
     while (played < bound && (!isTimed || Clock::now() < end)) {
         const std::uint64_t seed = first + played;
         const History history = drawHistory(seed);
@@ -121,6 +128,8 @@
             if (arguments.at("--keep"))
                 std::ofstream(arguments.at("--keep").asString() + "/" + std::to_string(seed) + ".history")
                     << formatHistory(history);
+            if (isFound(outcome))
+                break;
         }
         if (played % reportInterval == 0)
             report();
