--- /dev/null
+++ b/tests/auto/emulator/keptcases.cpp
@@ -0,0 +1,17 @@
+#include "keptcases.h"
+
+#include "emulator/emulator.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+using namespace WisteriaHill::Emulator;
+
+void playHistory(const std::string& name)
+{
+    const std::string file = std::string(HISTORY_FOLDER) + "/" + name + ".history";
+    std::ostringstream text;
+    text << std::ifstream(file).rdbuf();
+    CHECK(Emulator(parseHistory(text.str(), file)).play().violations == std::vector<std::string> {});
+}
