--- a/tests/emulator/rules.cpp
+++ b/tests/emulator/rules.cpp
@@ -257,6 +257,33 @@
     return open;
 }
 
+Duration RuleJudge::timeOfWorkOwed(int servers, const Resources& capacity, StoreTime now) const
+{
+    double all = 0; // milliseconds of whole servers
+    Duration longest { 0 };
+    for (const auto& [id, job] : this->jobs) {
+        if (!this->isOwed(job))
+            continue;
+        const JobSpecification& specification = job.record.specification;
+        const int occurrences = std::max(specification.occurrences, 1);
+        Duration chain { 0 };
+        for (const StepSpecification& step : specification.steps) {
+            if (step.longRunning)
+                continue;
+            const double share
+                = std::max(static_cast<double>(step.perTask.milliCores) / static_cast<double>(capacity.milliCores),
+                    static_cast<double>(step.perTask.accelerators) / static_cast<double>(capacity.accelerators));
+            all += share * step.taskCount * occurrences * static_cast<double>(step.estimate.count());
+            chain += step.estimate;
+        }
+        if (specification.occurrences > 0)
+            chain += std::max<Duration>(
+                specification.firstDue + specification.interval * (occurrences - 1) - now, Duration(0));
+        longest = std::max(longest, chain);
+    }
+    return longest + Duration(static_cast<Duration::rep>(all / servers));
+}
+
 void RuleJudge::judgeEnd(SteadyTime now)
 {
     for (const auto& [id, job] : this->jobs) {
--- a/tests/emulator/rules.h
+++ b/tests/emulator/rules.h
@@ -44,6 +44,11 @@
     /// A client reads the state of a job; std::nullopt when it is told that there is no such job.
     void shown(const std::string& job, std::optional<Scheduling::JobState> state, SteadyTime now);
 
+    /// How long the work that is owed takes on sound servers: its longest chain from the last due time on, and all of
+    /// it on `servers` servers of this capacity.
+    Scheduling::Duration timeOfWorkOwed(
+        int servers, const Scheduling::Resources& capacity, Scheduling::StoreTime now) const;
+
     /// The stated time after the end of all faults is over.
     void judgeEnd(SteadyTime now);
 
