--- a/tests/emulator/emulator.cpp
+++ b/tests/emulator/emulator.cpp
@@ -222,6 +222,8 @@
         this->spentRuns.insert({ name, found->second.attempt });
         this->takeDown(index, 3s, false, { name });
     }
+    // A run that is started again under its number, on a server that knows nothing of it, is a new one.
+    std::erase_if(this->gangs, [&](const auto& gang) { return !members.contains(gang.first); });
     for (auto& [key, present] : members) {
         std::erase_if(present, [&](const auto& member) {
             const FakeServer& server = this->bench.server(member.first);
--- a/tests/emulator/historygenerator.cpp
+++ b/tests/emulator/historygenerator.cpp
@@ -50,6 +50,7 @@
         this->history.length = Duration(1000
             * this->choices.one(
                 { this->choices.between(60, 120), this->choices.between(120, 240), this->choices.between(200, 360) }));
+        this->weakServer = this->choices.text(0, fleet.servers - 1);
         this->drawClocks();
         this->drawJobs();
         this->drawFaults();
@@ -68,7 +69,11 @@
             { .at = Duration(std::min(at, this->lengthMs())), .verb = verb, .arguments = std::move(arguments) });
     }
 
-    std::string server() { return this->choices.text(0, this->history.fleet.servers - 1); }
+    /// Some servers have more faults than others, so that those of one server meet.
+    std::string server()
+    {
+        return this->choices.chance(40) ? this->weakServer : this->choices.text(0, this->history.fleet.servers - 1);
+    }
     std::string daemon()
     {
         return this->choices.chance(60) ? "leader" : this->choices.text(0, this->history.fleet.daemons - 1);
@@ -286,6 +291,7 @@
 
     Choices choices;
     History history;
+    std::string weakServer;
     bool isFull = false; ///< more work is submitted than fits at once
 };
 
