--- a/tests/auto/emulator/keptcases.cpp
+++ b/tests/auto/emulator/keptcases.cpp
@@ -13,5 +13,6 @@
     const std::string file = std::string(HISTORY_FOLDER) + "/" + name + ".history";
     std::ostringstream text;
     text << std::ifstream(file).rdbuf();
-    CHECK(Emulator(parseHistory(text.str(), file)).play().violations == std::vector<std::string> {});
+    const std::vector<std::string> none;
+    CHECK(Emulator(parseHistory(text.str(), file)).play().violations == none);
 }
--- a/tests/auto/emulator/tst_emulator.cpp
+++ b/tests/auto/emulator/tst_emulator.cpp
@@ -32,8 +32,9 @@
 TEST_CASE("drawn histories break no rule")
 {
     constexpr std::uint64_t histories = 60;
+    const std::vector<std::string> none;
     for (std::uint64_t seed = 100; seed < 100 + histories; ++seed) {
         INFO("seed " << seed);
-        CHECK(Emulator(drawHistory(seed)).play().violations == std::vector<std::string> {});
+        CHECK(Emulator(drawHistory(seed)).play().violations == none);
     }
 }
--- a/tests/auto/emulator/tst_rules.cpp
+++ b/tests/auto/emulator/tst_rules.cpp
@@ -18,7 +18,7 @@
 
 class Story {
 public:
-    explicit Story(StepSpecification step = { .taskCount = 1 })
+    explicit Story(const StepSpecification& step = { .taskCount = 1 })
     {
         JobRecord record { .id = "job" };
         record.specification.steps = { step };
--- a/tests/emulator/rules.cpp
+++ b/tests/emulator/rules.cpp
@@ -43,6 +43,7 @@
     if (!step.gang)
         return { task };
     std::vector<TaskName> members;
+    members.reserve(static_cast<std::size_t>(step.taskCount));
     for (int index = 0; index < step.taskCount; ++index)
         members.push_back({ task.jobId, task.occurrence, task.step, index });
     return members;
