A gang that has failed on most servers does not wait for ever for the others

Seen by callers: an accepted job never ends although the fleet is idle (rule LOST). Cause: a job is kept off the servers on which it failed as long as there is any other; a gang that the others cannot hold together, even empty, was never placed. Ruled out: the attempts are used up (two of three were); the cut before it has long healed. Change: the others must be able to hold the step, or one task of it that is no gang, while they are empty. Before: history lost-gang-that-failed-on-most-servers broke LOST (job-5 has not ended). After: it holds; tst_emulator 16 of 16 beside the four known red, tst_scheduler 96 of 96.

--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -103,6 +103,20 @@
     return pending.job->failedOn.empty() ? candidates : candidatesAfterFailure(pass, pending, candidates);
 }
 
+bool Planner::canHold(const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers)
+{
+    const Resources need = countedNeed(*pending.specification);
+    std::size_t missing = pending.specification->gang ? pending.state->tasks.size() : 1;
+    for (const std::size_t index : servers) {
+        for (Resources left = pass.boardServers[index]->capacity; missing > 0 && left.holds(need); left -= need) {
+            --missing;
+            if (need == Resources {})
+                return true;
+        }
+    }
+    return missing == 0;
+}
+
 std::vector<std::size_t> Planner::candidatesAfterFailure(
     const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& candidates)
 {
@@ -127,7 +141,7 @@
     if (withFreeCapacity >= pending.waitingTasks.size()
         || (lastAttempt && pass.time() - first.waitingSince < lastAttemptWaitLimit))
         return successful;
-    return others.empty() ? candidates : others;
+    return canHold(pass, pending, others) ? others : candidates;
 }
 
 void Planner::countTasksOfStep(PlanningPass& pass, const PendingStep& pending, const Plan& plan)
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -119,7 +119,9 @@
 
     void expirePreemptions(const Board& board, SteadyTime now);
     std::vector<std::size_t> candidatesFor(const PlanningPass& pass, const PendingStep& pending) const;
-    /// Restricts the candidates of a job that has failed to servers on which it did not fail, if there are any. Of
+    /// True when the step, or a task of it that is no gang, fits on these servers while they are empty.
+    static bool canHold(const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers);
+    /// Restricts the candidates of a job that has failed to servers on which it did not fail, if these can hold it. Of
     /// these only the recently successful ones are returned when they have enough free capacity, or while the last
     /// attempt has waited less than its limit.
     static std::vector<std::size_t> candidatesAfterFailure(
