--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -85,6 +85,12 @@
         return this->isLeader() && now - this->confirmedAt < this->options.rowTimeout;
     }
 
+    /// Time since the last transaction was sent that the store has confirmed. Precondition: isLeader().
+    Duration unconfirmedFor(SteadyTime now) const
+    {
+        return std::chrono::duration_cast<Duration>(now - this->confirmedAt);
+    }
+
     /// True while this daemon may order starts.
     bool mayStartRuns(SteadyTime now) const { return this->isConfirmed(now) && !this->withdrawn; }
 
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -201,6 +201,16 @@
     this->crashes.judgeLost(server, none, now);
 }
 
+bool ServerMonitor::mayRenewLeases(SteadyTime now)
+{
+    const bool renewing = this->leadership.mayRenewLeases(now);
+    if (this->renewsLeases && !renewing)
+        this->effects.log(Event::RenewalsEnded,
+            { { "term", this->token }, { "unconfirmedMs", this->leadership.unconfirmedFor(now).count() } });
+    this->renewsLeases = renewing;
+    return renewing;
+}
+
 void ServerMonitor::poll(BackendServer& server, SteadyTime now)
 {
     const bool acknowledgementDue = server.lastStoredEnd > server.lastDiscardedEnd;
@@ -215,7 +225,7 @@
     // A server that does not answer gets no new lease, so that its runs are certain to be over when the lease expires.
     // A leader that the store has not confirmed for long renews none either: a successor counts on it.
     if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredPolls == 0
-        && this->leadership.mayRenewLeases(now)) {
+        && this->mayRenewLeases(now)) {
         order.leaseEnd = this->leaseEndFor(server, now);
         this->extendLease(server, now);
     }
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -70,6 +70,8 @@
     static constexpr Duration orderTimeout { 500 };
 
     void poll(BackendServer& server, SteadyTime now);
+    /// Logs the end of the renewals once.
+    bool mayRenewLeases(SteadyTime now);
     struct SentPoll {
         SteadyTime sentAt {};
         std::int64_t acknowledged = 0; ///< acknowledgement that the poll carried
@@ -113,6 +115,7 @@
     std::function<bool(const BackendServer&)> needsFrequentPolls;
     std::function<SteadyTime()> clock;
     bool changed = false;
+    bool renewsLeases = true;
     SteadyTime nextOrderSweep {};
 };
 
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -138,6 +138,10 @@
         "Check the store if it repeats for long." },
     EventDescription { Event::FormerLeaderOver, Information, "FormerLeaderOver",
         "The former leader knows its successor; it renews no leases any more.", "None." },
+    EventDescription { Event::RenewalsEnded, Warning, "RenewalsEnded",
+        "The store has not confirmed the leadership for so long that leases are no longer renewed; running work ends "
+        "with them.",
+        "Find out why this daemon does not reach the store." },
     EventDescription { Event::ConfigurationInForce, Information, "ConfigurationInForce",
         "A newer configuration is in force in this daemon.", "None." },
     EventDescription { Event::ConfigurationUnreadable, Error, "ConfigurationUnreadable",
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -69,6 +69,7 @@
     SchedulerLoaded = 813,
     DecisionsUnstored = 814,
     FormerLeaderOver = 815,
+    RenewalsEnded = 816,
     ConfigurationInForce = 820,
     ConfigurationUnreadable = 821,
     ConfigurationReadFailed = 822,
