A start that meets a dead server does not count as a crash under a suspected task

Seen by callers: an accepted job is shown as failed although one server, not two, has crashed under its task (rule LOST). Cause: a start without an answer is judged like one that killed its server. A server that has died since its last answer, up to 5 s ago where it is idle, gives none either. Found by the emulator (history lost-start-met-a-dead-server). Change: a task under which a server has crashed is started only on a server that has answered within 200 ms; the poll before costs suspected tasks alone a round trip. Before: the history breaks LOST.

--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -22,8 +22,6 @@
 /// Answers of a server arrive at least this often unless it is unreachable or this daemon was paused.
 constexpr Duration longestAnswerInterval = pollWait + pollTimeoutMargin;
 constexpr Duration failedPollPause { 150 };
-/// A server that answered this recently cannot have restarted since; a restart takes longer.
-constexpr Duration answerFreshness { 200 };
 /// Poll interval of a server with end records that are not stored, which answers every poll at once. The polls renew
 /// its lease.
 constexpr Duration unstoredEndPollInterval { 1500 };
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -68,6 +68,8 @@
 
 private:
     static constexpr Duration orderTimeout { 500 };
+    /// A server that answered this recently cannot have restarted since; a restart takes longer.
+    static constexpr Duration answerFreshness { 200 };
 
     void poll(BackendServer& server, SteadyTime now);
     /// Logs the end of the renewals once.
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -45,12 +45,16 @@
         return;
     BackendServer& server = *known;
     Run& run = *task->run;
-    const bool lookNeeded = run.startUnanswered && server.clockReadAt <= run.unansweredAt;
+    // A start that meets a dead server looks like a crash under the task.
+    const bool suspect = task->crashes > 0 && now - server.clockReadAt > answerFreshness;
+    const bool lookNeeded = suspect || (run.startUnanswered && server.clockReadAt <= run.unansweredAt);
     // A poll must show first what runs there. A server that has restarted does not refuse the start of a former leader,
     // so that a leader starts nothing once another daemon may have claimed the leadership.
     if (!server.fenced || server.incarnation == 0 || server.unansweredPolls > 0 || lookNeeded
         || !this->leadership.mayStartRuns(now)) {
         run.nextOrderAt = now + orderRetryPause;
+        if (suspect)
+            this->pollAtOnce(run.server, now);
         return;
     }
     if (exceedsCapacity(server, countedNeed(this->board.stepOf(name)))) {
