--- a/tests/auto/scheduling/tst_leadership.cpp
+++ b/tests/auto/scheduling/tst_leadership.cpp
@@ -71,8 +71,6 @@
     Leadership leadership { this->effects, { .node = "own", .incarnation = 7 }, this->storeClock };
 };
 
-constexpr Duration unconfirmedRenewal = LeadershipOptions().unconfirmedRenewal;
-
 LeadershipRow rowOfFormerLeader() { return { .holder = "former", .incarnation = 1, .term = 1, .serial = 1 }; }
 
 } // namespace
@@ -83,7 +81,7 @@
     row.formerLeadersUntil = StoreTime(90'000'000);
     LeadershipBench bench(row);
     bench.elect();
-    CHECK(bench.formerLeadersRenewFor() <= unconfirmedRenewal);
+    CHECK(bench.formerLeadersRenewFor() <= LeadershipOptions().unconfirmedRenewal);
 }
 
 TEST_CASE("a late sample of the store's clock does not shorten the wait for former leaders in the row")
