--- a/src/libs/scheduling/leadership.h
+++ b/src/libs/scheduling/leadership.h
@@ -85,6 +85,13 @@
         return this->isLeader() && now - this->confirmedAt < this->options.rowTimeout;
     }
 
+    /// True when this leader renews no leases because the store has not confirmed it for too long, not because it
+    /// stops.
+    bool renewalsHaveExpired(SteadyTime now) const
+    {
+        return this->isLeader() && !this->withdrawn && now - this->confirmedAt >= this->options.unconfirmedRenewal;
+    }
+
     /// Time since the last transaction was sent that the store has confirmed. Precondition: isLeader().
     Duration unconfirmedFor(SteadyTime now) const
     {
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -201,12 +201,12 @@
 
 bool ServerMonitor::mayRenewLeases(SteadyTime now)
 {
-    const bool renewing = this->leadership.mayRenewLeases(now);
-    if (this->renewsLeases && !renewing)
+    const bool expired = this->leadership.renewalsHaveExpired(now);
+    if (expired && !this->renewalsExpired)
         this->effects.log(Event::RenewalsEnded,
             { { "term", this->token }, { "unconfirmedMs", this->leadership.unconfirmedFor(now).count() } });
-    this->renewsLeases = renewing;
-    return renewing;
+    this->renewalsExpired = expired;
+    return this->leadership.mayRenewLeases(now);
 }
 
 void ServerMonitor::poll(BackendServer& server, SteadyTime now)
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -72,7 +72,7 @@
     static constexpr Duration answerFreshness { 200 };
 
     void poll(BackendServer& server, SteadyTime now);
-    /// Logs the end of the renewals once.
+    /// Logs once when the store has not confirmed the leadership for too long.
     bool mayRenewLeases(SteadyTime now);
     struct SentPoll {
         SteadyTime sentAt {};
@@ -117,7 +117,7 @@
     std::function<bool(const BackendServer&)> needsFrequentPolls;
     std::function<SteadyTime()> clock;
     bool changed = false;
-    bool renewsLeases = true;
+    bool renewalsExpired = false;
     SteadyTime nextOrderSweep {};
 };
 
--- a/tests/auto/scheduling/tst_leadership.cpp
+++ b/tests/auto/scheduling/tst_leadership.cpp
@@ -112,3 +112,17 @@
     bench.elect();
     CHECK(bench.leadership.term() == 3);
 }
+
+TEST_CASE("a leader that stops does not report that the store has not confirmed it")
+{
+    LeadershipBench bench(rowOfFormerLeader());
+    bench.elect();
+    const SteadyTime expired = bench.now + LeadershipOptions().unconfirmedRenewal;
+    CHECK_FALSE(bench.leadership.renewalsHaveExpired(bench.now));
+    CHECK(bench.leadership.renewalsHaveExpired(expired));
+    CHECK_FALSE(bench.leadership.mayRenewLeases(expired));
+    bench.leadership.withdraw();
+    CHECK_FALSE(bench.leadership.mayRenewLeases(bench.now));
+    CHECK_FALSE(bench.leadership.renewalsHaveExpired(bench.now));
+    CHECK_FALSE(bench.leadership.renewalsHaveExpired(expired));
+}
