857 StepWaits and 858 TaskHeld: the log and explain name what keeps a job that has nothing running

Now a step whose job has had nothing running for a second is reported once a second: the number of servers with room by what keeps the step from them, how long it is idle, and the load of its service. 16 reports a second at most, as each examines every server. A hold of the crash controller is logged with its bound. explain tells the last report.

No decision changes. The blackboard keeps when a run of a job was last known, and since when a step's turn has come also through a change of the leader.

--- a/src/libs/scheduling/board.cpp
+++ b/src/libs/scheduling/board.cpp
@@ -4,6 +4,14 @@
 
 namespace WisteriaHill::Scheduling {
 
+namespace {
+
+/// A run that its server has not listed for longer than this may have ended long before its end is known. Polls take
+/// less.
+constexpr Duration longestListingInterval { 2500 };
+
+} // namespace
+
 std::string outlookName(Outlook outlook)
 {
     switch (outlook) {
@@ -24,12 +32,30 @@
     return std::chrono::duration_cast<Duration>(now - *this->activeSince);
 }
 
+SteadyTime Run::lastKnownRunning(SteadyTime now) const
+{
+    return now - this->listedAt > longestListingInterval ? this->listedAt : now;
+}
+
 Utils::Json ranMs(const Run& run, SteadyTime now)
 {
     const std::optional<Duration> ran = run.ranFor(now);
     return ran ? Utils::Json(ran->count()) : Utils::Json();
 }
 
+bool Job::hasConfirmedRun() const
+{
+    const auto isConfirmed = [](const Task& task) {
+        return task.run
+            && (task.run->phase == RunPhase::Active
+                || (task.run->phase == RunPhase::Stopping && (task.run->activeSince || task.run->adopted)));
+    };
+    return std::ranges::any_of(this->occurrences, [&](const auto& entry) {
+        return std::ranges::any_of(entry.second.steps,
+            [&](const Step& step) { return step.running > 0 && std::ranges::any_of(step.tasks, isConfirmed); });
+    });
+}
+
 void Board::setConfiguration(std::shared_ptr<const FleetConfiguration> inForce)
 {
     this->configuration = std::move(inForce);
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -6,6 +6,7 @@
 #include "scheduling/serverorders.h"
 #include "scheduling/statestore.h"
 #include "scheduling/unstoredsuccesses.h"
+#include "scheduling/waitreason.h"
 #include "utils/checkedjson.h"
 
 #include <algorithm>
@@ -48,6 +49,7 @@
     std::optional<SteadyTime> activeSince; ///< when the server confirmed the run; unset for an adopted run
     int percent = 0; ///< progress that the server last listed
     SteadyTime progressedAt {}; ///< when `percent` last changed
+    SteadyTime listedAt {}; ///< when the server last listed or confirmed the run
     std::int64_t load = 0; ///< latency in ms of a task that serves users, millicores in use of any other
     int pace = 100; ///< percent of full speed
     bool orderOpen = false; ///< a start or stop order awaits its answer
@@ -61,6 +63,10 @@
 
     /// Time since the server confirmed the run; unset when that time is unknown.
     std::optional<Duration> ranFor(SteadyTime now) const;
+
+    /// When a run that is over at `now` is last known to have been running; long ago when its server never confirmed
+    /// it.
+    SteadyTime lastKnownRunning(SteadyTime now) const;
 };
 
 /// Run::ranFor() in milliseconds, for logs; null when unset.
@@ -98,11 +104,14 @@
     std::vector<Task> tasks;
     int done = 0;
     int running = 0;
-    SteadyTime readySince {}; ///< when its prerequisites were met
+    SteadyTime readySince {}; ///< when its prerequisites were met, or when this leader has read it
+    SteadyTime turnSince {}; ///< the same, but of a step that this leader has read, when its job was accepted
     int lastFailedAttempt = 0; ///< newest attempt of a gang in which a member failed
     SteadyTime heldUntil {}; ///< waiting tasks are not placed before
     bool ready = false; ///< all prerequisites are done
     Outlook outlook = Outlook::OnTime; ///< outlook in the last planning pass in which the step waited
+    WaitReason waitReason = WaitReason::NoRoom; ///< in the last report
+    SteadyTime waitReportedAt {}; ///< when `waitReason` was found
     std::map<std::string, Ticket> tickets; ///< by server; only for queues with placement advice
     std::set<std::string> deniedServers; ///< servers refused by the advice, which does not change for a step
 };
@@ -136,6 +145,7 @@
     int nextOccurrence = 0;
     SteadyTime acceptedAt {};
     SteadyTime finishedAt {};
+    SteadyTime lastRunAt {}; ///< latest time at which an ended or lost run is known to have been running
     std::set<std::string> failedOn; ///< ids of servers on which runs of the job failed
     bool begun = false; ///< a task has started
     bool stateDirty = false; ///< `state` is not stored yet
@@ -146,6 +156,9 @@
         return this->state == JobState::Completed || this->state == JobState::Failed
             || this->state == JobState::Cancelled;
     }
+
+    /// True when a server has confirmed a run of the job that is not known to have ended.
+    bool hasConfirmedRun() const;
 };
 
 /// A backend server as described by its entry in the store and its poll answers.
--- a/src/libs/scheduling/boarddump.cpp
+++ b/src/libs/scheduling/boarddump.cpp
@@ -10,6 +10,9 @@
 
 using Utils::Json;
 
+/// Waiting steps are reported about once per second.
+constexpr Duration recentReportPeriod { 3000 };
+
 std::int64_t ageMs(SteadyTime since, SteadyTime now)
 {
     return std::chrono::duration_cast<Duration>(now - since).count();
@@ -92,8 +95,13 @@
         return "no backend server of " + queue->service + " has the capacity and the label that one of its tasks needs";
     const auto withFreeCapacity = std::ranges::count_if(board.servers,
         [&](const auto& entry) { return couldHold(entry) && entry.second.freeCapacity().holds(wanted.perTask); });
-    return std::to_string(capable) + " backend servers could hold a task, " + std::to_string(withFreeCapacity)
-        + " have free capacity now; more urgent or earlier work goes first";
+    const std::string counts = std::to_string(capable) + " backend servers could hold a task, "
+        + std::to_string(withFreeCapacity) + " have free capacity now; ";
+    const bool isReported = step.waitReportedAt >= step.turnSince && now - step.waitReportedAt < recentReportPeriod;
+    if (!isReported || withFreeCapacity == 0)
+        return counts + "more urgent or earlier work goes first";
+    return counts + "what kept it from most of them " + std::to_string(ageMs(step.waitReportedAt, now))
+        + " ms ago: " + waitReasonName(step.waitReason);
 }
 
 } // namespace
--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -135,10 +135,17 @@
         const auto possible = static_cast<std::size_t>(
             std::ranges::count_if(task.lostRuns, [](const LostRun& lostRun) { return lostRun.suspicion > 0; }));
         if (static_cast<std::size_t>(task.crashes) + possible >= maximumPossibleCrashes)
-            this->board.findStep(run.name)->heldUntil = now + verdictWait;
+            this->hold(run.name, verdictWait, "servers that may have crashed under it have not answered", now);
     }
 }
 
+void CrashController::hold(const TaskName& name, Duration time, const char* reason, SteadyTime now)
+{
+    this->board.findStep(name)->heldUntil = now + time;
+    this->effects.log(
+        Event::TaskHeld, { { "task", formatTaskName(name) }, { "boundMs", time.count() }, { "reason", reason } });
+}
+
 void CrashController::judgeLost(const BackendServer& server, std::int64_t incarnation, SteadyTime now)
 {
     const auto waiting = this->lost.extract(server.address.id);
@@ -324,7 +331,8 @@
             || !separated.insert(run.name.jobId).second)
             continue;
         if (separated.size() > 1)
-            step->heldUntil = now + suspectInterval * static_cast<std::int64_t>(separated.size() - 1);
+            this->hold(run.name, suspectInterval * static_cast<std::int64_t>(separated.size() - 1),
+                "others are suspects of the same crash", now);
     }
 }
 
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -91,6 +91,8 @@
     /// Takes back what was counted before a mass restart became apparent.
     void clearMassRestarts();
     /// Lets suspects of one crash start one after the other, so that a further crash has one suspect.
+    /// Does not place waiting tasks of the task's step before `time` has passed.
+    void hold(const TaskName& name, Duration time, const char* reason, SteadyTime now);
     void separateSuspects(const std::vector<ExposedRun>& runs, SteadyTime now);
 
     Board& board;
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -244,6 +244,7 @@
         return;
     task->run->phase = RunPhase::Active;
     task->run->phaseSince = now;
+    task->run->listedAt = now;
     task->run->progressedAt = now;
     if (!task->run->adopted)
         task->run->activeSince = now;
@@ -268,6 +269,7 @@
     Occurrence& occurrence = job.occurrences.at(ended.task.occurrence);
     Step& step = occurrence.stepAt(ended.task.step);
     const StepSpecification& specification = specificationOf(job, ended.task.step);
+    job.lastRunAt = std::max(job.lastRunAt, task->run->lastKnownRunning(now));
     this->markDirty(ended.task);
     if (!ended.checkpoint.empty())
         (specification.gang ? step.tasks.front() : *task).checkpoint = ended.checkpoint;
@@ -452,6 +454,7 @@
     this->effects.log(Event::RunLost,
         { { "task", formatTaskName(name) }, { "attempt", task->run->attempt }, { "server", task->run->server },
             { "reason", runLossName(loss) }, { "stopReason", task->run->stopReason } });
+    job.lastRunAt = std::max(job.lastRunAt, task->run->lastKnownRunning(now));
     this->markDirty(name);
     this->requeue(name, occurrence.stepAt(name.step), *task, now);
     if (specificationOf(job, name.step).gang)
@@ -466,8 +469,10 @@
         const std::vector<int>& prerequisites = job.record.specification.steps[index].prerequisites;
         const bool ready
             = std::ranges::all_of(prerequisites, [&](int earlier) { return stepIsDone(occurrence.stepAt(earlier)); });
-        if (ready && !step.ready)
+        if (ready && !step.ready) {
             step.readySince = now;
+            step.turnSince = now;
+        }
         step.ready = ready;
     }
     occurrence.finished = std::ranges::all_of(occurrence.steps, stepIsDone);
--- a/src/libs/scheduling/planlog.cpp
+++ b/src/libs/scheduling/planlog.cpp
@@ -16,6 +16,8 @@
     this->logIdle(plan, now);
     for (const OutlookChange& change : plan.outlookChanges)
         this->recordOutlook(change, now);
+    for (const StepWait& wait : plan.waits)
+        this->logWait(wait, now);
     for (const PlannedStop& stop : plan.stops)
         this->logPreemption(stop, now);
 }
@@ -44,6 +46,25 @@
             { "server", run.server }, { "percent", run.percent }, { "ranMs", ranMs(run, now) } });
 }
 
+void PlanLog::logWait(const StepWait& wait, SteadyTime now)
+{
+    Step& step = *this->board.findStep(wait.step);
+    step.waitReason = wait.reason;
+    step.waitReportedAt = now;
+    if (wait.serversWithRoom.empty())
+        return;
+    Utils::Json servers = Utils::Json::object();
+    for (const auto& [reason, count] : wait.serversWithRoom)
+        servers[waitReasonName(reason)] = count;
+    this->effects.log(Event::StepWaits,
+        { { "step", formatTaskName(wait.step) }, { "waitingTasks", wait.waitingTasks },
+            { "reason", waitReasonName(wait.reason) }, { "serversWithRoom", std::move(servers) },
+            { "idleMs", wait.idle.count() },
+            { "readyMs", std::chrono::duration_cast<Duration>(now - step.readySince).count() },
+            { "acceleratorsUsed", wait.load.used }, { "accelerators", wait.load.capacity },
+            { "configuration", this->board.configuration->version } });
+}
+
 void PlanLog::logIdle(const Plan& plan, SteadyTime now)
 {
     if (plan.unplacedSteps == 0 || plan.idle.total() == 0 || now < this->nextIdleLogAt)
--- a/src/libs/scheduling/planlog.h
+++ b/src/libs/scheduling/planlog.h
@@ -22,6 +22,7 @@
 private:
     void recordOutlook(const OutlookChange& change, SteadyTime now);
     void logPreemption(const PlannedStop& stop, SteadyTime now);
+    void logWait(const StepWait& wait, SteadyTime now);
     void logIdle(const Plan& plan, SteadyTime now);
 
     Board& board;
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -94,15 +94,21 @@
             || (!this->claimed.empty() && this->claimed.contains(server.id))
             || !hasTicket(*pending.queue, *pending.state, server.id, pass.time()))
             continue;
-        const auto preemption = this->preemptions.empty() ? this->preemptions.end() : this->preemptions.find(server.id);
-        if (preemption != this->preemptions.end() && preemption->second.jobId != pending.job->record.id
-            && preemption->second.urgency <= pending.urgency)
-            continue;
-        candidates.push_back(index);
+        if (!this->isPreemptedForOthers(server.id, pending))
+            candidates.push_back(index);
     }
     return pending.job->failedOn.empty() ? candidates : candidatesAfterFailure(pass, pending, candidates);
 }
 
+bool Planner::isPreemptedForOthers(const std::string& server, const PendingStep& pending) const
+{
+    if (this->preemptions.empty())
+        return false;
+    const auto preemption = this->preemptions.find(server);
+    return preemption != this->preemptions.end() && preemption->second.jobId != pending.job->record.id
+        && preemption->second.urgency <= pending.urgency;
+}
+
 bool Planner::canHold(const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers)
 {
     const Resources need = countedNeed(*pending.specification);
@@ -117,6 +123,18 @@
     return missing == 0;
 }
 
+bool Planner::waitsForSuccess(const PlanningPass& pass, const PendingStep& pending)
+{
+    if (pending.job->failedOn.empty())
+        return false;
+    int failures = 0;
+    for (const Task& task : pending.state->tasks)
+        failures = std::max(failures, task.failures);
+    const bool lastAttempt = failures + 1 >= pending.queue->maximumAttempts;
+    const Task& first = pending.state->tasks[static_cast<std::size_t>(pending.waitingTasks.front())];
+    return lastAttempt && pass.time() - first.waitingSince < lastAttemptWaitLimit;
+}
+
 std::vector<std::size_t> Planner::candidatesAfterFailure(
     const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& candidates)
 {
@@ -133,13 +151,7 @@
         successful.push_back(index);
         withFreeCapacity += pass.servers[index].free.holds(need) ? 1 : 0;
     }
-    int failures = 0;
-    for (const Task& task : pending.state->tasks)
-        failures = std::max(failures, task.failures);
-    const bool lastAttempt = failures + 1 >= pending.queue->maximumAttempts;
-    const Task& first = pending.state->tasks[static_cast<std::size_t>(pending.waitingTasks.front())];
-    if (withFreeCapacity >= pending.waitingTasks.size()
-        || (lastAttempt && pass.time() - first.waitingSince < lastAttemptWaitLimit))
+    if (withFreeCapacity >= pending.waitingTasks.size() || waitsForSuccess(pass, pending))
         return successful;
     return canHold(pass, pending, others) ? others : candidates;
 }
@@ -209,6 +221,7 @@
             this->failedDemands.push_back(demand);
     }
     ++plan.unplacedSteps;
+    this->reportWait(pass, pending, anyRack, plan);
     if (pending.forecast.outlook != Outlook::TooLate || pending.urgency == Urgency::Guaranteed)
         this->handleUnplaced(pass, pending, anyRack, plan);
 }
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -38,10 +38,21 @@
     std::int64_t total() const { return this->claimed + this->reserved + this->unrestricted; }
 };
 
+/// A waiting step of a job that has had nothing running for a while, or a waiting step that lasts.
+struct StepWait {
+    TaskName step; ///< the step's task with index 0
+    std::size_t waitingTasks = 0;
+    Duration idle { 0 }; ///< since a run of the job was last known, or since the step's turn came
+    WaitReason reason = WaitReason::NoRoom; ///< that keeps it from most servers with room for a task
+    std::map<WaitReason, std::size_t> serversWithRoom; ///< numbers of servers with room for a task, by reason
+    ServiceLoad load; ///< of the step's service
+};
+
 struct Plan {
     std::vector<PlannedStart> starts;
     std::vector<PlannedStop> stops;
     std::vector<OutlookChange> outlookChanges;
+    std::vector<StepWait> waits; ///< a limited number in each second
     IdleAccelerators idle;
     std::size_t unplacedSteps = 0; ///< steps with tasks that found no free capacity
 };
@@ -126,6 +137,15 @@
     /// attempt has waited less than its limit.
     static std::vector<std::size_t> candidatesAfterFailure(
         const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& candidates);
+    /// True while the job's last attempt waits for a server on which runs succeed.
+    static bool waitsForSuccess(const PlanningPass& pass, const PendingStep& pending);
+    bool isPreemptedForOthers(const std::string& server, const PendingStep& pending) const;
+    /// Since when the step could have run, and nothing of its job is known to have been running.
+    static SteadyTime idleSince(const PendingStep& pending);
+    /// What keeps the step from a server that has room for one of its tasks.
+    WaitReason exclusionOf(const PlanningPass& pass, const PendingStep& pending, std::size_t index, bool anyRack) const;
+    /// Adds to the plan what keeps the step waiting, unless it was reported a short time ago.
+    void reportWait(const PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
     static void countTasksOfStep(PlanningPass& pass, const PendingStep& pending, const Plan& plan);
     void planStep(PlanningPass& pass, const PendingStep& pending, Plan& plan);
     bool tryPlace(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
@@ -150,6 +170,8 @@
     std::map<std::string, Preemption> preemptions; ///< by server
     std::set<std::string> claimed; ///< servers that get no other work in this pass because a gang waits for them
     std::vector<Demand> failedDemands; ///< demands that could not be placed in this pass
+    SteadyTime reportsSince {}; ///< begin of the interval that reportsLeft counts for
+    int reportsLeft = 0; ///< waits that may still be reported in the interval
     int preemptionSearchesLeft = 0; ///< searches for servers to preempt that this pass may still make
     bool excludeAvoided = true; ///< false when so many servers are avoided that they are used last
 };
--- a/src/libs/scheduling/schedulerload.cpp
+++ b/src/libs/scheduling/schedulerload.cpp
@@ -60,6 +60,12 @@
     for (auto& [id, server] : this->board.servers)
         server.address.id = id;
     this->applySuccesses(this->board.unstoredSuccesses.takeAll(), now); // successes from an earlier term of this daemon
+    for (auto& [id, job] : this->board.jobs) {
+        for (auto& [index, occurrence] : job.occurrences) {
+            for (Step& step : occurrence.steps)
+                step.turnSince = std::min(step.turnSince, job.acceptedAt);
+        }
+    }
     this->endExhaustedJobs(now);
     this->crashes.begin();
     this->monitor.begin(this->leader.term(), now);
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -398,6 +398,7 @@
     }
     Run& run = *task->run;
     this->tracker.runConfirmed(active.task, now);
+    run.listedAt = now;
     if (!active.checkpoint.empty()) {
         const StepSpecification& step = this->board.stepOf(active.task);
         Task& checkpointOwner = step.gang
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -200,6 +200,14 @@
     EventDescription { Event::RowRefused, Error, "RowRefused",
         "The store will never accept a row of the scheduler; if it is the progress of a job, the job is given up.",
         "Compare the size of the row with the store's limit." },
+    EventDescription { Event::StepWaits, Information, "StepWaits",
+        "A job has had nothing running for a while, and servers have room for one of its tasks; logged at most once "
+        "per "
+        "second for a step, and for a limited number of steps per second.",
+        "See what keeps the step from these servers." },
+    EventDescription { Event::TaskHeld, Information, "TaskHeld",
+        "A task is not started again before its next crash of a server could be told from others.",
+        "None; the time is stated." },
     EventDescription { Event::ServerFound, Information, "ServerFound",
         "A new entry of a backend server was found in the store.", "None." },
     EventDescription { Event::ServerDraining, Information, "ServerDraining",
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -96,6 +96,8 @@
     ServerCrashedUnderTask = 854,
     JobRemoved = 855,
     RowRefused = 856,
+    StepWaits = 857,
+    TaskHeld = 858,
     ServerFound = 860,
     ServerDraining = 861,
     ServerEntryGone = 862,
