--- /dev/null
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -0,0 +1,172 @@
+// Jobs that have nothing running although there is room. The bounds are those that the users state: 3 s in a service
+// of which less than half is in use, and 6 s for a task that lasts, however full the service is.
+
+#include "support/schedulerbench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace WisteriaHill::Scheduling;
+using namespace WisteriaHill::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration standstillLimit = 3s;
+constexpr Duration lastingStandstillLimit = 6s;
+
+/// Starts a task of one accelerator on each of `servers` servers, which keeps whole servers from being free.
+void occupyServers(SchedulerBench& bench, int servers, Duration work = 120s)
+{
+    StepSpecification step = makeStep(servers, 1, work);
+    step.maximumPerServer = 1;
+    bench.submit("occupant", "ordinary", { step });
+    REQUIRE(bench.runUntilActive("occupant", servers, 2s));
+}
+
+std::vector<FakeServer*> emptyServers(SchedulerBench& bench)
+{
+    std::vector<FakeServer*> empty;
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        if (bench.server(index).active.empty())
+            empty.push_back(&bench.server(index));
+    }
+    return empty;
+}
+
+/// Lets the job's run fail, on a server that does not fail anything else.
+void failRun(SchedulerBench& bench, const std::string& job)
+{
+    FakeServer& server = bench.serverRunning(job);
+    while (bench.activeTasks(job) > 0)
+        server.end(server.active.begin()->first, RunEnd::Failed);
+}
+
+StepSpecification makeLastingStep(std::int64_t accelerators)
+{
+    StepSpecification step = makeStep(1, accelerators, 600s);
+    step.longRunning = true;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("a job does not stand still before its last attempt in a service where nothing has succeeded lately")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 4, 5s) });
+    REQUIRE(bench.runUntilActive("job", 1, 2s));
+    failRun(bench, "job");
+    REQUIRE(bench.runUntilActive("job", 1, standstillLimit));
+    bench.run(1s);
+    failRun(bench, "job");
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.runUntil("job", JobState::Completed, 10s));
+    CHECK(bench.startsOf("job") == 3);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a job does not stand still while the only servers with room for it are avoided")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    occupyServers(bench, 6);
+    const std::vector<FakeServer*> empty = emptyServers(bench);
+    REQUIRE(empty.size() == 2);
+    bench.run(6s); // polls of servers without runs are 5 s apart
+    for (FakeServer* server : empty)
+        server->restart();
+    bench.run(6s);
+    bench.submit("job", "ordinary", { makeStep(1, 8, 2s) });
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a job does not stand still while servers with room for it are claimed for a gang that does not fit")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    occupyServers(bench, 4);
+    StepSpecification gang = makeStep(5, 8, 5s);
+    gang.gang = true;
+    bench.submit("gang", "ordinary", { gang });
+    bench.run(1s);
+    bench.submit("job", "background", { makeStep(1, 8, 2s) });
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a job does not stand still while it has failed on all servers with room for it")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    occupyServers(bench, 6);
+    bench.submit("job", "ordinary", { makeStep(1, 8, 5s) });
+    for (int failures = 0; failures < 2; ++failures) {
+        REQUIRE(bench.runUntilActive("job", 1, standstillLimit));
+        failRun(bench, "job");
+    }
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.runUntil("job", JobState::Completed, 10s));
+    CHECK(bench.startsOf("job") == 3);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a task that lasts does not stand still while the only servers with room for it are avoided")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    occupyServers(bench, 6);
+    bench.submit("lasting", "ordinary", { makeLastingStep(8) });
+    bench.submit("other", "ordinary", { makeStep(1, 8, 60s) });
+    REQUIRE(bench.runUntilActive("lasting", 1, 2s));
+    REQUIRE(bench.runUntilActive("other", 1, 2s));
+    bench.cancel("other");
+    FakeServer& spare = bench.serverRunning("other");
+    REQUIRE(bench.runUntil("other", JobState::Cancelled, 2s));
+    bench.run(6s); // polls of servers without runs are 5 s apart
+    spare.restart();
+    bench.run(5500ms);
+    bench.serverRunning("lasting").restart();
+    CHECK(bench.runUntilActive("lasting", 1, lastingStandstillLimit));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a task that lasts does not stand still while all servers with room for it are reserved for urgent work")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("urgent", "urgent", { makeStep(2, 8, 2s) });
+    REQUIRE(bench.runUntilActive("urgent", 2, 2s));
+    const int unreservedServers = static_cast<int>(bench.serverCount()) / 2;
+    bench.submit("occupant", "ordinary", { makeStep(unreservedServers, 8, 120s) });
+    REQUIRE(bench.runUntilActive("occupant", unreservedServers, 2s));
+    REQUIRE(bench.runUntil("urgent", JobState::Completed, 5s));
+    bench.submit("lasting", "ordinary", { makeLastingStep(8) });
+    CHECK(bench.runUntilActive("lasting", 1, lastingStandstillLimit));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a task that lasts does not stand still while another of its step is held because servers may have crashed")
+{
+    SchedulerBench bench({ .racks = 4 });
+    bench.run(2s);
+    StepSpecification step = makeLastingStep(8);
+    step.taskCount = 2;
+    bench.submit("lasting", "ordinary", { step });
+    REQUIRE(bench.runUntilActive("lasting", 2, 2s));
+    FakeServer& steady = bench.serverRunning("lasting");
+    const TaskName steadyTask = steady.active.begin()->first;
+    for (int losses = 0; losses < 4; ++losses) {
+        REQUIRE(bench.runUntilActive("lasting", 2, 12s));
+        for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+            if (&bench.server(index) != &steady && !bench.server(index).active.empty())
+                bench.server(index).reachable = false;
+        }
+        bench.run(8s);
+    }
+    REQUIRE(steady.active.contains(steadyTask));
+    steady.end(steadyTask, RunEnd::Failed);
+    CHECK(bench.runUntilActive("lasting", 1, lastingStandstillLimit));
+    CHECK(bench.violations().empty());
+}
