A job that has had nothing running for 2 s in a service that is mostly idle starts wherever there is room

Cause: each preference of the planner has a bound of its own, which counts from another moment and is as long as the users' rule allows in all, or has none: 3 s for a server with a recent success before the last attempt, 8 s for avoided servers, no bound for claimed and reserved servers and for those on which the job failed. The plan, the store and the start come on top.

Now one bound goes over all of them: it counts from when a run of the job was last known or the step's turn came, 2 s in a service of which less than half is in use, 4 s since its last run for a task that lasts, however full the service is. After it one task, or the whole gang, is placed on whatever has room; servers on which the job has not failed go first. What is no preference stays: labels, tickets, limits per server, servers preempted for another job (1.2 s) and servers that refused a start in the last second.

Before: six cases of tst_scheduler_standstill failed.

--- a/src/libs/scheduling/board.cpp
+++ b/src/libs/scheduling/board.cpp
@@ -43,12 +43,22 @@
     return ran ? Utils::Json(ran->count()) : Utils::Json();
 }
 
-bool Job::hasConfirmedRun() const
+bool Job::hasConfirmedRun(SteadyTime startingSince) const
 {
-    const auto isConfirmed = [](const Task& task) {
-        return task.run
-            && (task.run->phase == RunPhase::Active
-                || (task.run->phase == RunPhase::Stopping && (task.run->activeSince || task.run->adopted)));
+    const auto isConfirmed = [&](const Task& task) {
+        if (!task.run)
+            return false;
+        const Run& run = *task.run;
+        switch (run.phase) {
+        case RunPhase::Recording:
+        case RunPhase::Ordered:
+            return run.phaseSince > startingSince;
+        case RunPhase::Active:
+            return true;
+        case RunPhase::Stopping:
+            return run.activeSince || run.adopted;
+        }
+        return false;
     };
     return std::ranges::any_of(this->occurrences, [&](const auto& entry) {
         return std::ranges::any_of(entry.second.steps,
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -157,8 +157,9 @@
             || this->state == JobState::Cancelled;
     }
 
-    /// True when a server has confirmed a run of the job that is not known to have ended.
-    bool hasConfirmedRun() const;
+    /// True when a server has confirmed a run of the job that is not known to have ended, or when a run was placed, or
+    /// its start was ordered, after `startingSince`.
+    bool hasConfirmedRun(SteadyTime startingSince) const;
 };
 
 /// A backend server as described by its entry in the store and its poll answers.
@@ -194,6 +195,7 @@
     std::map<TaskName, Resources> occupants; ///< runs placed on the server, including those being stopped
     std::set<std::string> failedJobs; ///< distinct jobs whose runs failed on the server since its last success
     SteadyTime lastSuccessAt {}; ///< when a run on the server last ended as done
+    SteadyTime refusesUntil {}; ///< the server has refused a start, and is expected to refuse others until this time
     SteadyTime avoidUntil {}; ///< until this time the server gets new runs only when nothing else fits
 
     /// When this life of the server's machine began, Unix milliseconds; 0 when unknown.
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -21,6 +21,8 @@
 constexpr Duration recentSuccessTime { 2500 };
 /// A job's last attempt waits this long for a recently successful server.
 constexpr Duration lastAttemptWaitLimit { 3000 };
+/// A run that was placed within this time is about to start.
+constexpr Duration startPeriod { 500 };
 /// Limit for the searches for servers to preempt in one pass, since each examines every run of a service.
 constexpr int preemptionSearchesPerPass = 8;
 
@@ -83,21 +85,56 @@
     });
 }
 
-std::vector<std::size_t> Planner::candidatesFor(const PlanningPass& pass, const PendingStep& pending) const
+std::vector<std::size_t> Planner::candidatesFor(
+    const PlanningPass& pass, const PendingStep& pending, Preferences preferences) const
 {
+    const bool kept = preferences == Preferences::Kept;
     std::vector<std::size_t> candidates;
     candidates.reserve(pass.servers.size());
     for (std::size_t index = 0; index < pass.servers.size(); ++index) {
         const PlacementServer& server = pass.servers[index];
-        if (pass.boardServers[index]->service != pending.queue->service || (server.avoided && this->excludeAvoided)
-            || !isEligible(server, *pending.specification)
-            || (!this->claimed.empty() && this->claimed.contains(server.id))
+        if (pass.boardServers[index]->service != pending.queue->service || !isEligible(server, *pending.specification)
             || !hasTicket(*pending.queue, *pending.state, server.id, pass.time()))
             continue;
+        const bool isExcluded = kept ? (server.avoided && this->excludeAvoided) || this->claimed.contains(server.id)
+                                     : pass.time() < pass.boardServers[index]->refusesUntil;
+        if (isExcluded)
+            continue;
         if (!this->isPreemptedForOthers(server.id, pending))
             candidates.push_back(index);
     }
-    return pending.job->failedOn.empty() ? candidates : candidatesAfterFailure(pass, pending, candidates);
+    if (pending.job->failedOn.empty())
+        return candidates;
+    return kept ? candidatesAfterFailure(pass, pending, candidates)
+                : preferNotFailed(pass, pending, std::move(candidates));
+}
+
+bool Planner::preferencesAreOver(const PlanningPass& pass, const PendingStep& pending) const
+{
+    const SteadyTime now = pass.time();
+    if (pending.specification->longRunning)
+        return std::ranges::any_of(pending.waitingTasks, [&](int index) {
+            return now - pending.state->tasks[static_cast<std::size_t>(index)].waitingSince
+                >= this->options.lastingIdleLimit;
+        });
+    return now - idleSince(pending) >= this->options.idleLimit
+        && this->reserve.loadOf(pending.queue->service).mayBeMostlyIdle()
+        && !pending.job->hasConfirmedRun(now - startPeriod);
+}
+
+std::vector<std::size_t> Planner::preferNotFailed(
+    const PlanningPass& pass, const PendingStep& pending, std::vector<std::size_t> candidates)
+{
+    const Resources need = countedNeed(*pending.specification);
+    std::vector<std::size_t> others;
+    bool hasRoom = false;
+    for (const std::size_t index : candidates) {
+        if (pending.job->failedOn.contains(pass.servers[index].id))
+            continue;
+        others.push_back(index);
+        hasRoom = hasRoom || pass.servers[index].free.holds(need);
+    }
+    return hasRoom ? others : candidates;
 }
 
 bool Planner::isPreemptedForOthers(const std::string& server, const PendingStep& pending) const
@@ -199,34 +236,44 @@
 {
     const auto failedBefore = [&](const Demand& failed) {
         return failed.service == demand.service && demand.need.holds(failed.need) && demand.count >= failed.count
-            && (demand.inOneRack || !failed.inOneRack) && (failed.mayUseReserved || !demand.mayUseReserved);
+            && (demand.inOneRack || !failed.inOneRack) && (failed.mayUseReserved || !demand.mayUseReserved)
+            && failed.preferences == demand.preferences;
     };
     return std::ranges::any_of(this->failedDemands, failedBefore) && !this->hasPreemption(pending);
 }
 
-void Planner::planStep(PlanningPass& pass, const PendingStep& pending, Plan& plan)
+bool Planner::isUnconstrained(const PendingStep& pending)
 {
     const StepSpecification& step = *pending.specification;
+    return step.requiredLabel.empty() && step.dataRack.empty() && step.maximumPerServer == 0 && !pending.queue->advice
+        && pending.job->failedOn.empty();
+}
+
+void Planner::planStep(PlanningPass& pass, const PendingStep& pending, Plan& plan)
+{
     const Duration rackWaitLimit = pending.urgency == Urgency::Guaranteed ? this->options.guaranteedRackWaitLimit
         : this->reserve.loadOf(pending.queue->service).mostlyIdle()       ? this->options.idleRackWaitLimit
                                                                           : this->options.rackWaitLimit;
     const bool anyRack = pass.time() - pending.state->readySince > rackWaitLimit;
     const Demand demand = this->demandOf(pending, anyRack);
+    PlacementOutcome outcome = PlacementOutcome::None;
     if (!this->cannotFit(pending, demand)) {
-        if (this->tryPlace(pass, pending, anyRack, plan))
+        outcome = this->tryPlace(pass, pending, anyRack, plan);
+        if (outcome == PlacementOutcome::All)
             return;
-        const bool unconstrained = step.requiredLabel.empty() && step.dataRack.empty() && step.maximumPerServer == 0
-            && !pending.queue->advice && pending.job->failedOn.empty();
-        if (unconstrained)
+        if (isUnconstrained(pending))
             this->failedDemands.push_back(demand);
     }
+    if (outcome == PlacementOutcome::None && this->preferencesAreOver(pass, pending)
+        && this->placeAnywhere(pass, pending, plan))
+        return;
     ++plan.unplacedSteps;
     this->reportWait(pass, pending, anyRack, plan);
     if (pending.forecast.outlook != Outlook::TooLate || pending.urgency == Urgency::Guaranteed)
         this->handleUnplaced(pass, pending, anyRack, plan);
 }
 
-bool Planner::tryPlace(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan)
+Planner::PlacementOutcome Planner::tryPlace(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan)
 {
     const StepSpecification& step = *pending.specification;
     if (step.maximumPerServer > 0)
@@ -239,6 +286,40 @@
             .mayUseReserved = this->mayUseReserved(pending),
             .prefersUnreserved
             = pending.urgency == Urgency::Ordinary && this->reserve.loadOf(pending.queue->service).mostlyIdle() });
+    const std::size_t placed = this->addStarts(pass, pending, choice, plan);
+    if (placed < choice.size())
+        return placed == 0 ? PlacementOutcome::None : PlacementOutcome::Some;
+    std::erase_if(this->preemptions, [&](const auto& entry) { return entry.second.jobId == pending.job->record.id; });
+    return PlacementOutcome::All;
+}
+
+bool Planner::placeAnywhere(PlanningPass& pass, const PendingStep& pending, Plan& plan)
+{
+    const StepSpecification& step = *pending.specification;
+    Demand demand = this->demandOf(pending, true);
+    demand.mayUseReserved = true;
+    demand.preferences = Preferences::Dropped;
+    if (this->cannotFit(pending, demand))
+        return false;
+    if (step.maximumPerServer > 0)
+        countTasksOfStep(pass, pending, plan);
+    const std::vector<std::optional<std::size_t>> choice
+        = placeTasks(pass.servers, this->candidatesFor(pass, pending, Preferences::Dropped),
+            { .step = &step,
+                .taskCount = step.gang ? static_cast<int>(pending.waitingTasks.size()) : 1,
+                .allOrNone = step.gang,
+                .anyRack = true,
+                .prefersUnreserved = true });
+    if (this->addStarts(pass, pending, choice, plan) > 0)
+        return true;
+    if (isUnconstrained(pending))
+        this->failedDemands.push_back(demand);
+    return false;
+}
+
+std::size_t Planner::addStarts(const PlanningPass& pass, const PendingStep& pending,
+    const std::vector<std::optional<std::size_t>>& choice, Plan& plan)
+{
     std::size_t placed = 0;
     for (std::size_t index = 0; index < choice.size(); ++index) {
         if (!choice[index])
@@ -246,10 +327,7 @@
         ++placed;
         plan.starts.push_back({ pending.taskName(pending.waitingTasks[index]), pass.servers[*choice[index]].id });
     }
-    if (placed < choice.size())
-        return false;
-    std::erase_if(this->preemptions, [&](const auto& entry) { return entry.second.jobId == pending.job->record.id; });
-    return true;
+    return placed;
 }
 
 void Planner::handleUnplaced(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan)
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -62,6 +62,9 @@
     Duration idleRackWaitLimit { 1500 }; ///< replaces rackWaitLimit while most of the service is idle
     Duration guaranteedRackWaitLimit { 500 }; ///< replaces both for guaranteed work, whose start time is bounded
     Duration preemptionDelay { 300 }; ///< urgent work waits this long for free capacity before it preempts runs
+    /// A job that has had nothing running for this long in a service that is mostly idle starts wherever there is room.
+    Duration idleLimit { 2000 };
+    Duration lastingIdleLimit { 4000 }; ///< replaces idleLimit for a task that lasts, however busy the service is
 };
 
 /// Reads the blackboard. Keeps, between passes, which servers were preempted for which job and the recent peaks of
@@ -91,14 +94,19 @@
         SteadyTime until {}; ///< end of the job's reservation of the server
     };
 
+    /// Whether a step may wait for better servers than those that have room: ones that are not avoided, reserved or
+    /// claimed, on which its job has not failed, on which runs succeed, or which are in a certain rack.
+    enum class Preferences { Kept, Dropped };
+
     /// What a step needs to be placed. Free capacity only shrinks during a pass, so once a demand has failed, demands
-    /// for as much or more under equal or stricter constraints fail too.
+    /// for as much or more under equal or stricter constraints and the same preferences fail too.
     struct Demand {
         std::string service;
         Resources need; ///< of one task
         int count = 1; ///< tasks that have to be placed together
         bool inOneRack = false;
         bool mayUseReserved = false;
+        Preferences preferences = Preferences::Kept;
     };
 
     /// The servers to preempt for a step and the runs to stop on each.
@@ -128,8 +136,16 @@
         void add(const PreemptionOption& option);
     };
 
+    enum class PlacementOutcome { All, Some, None };
+
     void expirePreemptions(const Board& board, SteadyTime now);
-    std::vector<std::size_t> candidatesFor(const PlanningPass& pass, const PendingStep& pending) const;
+    std::vector<std::size_t> candidatesFor(
+        const PlanningPass& pass, const PendingStep& pending, Preferences preferences = Preferences::Kept) const;
+    /// True when the step has waited for better servers as long as it may.
+    bool preferencesAreOver(const PlanningPass& pass, const PendingStep& pending) const;
+    /// The candidates on which the job has not failed, or all when none of these has room for a task.
+    static std::vector<std::size_t> preferNotFailed(
+        const PlanningPass& pass, const PendingStep& pending, std::vector<std::size_t> candidates);
     /// True when the step, or a task of it that is no gang, fits on these servers while they are empty.
     static bool canHold(const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers);
     /// Restricts the candidates of a job that has failed to servers on which it did not fail, if these can hold it. Of
@@ -148,7 +164,12 @@
     void reportWait(const PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
     static void countTasksOfStep(PlanningPass& pass, const PendingStep& pending, const Plan& plan);
     void planStep(PlanningPass& pass, const PendingStep& pending, Plan& plan);
-    bool tryPlace(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
+    /// Plans starts of all waiting tasks that can be placed.
+    PlacementOutcome tryPlace(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
+    /// Plans the start of one waiting task, or of a whole gang, on whatever servers have room. False when none has.
+    bool placeAnywhere(PlanningPass& pass, const PendingStep& pending, Plan& plan);
+    std::size_t addStarts(const PlanningPass& pass, const PendingStep& pending,
+        const std::vector<std::optional<std::size_t>>& choice, Plan& plan);
     void handleUnplaced(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
     bool preemptFor(PlanningPass& pass, const PendingStep& pending, bool inOneRack, Plan& plan);
     static PreemptionSet cheapestPreemption(
@@ -162,6 +183,8 @@
     bool mayUseReserved(const PendingStep& pending) const;
     bool hasPreemption(const PendingStep& pending) const;
     Demand demandOf(const PendingStep& pending, bool anyRack) const;
+    /// True when a failed demand says something of the demands of other steps too.
+    static bool isUnconstrained(const PendingStep& pending);
     /// True when an equal or smaller demand has failed in this pass and no server is preempted for the job.
     bool cannotFit(const PendingStep& pending, const Demand& demand) const;
 
--- a/src/libs/scheduling/plannerwaits.cpp
+++ b/src/libs/scheduling/plannerwaits.cpp
@@ -88,7 +88,7 @@
     }
     const auto idle = std::chrono::duration_cast<Duration>(now - idleSince(pending));
     if (this->reportsLeft == 0 || idle < waitReportDelay || now - pending.state->waitReportedAt < waitReportInterval
-        || (pending.job->hasConfirmedRun() && !pending.specification->longRunning))
+        || (pending.job->hasConfirmedRun(now) && !pending.specification->longRunning))
         return;
     --this->reportsLeft;
     StepWait wait { .step = pending.taskName(0), .waitingTasks = pending.waitingTasks.size(), .idle = idle };
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -129,8 +129,10 @@
     }
     if (const auto refusing = this->board.servers.find(server); refusing != this->board.servers.end()) {
         refusing->second.pollSoon = true;
-        if (refusal == OrderRefusal::NoCapacity || refusal == OrderRefusal::Unhealthy)
+        if (refusal == OrderRefusal::NoCapacity || refusal == OrderRefusal::Unhealthy) {
             refusing->second.avoidUntil = now + refusalAvoidancePeriod;
+            refusing->second.refusesUntil = now + refusalAvoidancePeriod;
+        }
     }
     Run& run = *this->board.findTask(name)->run;
     if (refusal == OrderRefusal::Outdated) {
--- a/src/libs/scheduling/urgentreserve.cpp
+++ b/src/libs/scheduling/urgentreserve.cpp
@@ -20,6 +20,10 @@
 void UrgentReserve::measure(const PlanningPass& pass, const std::vector<PendingStep>& pendingSteps)
 {
     this->load.clear();
+    for (const auto& [id, server] : pass.state().servers) {
+        if (server.present)
+            this->load[server.service].registered += server.capacity.accelerators;
+    }
     for (const BackendServer* server : pass.boardServers) {
         ServiceLoad& service = this->load[server->service];
         service.capacity += server->capacity.accelerators;
--- a/src/libs/scheduling/urgentreserve.h
+++ b/src/libs/scheduling/urgentreserve.h
@@ -11,11 +11,15 @@
 /// Numbers of accelerators of a service.
 struct ServiceLoad {
     std::int64_t capacity = 0;
+    std::int64_t registered = 0; ///< capacity with that of servers that are draining or do not answer
     std::int64_t used = 0;
     std::int64_t urgent = 0; ///< used by jobs of priority 0, or needed by urgent steps that wait and can be on time
 
     /// True when less than half of the accelerators are in use.
     bool mostlyIdle() const { return this->used * 2 < this->capacity; }
+
+    /// The same, if servers that get no work now count as idle.
+    bool mayBeMostlyIdle() const { return this->used * 2 < this->registered; }
 };
 
 /// Reserves whole racks for about the recent peak of urgent work. Without a reserve, each urgent gang of a burst
