A hold because of a crash keeps the task that it is meant for, and for 1.5 s at most among suspects

Holds are of tasks now, and a gang waits when one of its members is held. Suspects beyond the fourth job start together, as a further crash separates them again.

A task that was lost with four servers that have not answered still waits up to 30 s: the users forbid to start one that crashes servers more often.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -91,6 +91,7 @@
     int stalls = 0; ///< number of runs stopped for lack of progress; a gang counts in its first task
     std::string checkpoint; ///< newest known checkpoint; a gang keeps it in its first task
     std::optional<Run> run; ///< current run; set while the phase is Running
+    SteadyTime heldUntil {}; ///< the task is not placed before; a gang with such a member is not placed either
     SteadyTime waitingSince {};
 };
 
@@ -107,7 +108,6 @@
     SteadyTime readySince {}; ///< when its prerequisites were met, or when this leader has read it
     SteadyTime turnSince {}; ///< the same, but of a step that this leader has read, when its job was accepted
     int lastFailedAttempt = 0; ///< newest attempt of a gang in which a member failed
-    SteadyTime heldUntil {}; ///< waiting tasks are not placed before
     bool ready = false; ///< all prerequisites are done
     Outlook outlook = Outlook::OnTime; ///< outlook in the last planning pass in which the step waited
     WaitReason waitReason = WaitReason::NoRoom; ///< in the last report
--- a/src/libs/scheduling/boarddump.cpp
+++ b/src/libs/scheduling/boarddump.cpp
@@ -59,6 +59,8 @@
         json["state"] = task.phase == TaskPhase::Done ? "done" : "waiting";
         if (task.phase == TaskPhase::Waiting)
             json["waitingMs"] = ageMs(task.waitingSince, now);
+        if (now < task.heldUntil)
+            json["heldMs"] = ageMs(now, task.heldUntil);
         return json;
     }
     json["state"] = phaseName(task.run->phase);
@@ -81,8 +83,9 @@
         return "its queue is not in the configuration in force";
     if (!step.ready)
         return "its prerequisite steps are not done";
-    if (now < step.heldUntil)
-        return "a backend server crashed under it; it starts apart from other suspects of that crash";
+    const auto isHeld = [&](const Task& task) { return task.phase == TaskPhase::Waiting && now < task.heldUntil; };
+    if (std::ranges::any_of(step.tasks, isHeld))
+        return "backend servers crashed under it, or may have; it starts apart from other suspects";
     if (wanted.gang && step.running > 0)
         return "members of the gang's last attempt have not ended";
     const auto couldHold = [&](const auto& entry) {
--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -15,6 +15,8 @@
 constexpr Duration simultaneousStarts { 300 };
 /// Time between the next starts of the suspects of one crash; longer than simultaneousStarts.
 constexpr Duration suspectInterval { 500 };
+/// Further suspects start together, so that none waits for long. They are separated again if they crash a server.
+constexpr std::int64_t maximumSuspectPlace = 3;
 /// Suspicion that ends a job: two crashes right after the start of the only suspect, or three less certain ones.
 constexpr int maximumSuspicion = 6;
 constexpr int suspicionOfOnlySuspect = 3;
@@ -141,7 +143,7 @@
 
 void CrashController::hold(const TaskName& name, Duration time, const char* reason, SteadyTime now)
 {
-    this->board.findStep(name)->heldUntil = now + time;
+    this->board.findTask(name)->heldUntil = now + time;
     this->effects.log(
         Event::TaskHeld, { { "task", formatTaskName(name) }, { "boundMs", time.count() }, { "reason", reason } });
 }
@@ -167,7 +169,7 @@
             return true;
         });
         this->tracker.markDirty(name);
-        this->board.findStep(name)->heldUntil = now;
+        task->heldUntil = now;
     }
     if (!crashed.empty())
         this->handleRestart(server, crashed, now);
@@ -324,14 +326,14 @@
 
 void CrashController::separateSuspects(const std::vector<ExposedRun>& runs, SteadyTime now)
 {
-    std::set<std::string> separated;
+    std::map<std::string, std::int64_t> places; // by job
     for (const ExposedRun& run : runs) {
-        Step* step = this->board.findStep(run.name);
-        if (run.suspicion == 0 || !step || this->board.jobs.at(run.name.jobId).ended()
-            || !separated.insert(run.name.jobId).second)
+        if (run.suspicion == 0 || !this->board.findTask(run.name) || this->board.jobs.at(run.name.jobId).ended())
             continue;
-        if (separated.size() > 1)
-            this->hold(run.name, suspectInterval * static_cast<std::int64_t>(separated.size() - 1),
+        const std::int64_t place
+            = places.try_emplace(run.name.jobId, static_cast<std::int64_t>(places.size())).first->second;
+        if (place > 0)
+            this->hold(run.name, suspectInterval * std::min(place, maximumSuspectPlace),
                 "others are suspects of the same crash", now);
     }
 }
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -4,6 +4,7 @@
 #include "scheduling/jobtracker.h"
 
 #include <deque>
+#include <map>
 #include <set>
 
 namespace WisteriaHill::Scheduling {
@@ -91,7 +92,7 @@
     /// Takes back what was counted before a mass restart became apparent.
     void clearMassRestarts();
     /// Lets suspects of one crash start one after the other, so that a further crash has one suspect.
-    /// Does not place waiting tasks of the task's step before `time` has passed.
+    /// Does not place the task, or its gang, before `time` has passed. Precondition: the task is known.
     void hold(const TaskName& name, Duration time, const char* reason, SteadyTime now);
     void separateSuspects(const std::vector<ExposedRun>& runs, SteadyTime now);
 
--- a/src/libs/scheduling/planningpass.cpp
+++ b/src/libs/scheduling/planningpass.cpp
@@ -98,8 +98,7 @@
                 const Step& step = occurrence.steps[number];
                 const int total = static_cast<int>(step.tasks.size());
                 const StepSpecification& specification = job.record.specification.steps[number];
-                if (!step.ready || this->now < step.heldUntil || step.done + step.running >= total
-                    || (specification.gang && step.running > 0))
+                if (!step.ready || step.done + step.running >= total || (specification.gang && step.running > 0))
                     continue;
                 const bool scheduled = job.record.specification.occurrences > 0;
                 PendingStep pending { .job = &job,
@@ -112,10 +111,13 @@
                     .forecast = forecastFor(this->board.runTimes, job, *job.queue, number,
                         scheduled ? occurrence.createdAt : job.acceptedAt, this->now) };
                 for (int task = 0; task < total; ++task) {
-                    if (step.tasks[static_cast<std::size_t>(task)].phase == TaskPhase::Waiting)
+                    const Task& waiting = step.tasks[static_cast<std::size_t>(task)];
+                    if (waiting.phase == TaskPhase::Waiting && this->now >= waiting.heldUntil)
                         pending.waitingTasks.push_back(task);
                 }
-                pendingSteps.push_back(std::move(pending));
+                const bool wholeGang = static_cast<int>(pending.waitingTasks.size()) == total;
+                if (!pending.waitingTasks.empty() && (!specification.gang || wholeGang))
+                    pendingSteps.push_back(std::move(pending));
             }
         }
     }
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -170,3 +170,21 @@
     CHECK(bench.runUntilActive("lasting", 1, lastingStandstillLimit));
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("jobs do not stand still while many are suspects of the crash of a server")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    constexpr int jobs = 8;
+    for (int job = 0; job < jobs; ++job)
+        bench.submit("job-" + std::to_string(job), "ordinary", { makeStep(1, 1, 60s) });
+    REQUIRE(bench.runUntilActive("job-0", 1, 2s));
+    FakeServer& server = bench.serverRunning("job-0");
+    bench.run(500ms);
+    REQUIRE(server.active.size() == jobs);
+    server.restart();
+    bench.run(standstillLimit);
+    for (int job = 0; job < jobs; ++job)
+        CHECK(bench.activeTasks("job-" + std::to_string(job)) == 1);
+    CHECK(bench.violations().empty());
+}
