A start that meets a server which has just fallen silent does not delay the restart of the other runs there

A leader that starts tasks on a server that no longer receives anything extended the lease that it counts on for all runs of that server, and so did the poll that it sends when a start has no answer. The runs end on the server 6 s after the last renewal that arrived; the leader gave them up later by the age of the last order that did not.

Now a start carries the lease end that polls have granted while half of the lease is left, and a poll that replaces an open one renews nothing. What remains is one poll that was lost: 1.5 s, and the margin for slow clocks.

Test: 20 starts around the cut, six phases of the polls.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -191,6 +191,8 @@
     bool pollSoon = false; ///< the server shall answer the next poll at once instead of waiting for an end
     int unansweredPolls = 0; ///< number of polls in a row that got no answer or a refusal
     bool fenced = false; ///< the server has answered a poll under the current token
+    bool pollReplaced = false; ///< the next poll replaces an open one, whose answer is not awaited any more
+    ServerTime grantedUntil { 0 }; ///< latest lease end, on the server's clock, that orders of this term have granted
     SteadyTime leaseEnd {}; ///< without a further order the server runs nothing after this time
     std::map<TaskName, Resources> occupants; ///< runs placed on the server, including those being stopped
     std::set<std::string> failedJobs; ///< distinct jobs whose runs failed on the server since its last success
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -56,6 +56,7 @@
     this->token = newToken;
     for (auto& [id, server] : this->board.servers) {
         server.fenced = false;
+        server.grantedUntil = {};
         server.nextPollAt = now;
         server.pollSoon = true;
         this->extendLease(server, now);
@@ -88,6 +89,22 @@
     server.leaseEnd = std::max<SteadyTime>(server.leaseEnd, now + this->longestLease());
 }
 
+ServerTime ServerMonitor::renewLease(BackendServer& server, SteadyTime now) const
+{
+    server.grantedUntil = this->leaseEndFor(server, now);
+    this->extendLease(server, now);
+    return server.grantedUntil;
+}
+
+ServerTime ServerMonitor::leaseEndForStart(BackendServer& server, SteadyTime now) const
+{
+    // An unanswered start that extended the lease would delay the restart of all runs of a server that has just fallen
+    // silent: they are given up when the lease has expired that the server may have received.
+    const ServerTime full = this->leaseEndFor(server, now);
+    const bool isLongEnough = server.grantedUntil + this->options.maximumLease / 2 >= full;
+    return isLongEnough ? server.grantedUntil : this->renewLease(server, now);
+}
+
 bool ServerMonitor::leasesAreOver(const BackendServer& server, SteadyTime now) const
 {
     // A server that has not seen this leader's token still obeys a former one, which may reach it from a zone that is
@@ -222,11 +239,10 @@
     order.wait = answerAtOnce ? Duration(0) : this->needsFrequentPolls(server) ? shortPollWait : pollWait;
     // A server that does not answer gets no new lease, so that its runs are certain to be over when the lease expires.
     // A leader that the store has not confirmed for long renews none either: a successor counts on it.
-    if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredPolls == 0
-        && this->mayRenewLeases(now)) {
-        order.leaseEnd = this->leaseEndFor(server, now);
-        this->extendLease(server, now);
-    }
+    if (!server.occupants.empty() && server.incarnation != 0 && server.unansweredPolls == 0 && !server.pollReplaced
+        && this->mayRenewLeases(now))
+        order.leaseEnd = this->renewLease(server, now);
+    server.pollReplaced = false;
     server.pollOpen = true;
     server.pollMayWait = order.wait.count() > 0;
     server.pollSoon = false;
@@ -315,6 +331,7 @@
     server.lastProcessedEnd = 0;
     server.lastStoredEnd = 0;
     server.lastDiscardedEnd = 0;
+    server.grantedUntil = {};
     std::set<TaskName> known;
     for (const ActiveRun& active : answer.active)
         known.insert(active.task);
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -98,6 +98,10 @@
     void endReplaced(BackendServer& server, SteadyTime now);
     ServerTime leaseEndFor(const BackendServer& server, SteadyTime now) const;
     void extendLease(BackendServer& server, SteadyTime now) const;
+    /// Extends the lease of the server by its full length. Returns the new end.
+    ServerTime renewLease(BackendServer& server, SteadyTime now) const;
+    /// The lease end for a start order. The lease is not extended while enough of it is left.
+    ServerTime leaseEndForStart(BackendServer& server, SteadyTime now) const;
     /// The longest time from a renewal until the end of the lease, by this daemon's clock.
     Duration longestLease() const;
     /// True when the runs of a server that does not answer are over.
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -66,14 +66,14 @@
     run.orderOpen = true;
     run.startSent = true;
     run.nextOrderAt = now + orderRetryPause;
-    this->extendLease(server, now);
+    const ServerTime leaseEnd = this->leaseEndForStart(server, now);
     if (server.lastProcessedEnd == server.lastStoredEnd)
         server.nextPollAt = std::min(server.nextPollAt, now + orderRetryPause);
     this->effects.push(ServerCall { .server = server.address,
         .order = StartOrder { .task = name,
             .attempt = run.attempt,
             .payload = this->board.jobs.at(name.jobId).record.specification.payload,
-            .leaseEnd = this->leaseEndFor(server, now),
+            .leaseEnd = leaseEnd,
             .token = this->token,
             .checkpoint = run.checkpoint,
             .ticket = run.ticket },
@@ -113,6 +113,7 @@
     if (found == this->board.servers.end() || found->second.unansweredPolls > 0
         || (found->second.pollOpen && !found->second.pollMayWait))
         return;
+    found->second.pollReplaced = found->second.pollReplaced || found->second.pollOpen;
     found->second.pollOpen = false; // its answer is ignored once another poll is sent
     found->second.pollSoon = true;
     found->second.nextPollAt = std::min(found->second.nextPollAt, now);
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -188,3 +188,25 @@
         CHECK(bench.activeTasks("job-" + std::to_string(job)) == 1);
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a start that meets a server which has just fallen silent does not let the jobs there stand still")
+{
+    const Duration phase = GENERATE(0ms, 300ms, 600ms, 900ms, 1200ms, 1500ms); // of the server's polls
+    const Duration lease = GENERATE(6s, 10s);
+    CAPTURE(phase.count(), lease.count());
+    SchedulerBench bench({ .daemons = 1, .maximumLease = lease });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, 120s) });
+    REQUIRE(bench.runUntilActive("job", 1, 2s));
+    FakeServer& silent = bench.serverRunning("job");
+    bench.run(3s + phase);
+    silent.reachable = false;
+    for (int later = 0; later < 20; ++later) {
+        bench.submit("later-" + std::to_string(later), "ordinary", { makeStep(1, 1, 120s) });
+        bench.run(200ms);
+    }
+    while (!silent.active.empty())
+        bench.run(10ms);
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.violations().empty());
+}
