--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -5,6 +5,12 @@
 #include "utils/httpstatus.h"
 
 #include <catch2/catch.hpp>
+#include <cerrno>
+#include <map>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
 
 using namespace WisteriaHill;
 using namespace std::chrono_literals;
@@ -162,3 +168,83 @@
         loop.runOnce();
     CHECK(ended == calls);
 }
+
+TEST_CASE("a commit that was surely not sent is told from one that a silent store may carry out")
+{
+    constexpr std::uint16_t silentPort = 18'453;
+    constexpr Scheduling::Duration timeout { 200 };
+    constexpr int commits = 6;
+    Adapters::EventLoop loop;
+    int arrived = 0;
+    const Adapters::HttpServer silent(loop, { .address = "127.0.0.1", .port = silentPort },
+        [&arrived](Adapters::HttpExchangeId, const Adapters::HttpRequest&) { ++arrived; });
+    Scheduling::StoreClock clock;
+    int failures = 0; // that say something of the route
+    Platform::StoreClient client(loop,
+        { .choose =
+                []() {
+                    return Scheduling::StoreEndpoint { .relay = "peer", .address = "127.0.0.1", .port = silentPort };
+                },
+            .report = [&](const Scheduling::StoreEndpoint&, bool answered) { failures += answered ? 0 : 1; },
+            .direct = {} },
+        clock);
+    std::map<Scheduling::StoreError, int> ends;
+    for (int call = 0; call < commits; ++call)
+        client.commit({ .transaction = { .writes = { { { "jobs", "intake", std::to_string(call) }, "job" } } },
+            .timeout = timeout,
+            .done
+            = [&](const Scheduling::CommitResult& result) { ++ends[std::get<Scheduling::StoreError>(result)]; } });
+    bool over = false;
+    loop.after(timeout + timeout / 2, [&]() { over = true; });
+    while (!over)
+        loop.runOnce();
+    CHECK(arrived == ends[Scheduling::StoreError::Unknown]);
+    CHECK(failures == ends[Scheduling::StoreError::Unknown]);
+    CHECK(ends[Scheduling::StoreError::Rejected] == commits - arrived);
+    CHECK(arrived < commits);
+}
+
+TEST_CASE("calls to a store whose connections are never made end in time, as surely not sent")
+{
+    constexpr std::uint16_t fullPort = 18'454;
+    constexpr Scheduling::Duration timeout { 200 };
+    const int listening = socket(AF_INET, SOCK_STREAM, 0);
+    const int reuse = 1;
+    setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(fullPort), .sin_addr = {}, .sin_zero = {} };
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(listening, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(listen(listening, 0) == 0);
+    std::vector<int> filling; // the kernel drops opening packets once the queue of new connections is full
+    for (int count = 0; count < 3; ++count) {
+        filling.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        const int result = connect(filling.back(), reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+        REQUIRE((result == 0 || errno == EINPROGRESS));
+    }
+    {
+        Adapters::EventLoop loop;
+        Scheduling::StoreClock clock;
+        Platform::StoreClient client(loop,
+            { .choose
+                = []() { return Scheduling::StoreEndpoint { .relay = {}, .address = "127.0.0.1", .port = fullPort }; },
+                .report = [](const Scheduling::StoreEndpoint&, bool) {},
+                .direct = {} },
+            clock);
+        int refused = 0;
+        constexpr int commits = 6;
+        for (int call = 0; call < commits; ++call)
+            client.commit({ .transaction = { .writes = { { { "jobs", "intake", std::to_string(call) }, "job" } } },
+                .timeout = timeout,
+                .done = [&](const Scheduling::CommitResult& result) {
+                    refused += std::get<Scheduling::StoreError>(result) == Scheduling::StoreError::Rejected ? 1 : 0;
+                } });
+        bool over = false;
+        loop.after(timeout + timeout / 2, [&]() { over = true; });
+        while (!over)
+            loop.runOnce();
+        CHECK(refused == commits);
+    }
+    for (const int descriptor : filling)
+        close(descriptor);
+    close(listening);
+}
