While the store is known to be unavailable, states and cancellations are refused at once

Seen by callers: while a daemon knows that calls to the store fail, a GET or DELETE about a job waits 500 to 700 ms for a call that fails too, and then gets 503. Submissions were refused at once. Cause: Intake asked whether the store fails only before submissions and before retries. Change: it asks before the first call too; final states that are known are still answered. Other calls (watches, probes, the leadership) find the store's return.

--- a/src/libs/scheduling/intake.cpp
+++ b/src/libs/scheduling/intake.cpp
@@ -248,7 +248,10 @@
     if (!request)
         return;
     request->cancelling = true;
-    this->readJob(request);
+    if (this->storeFails())
+        this->answerUnknown(*request);
+    else
+        this->readJob(request);
 }
 
 void Intake::sendCancel(const std::shared_ptr<JobRequest>& request)
@@ -284,7 +287,16 @@
         request->answer({ .outcome = CallerOutcome::State, .state = *known->second.finalState });
         return;
     }
-    this->readState(request);
+    if (this->storeFails())
+        this->answerUnknown(*request);
+    else
+        this->readState(request);
+}
+
+void Intake::answerUnknown(const JobRequest& request)
+{
+    this->effects.log(Event::StatusUnknown, { { "job", request.id } });
+    request.answer(storeUnavailable(CallerOutcome::NotReady));
 }
 
 void Intake::readState(const std::shared_ptr<JobRequest>& request)
@@ -298,8 +310,7 @@
                 return;
             }
             if (!page) {
-                this->effects.log(Event::StatusUnknown, { { "job", request->id } });
-                request->answer(storeUnavailable(CallerOutcome::NotReady));
+                this->answerUnknown(*request);
                 return;
             }
             if (page->rows.empty()) {
@@ -340,8 +351,7 @@
             if (!page && this->mayRetry(request->deadline)) {
                 this->readJob(request);
             } else if (!page) {
-                this->effects.log(Event::StatusUnknown, { { "job", request->id } });
-                request->answer(storeUnavailable(CallerOutcome::NotReady));
+                this->answerUnknown(*request);
             } else if (page->rows.empty()) {
                 request->answer({ .outcome = CallerOutcome::UnknownJob, .reason = "no such job" });
             } else {
--- a/src/libs/scheduling/intake.h
+++ b/src/libs/scheduling/intake.h
@@ -106,6 +106,8 @@
     void handleCancelResult(const std::shared_ptr<JobRequest>& request, const CommitResult& result);
     /// Admits a request about a job; null when it was answered with a refusal.
     std::shared_ptr<JobRequest> makeRequest(const CallerContext& context, const std::string& id, AnswerCallback answer);
+    /// Answers that the state of the job can't be read now.
+    void answerUnknown(const JobRequest& request);
     void readState(const std::shared_ptr<JobRequest>& request);
     void handleState(const std::shared_ptr<JobRequest>& request, JobState state);
     void readJob(const std::shared_ptr<JobRequest>& request);
--- a/tests/auto/scheduling/tst_intake.cpp
+++ b/tests/auto/scheduling/tst_intake.cpp
@@ -152,6 +152,29 @@
     CHECK(bench.now == begin);
 }
 
+TEST_CASE(
+    "while the store is known to be unavailable states and cancellations are refused at once, without a call to it")
+{
+    IntakeBench bench;
+    bench.submit();
+    bench.storeState(JobState::Running);
+    bench.storeFails = true;
+    const SteadyTime begin = bench.now;
+    for (const CallerAnswer& answer : { bench.state(), bench.cancel() }) {
+        CHECK(answer.outcome == CallerOutcome::NotReady);
+        CHECK(answer.retryAfter > 0ms);
+    }
+    CHECK(bench.reads == 0);
+    CHECK(bench.now == begin);
+    CHECK_FALSE(bench.cancelIsStored());
+
+    bench.storeFails = false;
+    bench.storeState(JobState::Completed);
+    CHECK(bench.state().state == JobState::Completed);
+    bench.storeFails = true; // a final state is known without the store
+    CHECK(bench.state().outcome == CallerOutcome::State);
+}
+
 TEST_CASE("an unanswered submission is not retried once the store is known to be unavailable")
 {
     IntakeBench bench;
--- a/tests/auto/soak/tst_silentstore.cpp
+++ b/tests/auto/soak/tst_silentstore.cpp
@@ -175,3 +175,23 @@
         CHECK(refused > 0);
     });
 }
+
+TEST_CASE("once calls to the store are known to fail, calls are refused at once")
+{
+    SilentStoreFixture fixture;
+    fixture.run([&](const asio::yield_context& yield) {
+        constexpr Duration atOnce { 500 }; // less than the time-out of a call to the store
+        fixture.waitUntilReady(yield);
+        fixture.fleet->signalStore(SIGSTOP);
+        fixture.sendCalls(10);
+        fixture.waitForAnswers(yield);
+        fixture.answers.clear();
+        fixture.sendCalls(60);
+        fixture.waitForAnswers(yield);
+        for (const Answer& answer : fixture.answers) {
+            INFO(answer.method << ' ' << answer.id);
+            CHECK(answer.response.status == HttpStatus::unavailable);
+            CHECK(answer.took < atOnce);
+        }
+    });
+}
