A task whose start was never sent is placed anew as soon as its server does not answer

A run is placed on a server that falls silent while the placement is stored, or while a task under which a server crashed waits for a look at it. Nothing can have started, so the task is free at once.

--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -48,6 +48,11 @@
     // A start that meets a dead server looks like a crash under the task.
     const bool suspect = task->crashes > 0 && now - server.clockReadAt > answerFreshness;
     const bool lookNeeded = suspect || (run.startUnanswered && server.clockReadAt <= run.unansweredAt);
+    if (server.unansweredPolls > 0 && !run.startSent) {
+        this->tracker.runLost(name, RunLoss::NeverStarted, now);
+        this->changed = true;
+        return;
+    }
     // A poll must show first what runs there. A server that has restarted does not refuse the start of a former leader,
     // so that a leader starts nothing once another daemon may have claimed the leadership.
     if (!server.fenced || server.incarnation == 0 || server.unansweredPolls > 0 || lookNeeded
