Idle time counts from the last sign of life of a run, for each task that lasts by itself

Now an end that a server had to list at once counts as old as the server's last answer. - A run on a server that is dead counted as running until the lease was over. It counts for 2 s after the server last listed it; polls take 1.5 s. - A task that lasts began to wait anew with each refused start: 6 refusals in 6 s and no run. Its wait counts from its last run, and the task that is idle for the longest time goes first.

--- a/src/libs/scheduling/board.cpp
+++ b/src/libs/scheduling/board.cpp
@@ -4,14 +4,6 @@
 
 namespace WisteriaHill::Scheduling {
 
-namespace {
-
-/// A run that its server has not listed for longer than this may have ended long before its end is known. Polls take
-/// less.
-constexpr Duration longestListingInterval { 2500 };
-
-} // namespace
-
 std::string outlookName(Outlook outlook)
 {
     switch (outlook) {
@@ -32,20 +24,15 @@
     return std::chrono::duration_cast<Duration>(now - *this->activeSince);
 }
 
-SteadyTime Run::lastKnownRunning(SteadyTime now) const
-{
-    return now - this->listedAt > longestListingInterval ? this->listedAt : now;
-}
-
 Utils::Json ranMs(const Run& run, SteadyTime now)
 {
     const std::optional<Duration> ran = run.ranFor(now);
     return ran ? Utils::Json(ran->count()) : Utils::Json();
 }
 
-bool Job::hasConfirmedRun(SteadyTime startingSince) const
+bool Job::isRunning(SteadyTime listedSince, SteadyTime startingSince) const
 {
-    const auto isConfirmed = [&](const Task& task) {
+    const auto hasRun = [&](const Task& task) {
         if (!task.run)
             return false;
         const Run& run = *task.run;
@@ -54,15 +41,14 @@
         case RunPhase::Ordered:
             return run.phaseSince > startingSince;
         case RunPhase::Active:
-            return true;
         case RunPhase::Stopping:
-            return run.activeSince || run.adopted;
+            return run.listedAt > listedSince;
         }
         return false;
     };
     return std::ranges::any_of(this->occurrences, [&](const auto& entry) {
         return std::ranges::any_of(entry.second.steps,
-            [&](const Step& step) { return step.running > 0 && std::ranges::any_of(step.tasks, isConfirmed); });
+            [&](const Step& step) { return step.running > 0 && std::ranges::any_of(step.tasks, hasRun); });
     });
 }
 
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -63,10 +63,6 @@
 
     /// Time since the server confirmed the run; unset when that time is unknown.
     std::optional<Duration> ranFor(SteadyTime now) const;
-
-    /// When a run that is over at `now` is last known to have been running; long ago when its server never confirmed
-    /// it.
-    SteadyTime lastKnownRunning(SteadyTime now) const;
 };
 
 /// Run::ranFor() in milliseconds, for logs; null when unset.
@@ -93,6 +89,7 @@
     std::optional<Run> run; ///< current run; set while the phase is Running
     SteadyTime heldUntil {}; ///< the task is not placed before; a gang with such a member is not placed either
     SteadyTime waitingSince {};
+    SteadyTime lastRunAt {}; ///< latest time at which an ended or lost run is known to have been running
 };
 
 /// Permission by the placement advice to run a step's tasks on one server.
@@ -157,9 +154,9 @@
             || this->state == JobState::Cancelled;
     }
 
-    /// True when a server has confirmed a run of the job that is not known to have ended, or when a run was placed, or
-    /// its start was ordered, after `startingSince`.
-    bool hasConfirmedRun(SteadyTime startingSince) const;
+    /// True when a server has listed or confirmed a run of the job after `listedSince` that is not known to have ended,
+    /// or when a run was placed, or its start was ordered, after `startingSince`.
+    bool isRunning(SteadyTime listedSince, SteadyTime startingSince) const;
 };
 
 /// A backend server as described by its entry in the store and its poll answers.
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -21,6 +21,12 @@
     return job.record.specification.steps.at(static_cast<std::size_t>(step));
 }
 
+void noteRunning(Job& job, Task& task, SteadyTime time)
+{
+    task.lastRunAt = std::max(task.lastRunAt, time);
+    job.lastRunAt = std::max(job.lastRunAt, time);
+}
+
 bool stepIsDone(const Step& step) { return step.done == static_cast<int>(step.tasks.size()); }
 
 } // namespace
@@ -269,7 +275,8 @@
     Occurrence& occurrence = job.occurrences.at(ended.task.occurrence);
     Step& step = occurrence.stepAt(ended.task.step);
     const StepSpecification& specification = specificationOf(job, ended.task.step);
-    job.lastRunAt = std::max(job.lastRunAt, task->run->lastKnownRunning(now));
+    // An end that its server had to list at once may be as old as the last answer.
+    noteRunning(job, *task, server.pollMayWait ? now : task->run->listedAt);
     this->markDirty(ended.task);
     if (!ended.checkpoint.empty())
         (specification.gang ? step.tasks.front() : *task).checkpoint = ended.checkpoint;
@@ -454,7 +461,7 @@
     this->effects.log(Event::RunLost,
         { { "task", formatTaskName(name) }, { "attempt", task->run->attempt }, { "server", task->run->server },
             { "reason", runLossName(loss) }, { "stopReason", task->run->stopReason } });
-    job.lastRunAt = std::max(job.lastRunAt, task->run->lastKnownRunning(now));
+    noteRunning(job, *task, task->run->listedAt);
     this->markDirty(name);
     this->requeue(name, occurrence.stepAt(name.step), *task, now);
     if (specificationOf(job, name.step).gang)
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -23,6 +23,8 @@
 constexpr Duration lastAttemptWaitLimit { 3000 };
 /// A run that was placed within this time is about to start.
 constexpr Duration startPeriod { 500 };
+/// A server that has not listed a run for longer may be dead; polls take up to 1.5 s.
+constexpr Duration listingPeriod { 2000 };
 /// Limit for the searches for servers to preempt in one pass, since each examines every run of a service.
 constexpr int preemptionSearchesPerPass = 8;
 
@@ -113,13 +115,10 @@
 {
     const SteadyTime now = pass.time();
     if (pending.specification->longRunning)
-        return std::ranges::any_of(pending.waitingTasks, [&](int index) {
-            return now - pending.state->tasks[static_cast<std::size_t>(index)].waitingSince
-                >= this->options.lastingIdleLimit;
-        });
+        return now - idleSince(pending) >= this->options.lastingIdleLimit;
     return now - idleSince(pending) >= this->options.idleLimit
         && this->reserve.loadOf(pending.queue->service).mayBeMostlyIdle()
-        && !pending.job->hasConfirmedRun(now - startPeriod);
+        && !pending.job->isRunning(now - listingPeriod, now - startPeriod);
 }
 
 std::vector<std::size_t> Planner::preferNotFailed(
@@ -286,7 +285,7 @@
             .mayUseReserved = this->mayUseReserved(pending),
             .prefersUnreserved
             = pending.urgency == Urgency::Ordinary && this->reserve.loadOf(pending.queue->service).mostlyIdle() });
-    const std::size_t placed = this->addStarts(pass, pending, choice, plan);
+    const std::size_t placed = addStarts(pass, pending, pending.waitingTasks, choice, plan);
     if (placed < choice.size())
         return placed == 0 ? PlacementOutcome::None : PlacementOutcome::Some;
     std::erase_if(this->preemptions, [&](const auto& entry) { return entry.second.jobId == pending.job->record.id; });
@@ -310,14 +309,15 @@
                 .allOrNone = step.gang,
                 .anyRack = true,
                 .prefersUnreserved = true });
-    if (this->addStarts(pass, pending, choice, plan) > 0)
+    const std::vector<int> tasks = step.gang ? pending.waitingTasks : std::vector { longestIdleTask(pending) };
+    if (addStarts(pass, pending, tasks, choice, plan) > 0)
         return true;
     if (isUnconstrained(pending))
         this->failedDemands.push_back(demand);
     return false;
 }
 
-std::size_t Planner::addStarts(const PlanningPass& pass, const PendingStep& pending,
+std::size_t Planner::addStarts(const PlanningPass& pass, const PendingStep& pending, const std::vector<int>& tasks,
     const std::vector<std::optional<std::size_t>>& choice, Plan& plan)
 {
     std::size_t placed = 0;
@@ -325,7 +325,7 @@
         if (!choice[index])
             continue;
         ++placed;
-        plan.starts.push_back({ pending.taskName(pending.waitingTasks[index]), pass.servers[*choice[index]].id });
+        plan.starts.push_back({ pending.taskName(tasks[index]), pass.servers[*choice[index]].id });
     }
     return placed;
 }
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -156,7 +156,10 @@
     /// True while the job's last attempt waits for a server on which runs succeed.
     static bool waitsForSuccess(const PlanningPass& pass, const PendingStep& pending);
     bool isPreemptedForOthers(const std::string& server, const PendingStep& pending) const;
-    /// Since when the step could have run, and nothing of its job is known to have been running.
+    /// The waiting task that has been without a run for the longest time; its index in the step.
+    static int longestIdleTask(const PendingStep& pending);
+    /// Since when the step could have run, and nothing of its job, or of a task that lasts, is known to have been
+    /// running.
     static SteadyTime idleSince(const PendingStep& pending);
     /// What keeps the step from a server that has room for one of its tasks.
     WaitReason exclusionOf(const PlanningPass& pass, const PendingStep& pending, std::size_t index, bool anyRack) const;
@@ -168,7 +171,9 @@
     PlacementOutcome tryPlace(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
     /// Plans the start of one waiting task, or of a whole gang, on whatever servers have room. False when none has.
     bool placeAnywhere(PlanningPass& pass, const PendingStep& pending, Plan& plan);
-    std::size_t addStarts(const PlanningPass& pass, const PendingStep& pending,
+    /// Plans the starts of tasks for which a server was chosen. Returns their number. Precondition: `choice` has an
+    /// entry for each of `tasks`.
+    static std::size_t addStarts(const PlanningPass& pass, const PendingStep& pending, const std::vector<int>& tasks,
         const std::vector<std::optional<std::size_t>>& choice, Plan& plan);
     void handleUnplaced(PlanningPass& pass, const PendingStep& pending, bool anyRack, Plan& plan);
     bool preemptFor(PlanningPass& pass, const PendingStep& pending, bool inOneRack, Plan& plan);
--- a/src/libs/scheduling/plannerwaits.cpp
+++ b/src/libs/scheduling/plannerwaits.cpp
@@ -48,9 +48,18 @@
     return "unknown";
 }
 
+int Planner::longestIdleTask(const PendingStep& pending)
+{
+    return std::ranges::min(pending.waitingTasks, {},
+        [&](int index) { return pending.state->tasks[static_cast<std::size_t>(index)].lastRunAt; });
+}
+
 SteadyTime Planner::idleSince(const PendingStep& pending)
 {
-    return std::max(pending.job->lastRunAt, pending.state->turnSince);
+    const SteadyTime lastRunAt = pending.specification->longRunning
+        ? pending.state->tasks[static_cast<std::size_t>(longestIdleTask(pending))].lastRunAt
+        : pending.job->lastRunAt;
+    return std::max(lastRunAt, pending.state->turnSince);
 }
 
 WaitReason Planner::exclusionOf(
@@ -88,7 +97,7 @@
     }
     const auto idle = std::chrono::duration_cast<Duration>(now - idleSince(pending));
     if (this->reportsLeft == 0 || idle < waitReportDelay || now - pending.state->waitReportedAt < waitReportInterval
-        || (pending.job->hasConfirmedRun(now) && !pending.specification->longRunning))
+        || (!pending.specification->longRunning && pending.job->isRunning(now - waitReportDelay, now)))
         return;
     --this->reportsLeft;
     StepWait wait { .step = pending.taskName(0), .waitingTasks = pending.waitingTasks.size(), .idle = idle };
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -233,3 +233,72 @@
     CHECK(bench.runUntilActive("job", 1, standstillLimit));
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a job does not stand still after an end that is known late because one poll was lost")
+{
+    const Duration phase = GENERATE(0ms, 200ms, 400ms, 600ms, 800ms, 1000ms, 1200ms, 1400ms); // of the server's polls
+    CAPTURE(phase.count());
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 4, 60s) });
+    REQUIRE(bench.runUntilActive("job", 1, 2s));
+    failRun(bench, "job");
+    REQUIRE(bench.runUntilActive("job", 1, standstillLimit));
+    bench.run(4s + phase);
+    FakeServer& server = bench.serverRunning("job");
+    server.answersToLose = 1;
+    server.end(server.active.begin()->first, RunEnd::Failed);
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a job does not stand still while the server of its only run is dead and its other task prefers others")
+{
+    SchedulerBench bench({ .daemons = 1, .racks = 3 });
+    bench.run(2s);
+    occupyServers(bench, 8);
+    const std::vector<FakeServer*> empty = emptyServers(bench);
+    REQUIRE(empty.size() == 4);
+    bench.run(6s);
+    for (std::size_t index = 1; index < empty.size(); ++index)
+        empty[index]->restart();
+    bench.run(5500ms);
+    bench.submit("job", "ordinary", { makeStep(2, 8, 120s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    FakeServer& server = bench.serverRunning("job");
+    bench.run(300ms);
+    REQUIRE(bench.activeTasks("job") == 1);
+    server.alive = false;
+    server.active.clear();
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a task that lasts does not stand still while a server that it prefers refuses its start again and again")
+{
+    SchedulerBench bench({ .daemons = 1, .racks = 4 });
+    bench.run(2s);
+    bench.submit("occupant", "ordinary", { makeStep(13, 8, 120s) });
+    REQUIRE(bench.runUntilActive("occupant", 13, 2s));
+    bench.submit("other", "ordinary", { makeStep(2, 8, 120s) });
+    REQUIRE(bench.runUntilActive("other", 2, 2s));
+    const std::vector<FakeServer*> empty = emptyServers(bench);
+    REQUIRE(empty.size() == 1);
+    bench.putEntryAsOfNow(*empty.front());
+    empty.front()->entry.capacity.accelerators = 4; // less than its entry says
+    bench.run(1s);
+    std::vector<FakeServer*> others;
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        FakeServer& server = bench.server(index);
+        if (!server.active.empty() && server.active.begin()->first.jobId == "other")
+            others.push_back(&server);
+    }
+    REQUIRE(others.size() == 2);
+    for (FakeServer* server : others)
+        server->restart();
+    bench.cancel("other");
+    bench.run(1700ms);
+    bench.submit("lasting", "ordinary", { makeLastingStep(8) });
+    CHECK(bench.runUntilActive("lasting", 1, lastingStandstillLimit));
+    CHECK(bench.violations().empty());
+}
