A run whose start no poll has listed is given up only when its own lease is over

Runs that no answer has listed are kept until the full lease after the last start sent to the server.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -55,6 +55,7 @@
     bool orderOpen = false; ///< a start or stop order awaits its answer
     SteadyTime nextOrderAt {};
     bool startSent = false; ///< a start order was sent; set for adopted runs too
+    bool listed = false; ///< the answer to a poll has listed the run
     bool startUnanswered = false; ///< a start order got no answer, and the server may still execute it
     SteadyTime unansweredAt {}; ///< when the last start order without an answer was given up
     std::optional<SteadyTime> stopConfirmedAt; ///< when the server confirmed that it will not start the run any more
@@ -190,6 +191,9 @@
     bool fenced = false; ///< the server has answered a poll under the current token
     bool pollReplaced = false; ///< the next poll replaces an open one, whose answer is not awaited any more
     ServerTime grantedUntil { 0 }; ///< latest lease end, on the server's clock, that orders of this term have granted
+    /// The end of the lease of runs that the server has not listed: if it has restarted unnoticed, it measures their
+    /// lease from the arrival of the start order.
+    SteadyTime unlistedLeaseEnd {};
     SteadyTime leaseEnd {}; ///< without a further order the server runs nothing after this time
     std::map<TaskName, Resources> occupants; ///< runs placed on the server, including those being stopped
     std::set<std::string> failedJobs; ///< distinct jobs whose runs failed on the server since its last success
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -149,8 +149,14 @@
     for (auto entry = this->board.servers.begin(); entry != this->board.servers.end();) {
         BackendServer& server = entry->second;
         const bool silent = server.unansweredPolls > 0 || server.address.port == 0;
-        if (silent && !server.occupants.empty() && this->leasesAreOver(server, now))
-            this->markRunsLost(server, RunLoss::ServerGone, now);
+        if (silent && !server.occupants.empty() && this->leasesAreOver(server, now)) {
+            std::map<TaskName, Resources> unlisted;
+            if (now <= server.unlistedLeaseEnd)
+                unlisted = this->extractUnlistedRuns(server);
+            if (!server.occupants.empty())
+                this->markRunsLost(server, RunLoss::ServerGone, now);
+            server.occupants.merge(unlisted);
+        }
         if (!server.present && server.occupants.empty() && !server.pollOpen && now > server.leaseEnd)
             entry = this->board.servers.erase(entry);
         else
@@ -158,6 +164,20 @@
     }
 }
 
+std::map<TaskName, Resources> ServerMonitor::extractUnlistedRuns(BackendServer& server)
+{
+    std::map<TaskName, Resources> unlisted;
+    for (auto occupant = server.occupants.begin(); occupant != server.occupants.end();) {
+        const auto next = std::next(occupant);
+        const Task* task = this->board.findTask(occupant->first);
+        if (task && task->run && task->run->server == server.address.id && task->run->startSent && !task->run->listed
+            && !task->run->adopted)
+            unlisted.insert(server.occupants.extract(occupant));
+        occupant = next;
+    }
+    return unlisted;
+}
+
 void ServerMonitor::acknowledgeEnds(
     const std::string& id, std::int64_t number, std::int64_t incarnation, SteadyTime now)
 {
@@ -416,6 +436,7 @@
     Run& run = *task->run;
     this->tracker.runConfirmed(active.task, now);
     run.listedAt = now;
+    run.listed = true;
     if (!active.checkpoint.empty()) {
         const StepSpecification& step = this->board.stepOf(active.task);
         Task& checkpointOwner = step.gang
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -94,6 +94,8 @@
     void handleStopResult(const TaskName& name, int attempt, const OrderResult& result);
     void markRunsLost(BackendServer& server, RunLoss loss, SteadyTime now);
     void expireServers(SteadyTime now);
+    /// Removes and returns the occupants whose starts were sent and that no answer to a poll has listed.
+    std::map<TaskName, Resources> extractUnlistedRuns(BackendServer& server);
     /// Ends the runs of a server that does not answer and whose machine has another server now.
     void endReplaced(BackendServer& server, SteadyTime now);
     ServerTime leaseEndFor(const BackendServer& server, SteadyTime now) const;
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -72,6 +72,7 @@
     run.startSent = true;
     run.nextOrderAt = now + orderRetryPause;
     const ServerTime leaseEnd = this->leaseEndForStart(server, now);
+    server.unlistedLeaseEnd = now + this->longestLease();
     if (server.lastProcessedEnd == server.lastStoredEnd)
         server.nextPollAt = std::min(server.nextPollAt, now + orderRetryPause);
     this->effects.push(ServerCall { .server = server.address,
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -302,3 +302,22 @@
     CHECK(bench.runUntilActive("lasting", 1, lastingStandstillLimit));
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a start at a server that has restarted unnoticed is not given up before its lease is over")
+{
+    const Duration phase = GENERATE(0ms, 200ms, 400ms, 600ms, 800ms, 1000ms, 1200ms, 1400ms);
+    CAPTURE(phase.count());
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    bench.submit("resident", "ordinary", { makeStep(1, 1, 120s) });
+    REQUIRE(bench.runUntilActive("resident", 1, 2s));
+    FakeServer& server = bench.serverRunning("resident");
+    bench.run(6s + phase);
+    server.restart();
+    bench.submit("job", "ordinary", { makeStep(1, 1, 120s) });
+    if (!bench.runUntilActive("job", 1, 300ms))
+        return;
+    server.reachable = false;
+    bench.run(9s);
+    CHECK(bench.violations().empty());
+}
