'Mostly idle' counts all servers of a service, and cores where there are no accelerators

For the bound on preferences, the use was that of servers that get new work, the capacity that of all: right after a takeover, or with half of a full service cut off, a full service passed as idle.

The first part has no test of its own.

--- a/src/libs/scheduling/urgentreserve.cpp
+++ b/src/libs/scheduling/urgentreserve.cpp
@@ -21,8 +21,15 @@
 {
     this->load.clear();
     for (const auto& [id, server] : pass.state().servers) {
-        if (server.present)
-            this->load[server.service].registered += server.capacity.accelerators;
+        if (!server.present)
+            continue;
+        ServiceLoad& service = this->load[server.service];
+        service.registered += server.capacity.accelerators;
+        service.registeredMilliCores += server.capacity.milliCores;
+        for (const auto& [name, need] : server.occupants) {
+            service.usedOfRegistered += need.accelerators;
+            service.usedMilliCores += need.milliCores;
+        }
     }
     for (const BackendServer* server : pass.boardServers) {
         ServiceLoad& service = this->load[server->service];
--- a/src/libs/scheduling/urgentreserve.h
+++ b/src/libs/scheduling/urgentreserve.h
@@ -11,15 +11,24 @@
 /// Numbers of accelerators of a service.
 struct ServiceLoad {
     std::int64_t capacity = 0;
-    std::int64_t registered = 0; ///< capacity with that of servers that are draining or do not answer
+    /// The same with the servers that are draining or do not answer.
+    std::int64_t registered = 0;
+    std::int64_t usedOfRegistered = 0;
+    std::int64_t registeredMilliCores = 0;
+    std::int64_t usedMilliCores = 0; ///< of registeredMilliCores
     std::int64_t used = 0;
     std::int64_t urgent = 0; ///< used by jobs of priority 0, or needed by urgent steps that wait and can be on time
 
     /// True when less than half of the accelerators are in use.
     bool mostlyIdle() const { return this->used * 2 < this->capacity; }
 
-    /// The same, if servers that get no work now count as idle.
-    bool mayBeMostlyIdle() const { return this->used * 2 < this->registered; }
+    /// True when less than half of the accelerators are in use, or of the cores in a service without accelerators, on
+    /// all servers, also on those that get no new work now.
+    bool mayBeMostlyIdle() const
+    {
+        return this->registered > 0 ? this->usedOfRegistered * 2 < this->registered
+                                    : this->usedMilliCores * 2 < this->registeredMilliCores;
+    }
 };
 
 /// Reserves whole racks for about the recent peak of urgent work. Without a reserve, each urgent gang of a burst
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -321,3 +321,20 @@
     bench.run(9s);
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a job does not stand still before its last attempt in a service without accelerators")
+{
+    SchedulerBench bench({ .daemons = 1 });
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        bench.server(index).entry.capacity.accelerators = 0;
+        bench.putEntry(bench.server(index));
+    }
+    bench.run(3s);
+    bench.submit("job", "ordinary", { makeStep(1, 0, 5s) });
+    REQUIRE(bench.runUntilActive("job", 1, 2s));
+    failRun(bench, "job");
+    REQUIRE(bench.runUntilActive("job", 1, standstillLimit));
+    bench.run(1s);
+    failRun(bench, "job");
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+}
