After three crashes a task is started twice more, however its runs end

Cause: the bound was five crashes; the rule counts starts. A run after the third crash that ended in another way, in the history a gang that broke as a server crashed under another member, was a start that nothing counted. Ruled out: a count lost with the leader (one leader through all six starts); suspicion alone (4 of 6 after four crashes, as two of them had later starts on the same server, which is right). Change: runs that end in any way but as done after three crashes are counted in the task's row; two of them end the job. Starts that were never carried out do not count; a run of a minute clears the count.

--- a/src/libs/scheduling/attemptlimit.cpp
+++ b/src/libs/scheduling/attemptlimit.cpp
@@ -4,6 +4,20 @@
 
 namespace {
 
+constexpr int crashesBeforeLastRuns = 3;
+constexpr int lastRuns = 2;
+
+const Task& taskOf(const Job& job, const TaskName& name)
+{
+    const Step& step = job.occurrences.at(name.occurrence).steps.at(static_cast<std::size_t>(name.step));
+    return step.tasks.at(static_cast<std::size_t>(name.index));
+}
+
+bool hasUsedLastRuns(const Task& task)
+{
+    return task.crashes >= crashesBeforeLastRuns && task.runsAfterCrashes >= lastRuns;
+}
+
 int failuresOf(const Job& job, const TaskName& name)
 {
     const Step& step = job.occurrences.at(name.occurrence).steps.at(static_cast<std::size_t>(name.step));
@@ -15,6 +29,8 @@
 
 bool hasUsedAttempts(const Job& job, const TaskName& task)
 {
+    if (hasUsedLastRuns(taskOf(job, task)))
+        return true;
     const int limit = job.queue ? job.queue->maximumAttempts : 0;
     const bool longRunning = job.record.specification.steps.at(static_cast<std::size_t>(task.step)).longRunning;
     return limit > 0 && !longRunning && failuresOf(job, task) >= limit;
@@ -35,8 +51,27 @@
     return std::nullopt;
 }
 
+void countRunAfterCrashes(Task& task, SteadyTime now)
+{
+    if (task.run->lastKnownRunning(now) - task.run->orderedAt >= provenRunTime)
+        clearCrashes(task);
+    else if (task.crashes >= crashesBeforeLastRuns)
+        ++task.runsAfterCrashes;
+}
+
+void clearCrashes(Task& task)
+{
+    task.crashes = 0;
+    task.suspicion = 0;
+    task.runsAfterCrashes = 0;
+}
+
 std::string exhaustionReason(const Job& job, const TaskName& task)
 {
+    if (const Task& exhausted = taskOf(job, task); hasUsedLastRuns(exhausted))
+        return std::to_string(exhausted.crashes) + " backend servers crashed under task " + formatTaskName(task)
+            + ", and none of " + std::to_string(exhausted.runsAfterCrashes)
+            + " runs after the third crash ended as done";
     return "task " + formatTaskName(task) + " failed " + std::to_string(failuresOf(job, task)) + " times";
 }
 
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -87,6 +87,7 @@
     int failures = 0; ///< number of runs that failed by themselves; a gang counts in its first task
     int crashes = 0; ///< number of server crashes under a run of the task
     int suspicion = 0; ///< that the task's start causes the crashes; CrashController weighs them
+    int runsAfterCrashes = 0; ///< that have ended, but not as done, after servers had crashed under the task
     std::vector<LostRun> lostRuns; ///< oldest first; each until its server answers again
     int stalls = 0; ///< number of runs stopped for lack of progress; a gang counts in its first task
     std::string checkpoint; ///< newest known checkpoint; a gang keeps it in its first task
--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/crashcontroller.h"
 
+#include "scheduling/attemptlimit.h"
+
 #include <algorithm>
 #include <string_view>
 
@@ -24,8 +26,6 @@
 constexpr Duration immediateCrashPeriod { 250 };
 /// Bound for tasks that crash servers some time after their start, or beside other runs that are suspect.
 constexpr int maximumCrashes = 5;
-/// A run that lasted for this long clears its task.
-constexpr Duration provenRunTime { 60'000 };
 constexpr Duration massRestartPeriod { 2000 };
 constexpr std::size_t massRestartServers = 5;
 constexpr std::size_t massRestartPercent = 10; ///< of the servers, if that is more
@@ -71,12 +71,6 @@
         suspects.front()->suspicion = suspicionOfOnlySuspect;
 }
 
-void clearCounts(Task& task)
-{
-    task.crashes = 0;
-    task.suspicion = 0;
-}
-
 } // namespace
 
 void CrashController::begin()
@@ -127,7 +121,7 @@
     for (const ExposedRun& run : this->exposedRuns(server, none, server.clockReadAt)) {
         Task& task = *this->board.findTask(run.name);
         if (run.age >= provenRunTime)
-            clearCounts(task);
+            clearCrashes(task);
         task.lostRuns.push_back(
             { .server = server.address.id, .incarnation = run.incarnation, .suspicion = run.suspicion });
         this->lost[server.address.id].insert(run.name);
@@ -300,7 +294,7 @@
     if (job.ended())
         return;
     if (run.age >= provenRunTime)
-        clearCounts(*task);
+        clearCrashes(*task);
     const Verdict verdict = this->verdictOn(server, run);
     const bool longRunning = this->board.stepOf(run.name).longRunning;
     ++task->crashes;
@@ -320,6 +314,8 @@
     if (task->suspicion >= maximumSuspicion || task->crashes >= maximumCrashes)
         this->tracker.giveUp(job,
             std::to_string(task->crashes) + " backend servers crashed under task " + formatTaskName(run.name), now);
+    else if (hasUsedAttempts(job, run.name))
+        this->tracker.giveUp(job, exhaustionReason(job, run.name), now);
 }
 
 void CrashController::separateSuspects(const std::vector<ExposedRun>& runs, SteadyTime now)
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -242,12 +242,11 @@
     Task* task = this->board.findTask(name);
     if (!task || !task->run || task->run->phase != RunPhase::Ordered)
         return;
-    task->run->phase = RunPhase::Active;
-    task->run->phaseSince = now;
-    task->run->listedAt = now;
-    task->run->progressedAt = now;
-    if (!task->run->adopted)
-        task->run->activeSince = now;
+    Run& run = *task->run;
+    run.phase = RunPhase::Active;
+    run.phaseSince = run.listedAt = run.progressedAt = now;
+    if (!run.adopted)
+        run.activeSince = now;
     Job& job = this->board.jobs.at(name.jobId);
     job.begun = true;
     this->updateJob(job, now);
@@ -297,9 +296,12 @@
     }
     if (ended.end == RunEnd::Failed) {
         this->assessServer(server, job, now);
-        this->countFailure(ended.task, job, step, *task, now);
+        countFailure(ended.task, job, step, *task);
     }
+    countRunAfterCrashes(*task, now);
     this->requeue(ended.task, step, *task, now);
+    if (hasUsedAttempts(job, ended.task))
+        this->giveUp(job, exhaustionReason(job, ended.task), now);
     if (specification.gang)
         this->stopGang(ended.task, "another member ended", now);
     this->updateJob(job, now);
@@ -413,18 +415,14 @@
     job.begun = true;
 }
 
-void JobTracker::countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now)
+void JobTracker::countFailure(const TaskName& name, const Job& job, Step& step, Task& task)
 {
-    if (specificationOf(job, name.step).gang) {
-        // Several members that fail in one attempt count as one failure of the gang.
-        if (step.lastFailedAttempt != task.run->attempt)
-            ++step.tasks.front().failures;
+    const bool gang = specificationOf(job, name.step).gang;
+    // Several members that fail in one attempt count as one failure of the gang.
+    if (!gang || step.lastFailedAttempt != task.run->attempt)
+        ++(gang ? step.tasks.front() : task).failures;
+    if (gang)
         step.lastFailedAttempt = task.run->attempt;
-    } else {
-        ++task.failures;
-    }
-    if (hasUsedAttempts(job, name))
-        this->endJob(job, JobState::Failed, exhaustionReason(job, name), now);
 }
 
 void JobTracker::requeue(const TaskName& name, Step& step, Task& task, SteadyTime now)
@@ -456,7 +454,12 @@
             { "reason", runLossName(loss) }, { "stopReason", task->run->stopReason } });
     job.lastRunAt = std::max(job.lastRunAt, task->run->lastKnownRunning(now));
     this->markDirty(name);
+    if (loss != RunLoss::NeverStarted)
+        countRunAfterCrashes(*task, now);
     this->requeue(name, occurrence.stepAt(name.step), *task, now);
+    // A restart may be another crash: it is counted first.
+    if (loss != RunLoss::ServerRestarted && hasUsedAttempts(job, name))
+        this->giveUp(job, exhaustionReason(job, name), now);
     if (specificationOf(job, name.step).gang)
         this->stopGang(name, "another member was lost", now);
     this->updateJob(job, now);
--- a/src/libs/scheduling/jobtracker.h
+++ b/src/libs/scheduling/jobtracker.h
@@ -86,7 +86,7 @@
     void finish(Job& job, Occurrence& occurrence, int step, Task& task, SteadyTime now);
     void finishTask(Job& job, Occurrence& occurrence, int step, Task& task);
     void finishGang(Job& job, Occurrence& occurrence, int step);
-    void countFailure(const TaskName& name, Job& job, Step& step, Task& task, SteadyTime now);
+    static void countFailure(const TaskName& name, const Job& job, Step& step, Task& task);
     /// Marks a task as done by a run that had been given up because its server was unreachable.
     void acceptLateSuccess(const std::string& server, const TaskName& name, int attempt, SteadyTime now);
     /// Decides, after a failed run of the job, whether the server is avoided.
--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -103,6 +103,8 @@
         Json counts { { "crashes", task.crashes }, { "suspicion", task.suspicion } };
         for (const LostRun& run : task.lostRuns)
             counts["lost"].push_back({ run.server, run.incarnation, run.suspicion });
+        if (task.runsAfterCrashes > 0)
+            counts["runsAfter"] = task.runsAfterCrashes;
         if (lastFailedAttempt > 0)
             counts["failedAttempt"] = lastFailedAttempt;
         json.push_back(std::move(counts));
@@ -115,6 +117,7 @@
     step.lastFailedAttempt = json.value("failedAttempt", step.lastFailedAttempt);
     task.crashes = json.at("crashes").get<int>();
     task.suspicion = json.at("suspicion").get<int>();
+    task.runsAfterCrashes = json.value("runsAfter", 0);
     for (const Json& run : json.value("lost", Json::array()))
         task.lostRuns.push_back({ .server = run.at(0).get<std::string>(),
             .incarnation = run.at(1).get<std::int64_t>(),
--- a/tests/auto/scheduling/tst_rowcodec.cpp
+++ b/tests/auto/scheduling/tst_rowcodec.cpp
@@ -50,6 +50,7 @@
     task.checkpoint = "c";
     task.crashes = 2;
     task.suspicion = 5;
+    task.runsAfterCrashes = 1;
     task.run = Run { .attempt = 4, .server = "s", .incarnation = 9, .checkpoint = "c" };
     Task& waiting = occurrence.steps[0].tasks[0];
     waiting.attempts = 1;
@@ -66,6 +67,7 @@
     CHECK(read.steps[0].tasks[0].phase == TaskPhase::Waiting);
     CHECK(read.steps[0].tasks[1].crashes == 2);
     CHECK(read.steps[0].tasks[1].suspicion == 5);
+    CHECK(read.steps[0].tasks[1].runsAfterCrashes == 1);
     REQUIRE(read.steps[0].tasks[0].lostRuns.size() == 2);
     CHECK(read.steps[0].tasks[0].lostRuns[0].server == "gone");
     CHECK(read.steps[0].tasks[0].lostRuns[0].incarnation == 7);
