Emulator: work of jobs that may be given up counts in the time until all must be ended

Seen: breaks LOST (job-0, job-2, job-4 have not ended) on a fleet of 6 servers. Cause, traced: from the end of all faults until the bound (146.8 s) all six servers were at work for 99.98 % of the time, 95 % of that for job-3, 12 occurrences of about 100 s of whole servers, accepted before the others. Two servers had crashed under one of its tasks, so it is not owed, and its work was left out of the bound: 90 s + 3 x 18.9 s instead of its share of 1200 s of whole servers. Without that bound all jobs end 2.7 s later. The engine has broken no rule: "capacity for it twice over" was never there. Change: the sum of the work takes in each job that is neither shown as ended nor cancelled. The longest chain stays that of owed jobs. The factor, the 90 s and all checks stay; histories without such jobs have the same bound as before.

--- a/tests/emulator/rules.h
+++ b/tests/emulator/rules.h
@@ -44,8 +44,8 @@
     /// A client reads the state of a job; std::nullopt when it is told that there is no such job.
     void shown(const std::string& job, std::optional<Scheduling::JobState> state, SteadyTime now);
 
-    /// How long the work that is owed takes on sound servers: its longest chain from the last due time on, and all of
-    /// it on `servers` servers of this capacity.
+    /// How long the work that is owed takes on sound servers: its longest chain from the last due time on, and on
+    /// `servers` servers of this capacity all of it and of the work that may be done before it.
     Scheduling::Duration timeOfWorkOwed(
         int servers, const Scheduling::Resources& capacity, Scheduling::StoreTime now) const;
 
