Daemons of two versions of the peers' protocol hear each other

Cause: decodePeerHeartbeat() accepts exactly its own version. Change: a heartbeat of the previous version is understood, and each heartbeat goes out in both versions to a daemon that was heard in the previous one only, or not yet since it started. Ruled out: sending only the version that was heard, as two new daemons that hear each other first in the old version would stay there.

--- a/src/app/fleetdaemon.cpp
+++ b/src/app/fleetdaemon.cpp
@@ -326,9 +326,17 @@
     const Duration perPeer = heartbeatIntervalPerPeer * static_cast<std::int64_t>(destinations.size());
     this->nextHeartbeat = now
         + (this->scheduler.leadership().isLeader() ? leaderHeartbeatInterval : std::max(heartbeatInterval, perPeer));
-    const std::string bytes = Scheduling::encodePeerHeartbeat(this->ownHeartbeat(now));
-    for (const Scheduling::MemberRow& member : destinations)
+    const Scheduling::PeerHeartbeat heartbeat = this->ownHeartbeat(now);
+    const std::string bytes = Scheduling::encodePeerHeartbeat(heartbeat);
+    std::string previousBytes;
+    for (const Scheduling::MemberRow& member : destinations) {
         this->heartbeats.send({ .address = member.address, .port = member.heartbeatPort }, bytes);
+        if (!this->peers.needsPreviousVersion(member.node))
+            continue;
+        if (previousBytes.empty())
+            previousBytes = Scheduling::encodePreviousPeerHeartbeat(heartbeat);
+        this->heartbeats.send({ .address = member.address, .port = member.heartbeatPort }, previousBytes);
+    }
 }
 
 void FleetDaemon::heartbeatReceived(const std::string& bytes)
--- a/src/libs/scheduling/peers.cpp
+++ b/src/libs/scheduling/peers.cpp
@@ -22,6 +22,13 @@
 /// which were cut off from each other find each other again.
 constexpr Duration destinationExpiry { 30'000 };
 
+/// A heartbeat as daemons of the previous version of the protocol send and read it.
+struct PreviousHeartbeat {
+    PeerHeartbeat heartbeat;
+
+    template <typename Archive> void serialize(Archive& archive) { this->heartbeat.serializePrevious(archive); }
+};
+
 RowKey memberRow(const std::string& node) { return { StoreTable::members, "", node }; }
 
 } // namespace
@@ -31,13 +38,24 @@
     return Model::encodeVersioned(heartbeat, protocolVersion);
 }
 
+std::string encodePreviousPeerHeartbeat(const PeerHeartbeat& heartbeat)
+{
+    return Model::encodeVersioned(PreviousHeartbeat { heartbeat }, protocolVersion - 1);
+}
+
 std::optional<PeerHeartbeat> decodePeerHeartbeat(const std::string& bytes)
 {
     std::optional<PeerHeartbeat> heartbeat
         = Model::decodeVersioned<PeerHeartbeat>(bytes, maximumHeartbeatBytes, protocolVersion);
-    if (heartbeat && heartbeat->node.empty())
-        return std::nullopt;
-    return heartbeat;
+    if (!heartbeat) {
+        std::optional<PreviousHeartbeat> previous
+            = Model::decodeVersioned<PreviousHeartbeat>(bytes, maximumHeartbeatBytes, protocolVersion - 1);
+        if (!previous)
+            return std::nullopt;
+        heartbeat = std::move(previous->heartbeat);
+        heartbeat->isPreviousVersion = true;
+    }
+    return heartbeat->node.empty() ? std::nullopt : heartbeat;
 }
 
 void PeerDirectory::tick(SteadyTime now)
@@ -94,6 +112,9 @@
     if (heartbeat.node == this->self.node)
         return false;
     const auto known = this->peers.find(heartbeat.node);
+    if (known != this->peers.end() && heartbeat.isPreviousVersion && !known->second.heartbeat.isPreviousVersion
+        && known->second.heartbeat.incarnation == heartbeat.incarnation)
+        return false;
     if (known == this->peers.end())
         this->effects.log(Event::MemberJoined, { { "peer", heartbeat.node }, { "address", heartbeat.address } });
     else if (known->second.heartbeat.incarnation != heartbeat.incarnation)
@@ -131,6 +152,12 @@
     return destinations;
 }
 
+bool PeerDirectory::needsPreviousVersion(const std::string& node) const
+{
+    const auto known = this->peers.find(node);
+    return known == this->peers.end() || known->second.heartbeat.isPreviousVersion;
+}
+
 void PeerDirectory::unregister(std::function<void()> done)
 {
     this->effects.push(CommitCall { .transaction = { .removals = { memberRow(this->self.node) } },
--- a/src/libs/scheduling/peers.h
+++ b/src/libs/scheduling/peers.h
@@ -31,19 +31,30 @@
     std::int64_t wallOffset = 0; ///< wall-clock time minus the store's time, ms
     std::map<std::string, std::int64_t> pending; ///< from the leader: jobs without a started task, by queue
     std::vector<ReportedSuccess> successes; ///< from a former leader: successful runs that it could not store
-    double processorShare = 0; ///< cores of the sender's host
+    double processorShare = 0; ///< cores of the sender's host; zero in the previous version of the protocol
+    bool isPreviousVersion = false; ///< received in the previous version of the protocol; not sent
 
     template <typename Archive> void serialize(Archive& archive)
+    {
+        this->serializePrevious(archive);
+        archive(this->processorShare);
+    }
+
+    /// The fields of the previous version of the protocol.
+    template <typename Archive> void serializePrevious(Archive& archive)
     {
         archive(this->node, this->zone, this->address, this->heartbeatPort, this->relayPort, this->incarnation,
             this->configurationVersion, this->term, this->leading, this->scheduling, this->leaving,
-            this->storeReachable, this->wallOffset, this->pending, this->successes, this->processorShare);
+            this->storeReachable, this->wallOffset, this->pending, this->successes);
     }
 };
 
 std::string encodePeerHeartbeat(const PeerHeartbeat& heartbeat);
 
-/// std::nullopt when the bytes are no heartbeat of this protocol version.
+/// The heartbeat for daemons of the previous version of the protocol, which understand no other.
+std::string encodePreviousPeerHeartbeat(const PeerHeartbeat& heartbeat);
+
+/// std::nullopt when the bytes are no heartbeat of this version of the protocol or of the previous one.
 std::optional<PeerHeartbeat> decodePeerHeartbeat(const std::string& bytes);
 
 /// Another daemon, by its latest heartbeat.
@@ -65,7 +76,8 @@
     /// Registers this daemon and reads the others when due.
     void tick(SteadyTime now);
 
-    /// Records a heartbeat. Returns false when it is this daemon's own.
+    /// Records a heartbeat. Returns false when it is this daemon's own, or one in the previous version of the protocol
+    /// from a daemon that has sent one in this version since it started.
     bool handleHeartbeat(const PeerHeartbeat& heartbeat, SteadyTime now);
 
     /// Daemons whose latest heartbeat is at most `age` old.
@@ -74,6 +86,10 @@
     /// Members to send the next heartbeat to: those heard lately, and now and then every other one that is registered.
     std::vector<MemberRow> takeDestinations(SteadyTime now);
 
+    /// True when a daemon may understand only the previous version of the protocol: none of its heartbeats since it
+    /// started was in this one. It gets each heartbeat in both versions then.
+    bool needsPreviousVersion(const std::string& node) const;
+
     /// Removes this daemon's entry from the store. `done` is called when the call to the store has ended, even if it
     /// failed.
     void unregister(std::function<void()> done);
