--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -87,7 +87,14 @@
     void reconcileRuns(
         BackendServer& server, const PollAnswer& answer, SteadyTime sentAt, bool afterGap, SteadyTime now);
     void updateRun(BackendServer& server, const ActiveRun& active, bool afterGap, SteadyTime now);
-    void handleStartResult(const TaskName& name, int attempt, const std::string& server, const OrderResult& result);
+    struct SentStart {
+        int attempt = 0;
+        std::string server;
+        bool first = false; ///< no start of this run was sent before
+    };
+
+    void handleStartResult(const TaskName& name, const SentStart& start, const OrderResult& result);
+    void handleUnsentStart(const TaskName& name, Run& run, const SentStart& start, SteadyTime now);
     /// Asks the server for its state without waiting for the answer to an open poll.
     void pollAtOnce(const std::string& id, SteadyTime now);
     void handleStartRefusal(const TaskName& name, const std::string& server, OrderRefusal refusal, SteadyTime now);
--- a/src/libs/scheduling/serverorders.h
+++ b/src/libs/scheduling/serverorders.h
@@ -103,13 +103,16 @@
 /// No answer arrived; the order may have been carried out or may still be.
 struct NoAnswer { };
 
-using OrderResult = std::variant<OrderDone, PollAnswer, OrderRefusal, NoAnswer>;
+/// The order did not leave this daemon and will not be carried out.
+struct NotSent { };
+
+using OrderResult = std::variant<OrderDone, PollAnswer, OrderRefusal, NoAnswer, NotSent>;
 
 /// An order to send; `done` is called exactly once.
 struct ServerCall {
     ServerAddress server;
     ServerOrder order;
-    Duration timeout { 0 };
+    Duration timeout { 0 }; ///< includes the wait for earlier orders to the same server
     std::function<void(OrderResult)> done;
 };
 
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/servermonitor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace WisteriaHill::Scheduling {
 
@@ -64,7 +65,9 @@
         return;
     }
     run.orderOpen = true;
-    run.startSent = true;
+    const SentStart start {
+        .attempt = run.attempt, .server = server.address.id, .first = !std::exchange(run.startSent, true)
+    };
     run.nextOrderAt = now + orderRetryPause;
     this->extendLease(server, now);
     if (server.lastProcessedEnd == server.lastStoredEnd)
@@ -78,16 +81,14 @@
             .checkpoint = run.checkpoint,
             .ticket = run.ticket },
         .timeout = orderTimeout,
-        .done = [this, name, attempt = run.attempt, id = server.address.id](
-                    const OrderResult& result) { this->handleStartResult(name, attempt, id, result); } });
+        .done = [this, name, start](const OrderResult& result) { this->handleStartResult(name, start, result); } });
 }
 
-void ServerMonitor::handleStartResult(
-    const TaskName& name, int attempt, const std::string& server, const OrderResult& result)
+void ServerMonitor::handleStartResult(const TaskName& name, const SentStart& start, const OrderResult& result)
 {
     const SteadyTime now = this->clock();
-    Run* run = this->currentRun(name, attempt);
-    if (!run || run->server != server)
+    Run* run = this->currentRun(name, start.attempt);
+    if (!run || run->server != start.server)
         return;
     run->orderOpen = false;
     run->nextOrderAt = now + orderRetryPause;
@@ -96,15 +97,30 @@
             this->tracker.runConfirmed(name, now);
         return;
     }
-    if (const auto* refusal = std::get_if<OrderRefusal>(&result))
-        this->handleStartRefusal(name, server, *refusal, now);
-    else {
-        run->startUnanswered = true;
-        run->unansweredAt = now;
-        this->pollAtOnce(server, now);
-        this->effects.log(Event::OrderUnanswered,
-            { { "order", "start" }, { "task", formatTaskName(name) }, { "attempt", attempt }, { "server", server } });
+    if (const auto* refusal = std::get_if<OrderRefusal>(&result)) {
+        this->handleStartRefusal(name, start.server, *refusal, now);
+        return;
     }
+    const bool sent = !std::holds_alternative<NotSent>(result);
+    this->effects.log(Event::OrderUnanswered,
+        { { "order", "start" }, { "task", formatTaskName(name) }, { "attempt", start.attempt },
+            { "server", start.server }, { "sent", sent } });
+    this->pollAtOnce(start.server, now);
+    if (!sent) {
+        this->handleUnsentStart(name, *run, start, now);
+        return;
+    }
+    run->startUnanswered = true;
+    run->unansweredAt = now;
+}
+
+void ServerMonitor::handleUnsentStart(const TaskName& name, Run& run, const SentStart& start, SteadyTime now)
+{
+    run.startSent = !start.first;
+    if (run.startSent || run.phase != RunPhase::Stopping)
+        return;
+    this->tracker.runLost(name, RunLoss::NeverStarted, now);
+    this->changed = true;
 }
 
 void ServerMonitor::pollAtOnce(const std::string& id, SteadyTime now)
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -181,7 +181,7 @@
         "A backend server runs a task that must not run there; the run is stopped.",
         "None; this happens when a server carries out an order late." },
     EventDescription { Event::OrderUnanswered, Warning, "OrderUnanswered",
-        "A backend server did not answer an order; it may still carry it out.", "Check the server if it lasts." },
+        "A backend server did not answer an order; it may still carry it out if it was sent.", "Check the server if it lasts." },
     EventDescription { Event::JobEnded, Information, "JobEnded", "A job has ended.", "See the reason." },
     EventDescription { Event::OutlookChanged, Information, "OutlookChanged",
         "The outlook of a waiting job improves or worsens; its place in the queue changes.",
--- a/tests/auto/scheduling/tst_scheduler_gangstart.cpp
+++ b/tests/auto/scheduling/tst_scheduler_gangstart.cpp
@@ -81,3 +81,29 @@
     bench.run(4s);
     CHECK(bench.membersAlone() == 0);
 }
+
+TEST_CASE(
+    "a gang member whose start was surely not sent to a silent server does not wait for that server's lease to end")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 4 });
+    bench.run(2s);
+    bench.server(1).reachable = false; // since its latest poll, so that it is still taken for usable
+    bench.startsNotSent[bench.server(1).entry.id] = 1000;
+    bench.submit("gang", "ordinary", { makeGang() });
+    CHECK(bench.runUntilActive("gang", members, 5s));
+    CHECK(bench.membersAlone() == 0);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a start that was not sent is sent again")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 3 });
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.startsNotSent[bench.server(index).entry.id] = 1;
+    bench.submit("gang", "ordinary", { makeGang() });
+    CHECK(bench.runUntilActive("gang", members, 1s));
+    CHECK(bench.startsOf("gang") == members);
+    CHECK(bench.membersAlone() == 0);
+    CHECK(bench.violations().empty());
+}
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -49,6 +49,7 @@
         Scheduling::Duration delay { 0 };
     };
     std::map<std::string, LateOrders> lateOrders; ///< by server id
+    std::map<std::string, int> startsNotSent; ///< by server id: so many of the next starts do not leave their daemon
     std::map<std::string, std::string> successors; ///< server ids by former ids; orders to these name a wrong instance
     std::function<void(std::size_t daemon, const Scheduling::LogLine&)> onLog; ///< may be empty
     OrderOrigin origin; ///< valid while a server reports the event of a run that an order caused
--- a/tests/support/schedulerbenchcalls.cpp
+++ b/tests/support/schedulerbenchcalls.cpp
@@ -34,7 +34,11 @@
     FakeServer* target = this->findServer(id);
     const OrderOrigin sender { .daemon = daemon, .sentAt = this->time };
     OrderResult result = NoAnswer {};
-    if (target && !this->isCut(daemon, id)) {
+    if (const auto unsent = this->startsNotSent.find(id);
+        std::holds_alternative<StartOrder>(call.order) && unsent != this->startsNotSent.end() && unsent->second > 0) {
+        --unsent->second;
+        result = NotSent {};
+    } else if (target && !this->isCut(daemon, id)) {
         const auto late = this->lateOrders.find(id);
         if (late != this->lateOrders.end() && late->second.count > 0) {
             --late->second.count;
@@ -51,7 +55,8 @@
             && !this->isAnswerCut(daemon, known->second))
             result = OrderRefusal::WrongInstance;
     }
-    const Duration delay = std::holds_alternative<NoAnswer>(result) ? call.timeout : networkDelay;
+    const bool waited = std::holds_alternative<NoAnswer>(result) || std::holds_alternative<NotSent>(result);
+    const Duration delay = waited ? call.timeout : networkDelay;
     this->answer(
         daemon, [done = std::move(call.done), result]() { done(result); }, delay);
 }
