What was asked for in an earlier term of the same process is not taken for an answer in the present one

Cause: a new term clears the servers, and with them the numbers of their polls, which began at 1 again; the answer to poll 1 of the earlier term then was that of poll 1 of the present one. The server counted as one that has seen the present token, and tasks were started there, although a former leader might still reach it. Results of starts and stops were compared by task and attempt only, which a term adopts: a start of the earlier term that its server refuses, as it has seen the token of the present one, ended the present term. Change: polls are numbered through all terms. Results of starts and stops of an earlier term are ignored, but for a start without an answer, which the server may still carry out.

--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -230,7 +230,8 @@
     server.pollOpen = true;
     server.pollMayWait = order.wait.count() > 0;
     server.pollSoon = false;
-    const std::uint64_t serial = ++server.pollSerial;
+    const std::uint64_t serial = ++this->lastPollSerial;
+    server.pollSerial = serial;
     this->effects.push(ServerCall { .server = server.address,
         .order = order,
         .timeout = order.wait + pollTimeoutMargin,
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -90,6 +90,7 @@
     struct SentStart {
         int attempt = 0;
         std::string server;
+        FencingToken token = 0;
         bool first = false; ///< no start of this run was sent before
     };
 
@@ -98,7 +99,7 @@
     /// Asks the server for its state without waiting for the answer to an open poll.
     void pollAtOnce(const std::string& id, SteadyTime now);
     void handleStartRefusal(const TaskName& name, const std::string& server, OrderRefusal refusal, SteadyTime now);
-    void handleStopResult(const TaskName& name, int attempt, const OrderResult& result);
+    void handleStopResult(const TaskName& name, int attempt, FencingToken sentToken, const OrderResult& result);
     void markRunsLost(BackendServer& server, RunLoss loss, SteadyTime now);
     void expireServers(SteadyTime now);
     /// Ends the runs of a server that does not answer and whose machine has another server now.
@@ -126,6 +127,8 @@
     bool changed = false;
     bool renewalsExpired = false;
     SteadyTime nextOrderSweep {};
+    std::uint64_t lastPollSerial
+        = 0; ///< goes on through all terms, so that no answer is taken for that of another poll
 };
 
 } // namespace WisteriaHill::Scheduling
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -65,9 +65,10 @@
         return;
     }
     run.orderOpen = true;
-    const SentStart start {
-        .attempt = run.attempt, .server = server.address.id, .first = !std::exchange(run.startSent, true)
-    };
+    const SentStart start { .attempt = run.attempt,
+        .server = server.address.id,
+        .token = this->token,
+        .first = !std::exchange(run.startSent, true) };
     run.nextOrderAt = now + orderRetryPause;
     this->extendLease(server, now);
     if (server.lastProcessedEnd == server.lastStoredEnd)
@@ -90,6 +91,14 @@
     Run* run = this->currentRun(name, start.attempt);
     if (!run || run->server != start.server)
         return;
+    if (start.token != this->token) {
+        // The run was adopted by a later term of this process. The server may still carry out the order.
+        if (std::holds_alternative<NoAnswer>(result)) {
+            run->startUnanswered = true;
+            run->unansweredAt = now;
+        }
+        return;
+    }
     run->orderOpen = false;
     run->nextOrderAt = now + orderRetryPause;
     if (std::holds_alternative<OrderDone>(result)) {
@@ -179,15 +188,16 @@
     this->effects.push(ServerCall { .server = server->address,
         .order = StopOrder { .task = name, .attempt = run.attempt, .token = this->token },
         .timeout = orderTimeout,
-        .done = [this, name, attempt = run.attempt](
-                    const OrderResult& result) { this->handleStopResult(name, attempt, result); } });
+        .done = [this, name, attempt = run.attempt, sentToken = this->token](
+                    const OrderResult& result) { this->handleStopResult(name, attempt, sentToken, result); } });
 }
 
-void ServerMonitor::handleStopResult(const TaskName& name, int attempt, const OrderResult& result)
+void ServerMonitor::handleStopResult(
+    const TaskName& name, int attempt, FencingToken sentToken, const OrderResult& result)
 {
     const SteadyTime now = this->clock();
     Run* run = this->currentRun(name, attempt);
-    if (!run)
+    if (!run || sentToken != this->token)
         return;
     run->orderOpen = false;
     run->nextOrderAt = now + orderRetryPause;
