--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -87,11 +87,19 @@
     void reconcileRuns(
         BackendServer& server, const PollAnswer& answer, SteadyTime sentAt, bool afterGap, SteadyTime now);
     void updateRun(BackendServer& server, const ActiveRun& active, bool afterGap, SteadyTime now);
-    void handleStartResult(const TaskName& name, int attempt, const std::string& server, const OrderResult& result);
+    struct SentStart {
+        int attempt = 0;
+        std::string server;
+        FencingToken token = 0;
+        bool first = false; ///< no start of this run was sent before
+    };
+
+    void handleStartResult(const TaskName& name, const SentStart& start, const OrderResult& result);
+    void handleUnsentStart(const TaskName& name, Run& run, const SentStart& start, SteadyTime now);
     /// Asks the server for its state without waiting for the answer to an open poll.
     void pollAtOnce(const std::string& id, SteadyTime now);
     void handleStartRefusal(const TaskName& name, const std::string& server, OrderRefusal refusal, SteadyTime now);
-    void handleStopResult(const TaskName& name, int attempt, const OrderResult& result);
+    void handleStopResult(const TaskName& name, int attempt, FencingToken sentToken, const OrderResult& result);
     void markRunsLost(BackendServer& server, RunLoss loss, SteadyTime now);
     void expireServers(SteadyTime now);
     /// Removes and returns the occupants whose starts were sent and that no answer to a poll has listed.
@@ -125,6 +133,8 @@
     bool changed = false;
     bool renewalsExpired = false;
     SteadyTime nextOrderSweep {};
+    std::uint64_t lastPollSerial
+        = 0; ///< goes on through all terms, so that no answer is taken for that of another poll
 };
 
 } // namespace WisteriaHill::Scheduling
