--- a/tests/auto/emulator/tst_rules.cpp
+++ b/tests/auto/emulator/tst_rules.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int attempts = 3;
+constexpr Duration longestLease = 6s;
 const TaskName task { "job", 0, 0, 0 };
 const StartOrigin inTouch { .inTouch = true };
 
@@ -19,6 +20,7 @@
 class Story {
 public:
     explicit Story(const StepSpecification& step = { .taskCount = 1 })
+        : judge(longestLease)
     {
         JobRecord record { .id = "job" };
         record.specification.steps = { step };
--- a/tests/emulator/emulator.cpp
+++ b/tests/emulator/emulator.cpp
@@ -13,12 +13,12 @@
 namespace {
 
 constexpr Duration tickTime = 10ms;
+constexpr Duration stateInterval = 100ms;
 constexpr Duration startUp = 2s; ///< until the first step
 /// After all faults are healed, everything accepted ends within this and a few times the time that its work takes.
 constexpr Duration settleBound = 90s;
 constexpr int settleFactor = 3;
 constexpr Duration tail = 15s; ///< played after that, for orders that are carried out late
-constexpr Duration stateInterval = 100ms;
 constexpr Duration beatInterval = 500ms;
 constexpr Duration entryLifetime = 1500ms; ///< three heartbeat intervals
 constexpr Duration contactTime = 3s; ///< without disturbance until a machine is in touch
@@ -40,6 +40,7 @@
 Emulator::Emulator(const History& givenHistory)
     : history(givenHistory)
     , bench(benchOptions(givenHistory.fleet))
+    , judge(givenHistory.fleet.lease)
     , entries(bench.serverCount())
     , heldLease(bench.serverCount(), false)
     , disturbedAt(bench.daemonCount())
@@ -51,6 +52,10 @@
         this->fullCapacity.push_back(server.entry.capacity);
         server.onRunEvent = [this, index](const RunEvent& event) { this->handleRunEvent(index, event); };
     }
+    this->bench.onUnanswered = [this](const std::string& server, const ServerOrder& order) {
+        if (const auto* start = std::get_if<StartOrder>(&order))
+            this->judge.orderedWithoutAnswer(this->lastLifeOf(server), start->task, start->attempt, this->bench.now());
+    };
 }
 
 void Emulator::onDaemonLog(std::function<void(const std::string&)> handler)
@@ -81,6 +86,15 @@
     return server.entry.id + "/" + std::to_string(server.startedAt);
 }
 
+ServerLife Emulator::lastLifeOf(const std::string& id)
+{
+    for (std::size_t index = 0; index < this->bench.serverCount(); ++index) {
+        if (this->bench.server(index).entry.id == id)
+            return this->lifeOf(index);
+    }
+    return id;
+}
+
 void Emulator::handleRunEvent(std::size_t index, const RunEvent& event)
 {
     const ServerLife life = this->lifeOf(index);
@@ -199,6 +213,10 @@
         for (auto& [name, task] : server.active) {
             if (this->bench.specificationOf(name).gang)
                 members[{ { name.jobId, name.occurrence, name.step, 0 }, task.attempt }].emplace_back(index, name);
+            if (!task.stopping && this->failsPart(index, name, task)) {
+                failures.emplace_back(index, name);
+                continue;
+            }
             const auto known = this->behaviours.find(name.jobId);
             if (known == this->behaviours.end() || name.index != 0 || task.stopping)
                 continue;
@@ -242,6 +260,7 @@
     if (!server.alive)
         return;
     this->note("crash of " + this->lifeOf(index));
+    this->disturbedUntil = std::max(this->disturbedUntil, this->bench.now() + stateInterval);
     this->judge.crashed(this->lifeOf(index), culprits, this->bench.now());
     this->heldLease[index] = false;
     server.restart();
@@ -300,6 +319,7 @@
     this->bench.commitsToDelay = 0;
     this->bench.store.answersToLose = 0;
     this->bench.lateOrders.clear();
+    this->failingPercents.clear();
     for (std::size_t index = 0; index < this->bench.serverCount(); ++index)
         this->bench.server(index).answersToLose = 0;
 }
@@ -321,13 +341,19 @@
     this->bench.run(tickTime);
     this->playTasks();
     this->updateContact();
-    if (this->millisecondsPlayed() % stateInterval.count() == 0)
+    if (this->millisecondsPlayed() % stateInterval.count() == 0) {
         this->readStates();
+        this->observeFleet();
+    }
 }
 
 Outcome Emulator::play()
 {
     this->begin = this->bench.now() + startUp;
+    for (const Step& step : this->history.steps) {
+        if (step.verb == "submit")
+            this->submissionsEnd = this->begin + step.at;
+    }
     const auto playUntil = [this](SteadyTime end) {
         while (this->bench.now() < end)
             this->tick();
--- a/tests/emulator/emulator.h
+++ b/tests/emulator/emulator.h
@@ -80,11 +80,20 @@
         const std::vector<std::pair<std::size_t, Scheduling::TaskName>>& members);
     void handleRunEvent(std::size_t server, const TestSupport::RunEvent& event);
     void readStates();
+    void observeFleet();
+    /// `leader` is empty when there is none that reaches the store.
+    ServerView viewOf(std::size_t server, const std::string& leader);
+    bool isCalm();
+    std::string leaderThatReachesStore();
+    bool failsPart(
+        std::size_t server, const Scheduling::TaskName& task, const TestSupport::FakeServer::ActiveTask& run);
     void note(const std::string& text);
     std::optional<std::size_t> daemonOf(const std::string& text) const;
     std::string hostOf(const std::string& text);
     Hosts everyone();
     ServerLife lifeOf(std::size_t server);
+    /// Of the server with this id; the id itself when the machine has come back under another one.
+    ServerLife lastLifeOf(const std::string& id);
     bool isStoreDown() const { return this->bench.store.down || this->bench.store.silent; }
     std::int64_t millisecondsPlayed() const;
 
@@ -104,11 +113,17 @@
     std::vector<Scheduling::SteadyTime> disturbedAt; ///< by daemon
     std::map<Scheduling::TaskName, int> runsOf; ///< starts that were carried out, of tasks with a behaviour
     std::set<std::pair<Scheduling::TaskName, int>> spentRuns; ///< that have failed or crashed already
+    std::map<std::size_t, int> failingPercents; ///< of the runs of servers that fail a part of them
+    Scheduling::SteadyTime submissionsEnd {}; ///< of the last submission
+    Scheduling::SteadyTime disturbedUntil {}; ///< by single faults
+    Scheduling::SteadyTime writesLateUntil {}; ///< writes may get no answer
+    std::map<std::size_t, Scheduling::SteadyTime> lateUntil; ///< servers carry out orders late
     int storeDowns = 0;
     int storeSilences = 0;
     std::map<std::size_t, int> refusals;
     std::map<std::size_t, int> pauses;
     std::size_t lastLeader = 0;
+    std::map<std::string, int> livesOfDaemons; ///< by host
     Outcome outcome;
 };
 
--- a/tests/emulator/emulatorsteps.cpp
+++ b/tests/emulator/emulatorsteps.cpp
@@ -13,6 +13,7 @@
 
 constexpr const char* leaderWord = "leader";
 constexpr Duration earlierEntryLifetime { 1500 };
+constexpr Duration observationInterval { 100 };
 
 } // namespace
 
@@ -61,7 +62,11 @@
 {
     const Duration time = step.duration("for");
     Hosts inside;
-    if (step.verb == "cut-zone") {
+    if (step.verb == "cut-servers") {
+        for (const std::size_t index : parseList(step.text("servers")))
+            inside.insert(this->bench.server(index).entry.id);
+        this->cutFor(inside, time);
+    } else if (step.verb == "cut-zone") {
         const std::optional<std::size_t> named = this->daemonOf(step.text("zone"));
         if (!named)
             return;
@@ -138,8 +143,10 @@
         this->bench.beginStop(*daemon);
     }
     this->after(time, [this, index = *daemon]() {
-        if (!this->bench.isAlive(index))
+        if (!this->bench.isAlive(index)) {
+            ++this->livesOfDaemons[BenchLinks::daemon(index)];
             this->bench.startDaemon(index);
+        }
     });
 }
 
@@ -174,6 +181,9 @@
         this->after(earlierEntryLifetime, [this, id = server.entry.id + "-earlier"]() {
             this->bench.store.remove({ "servers", "", id });
         });
+    } else if (step.verb == "server-fails" && step.has("percent")) {
+        this->failingPercents[index] = step.number("percent");
+        this->after(step.duration("for"), [this, index]() { this->failingPercents.erase(index); });
     } else {
         server.health = step.verb == "server-stall" ? ServerHealth::Stalled : ServerHealth::FailsAll;
         this->after(step.duration("for"), [&server]() { server.health = ServerHealth::Healthy; });
@@ -209,6 +219,8 @@
     for (const auto& [name, value] : step.arguments)
         text.append(" ").append(name).append("=").append(value);
     this->note(text);
+    if (step.verb != "submit" && step.verb != "cancel")
+        this->disturbedUntil = std::max(this->disturbedUntil, this->bench.now() + observationInterval);
     if (step.verb == "submit") {
         this->pendingRequests.emplace_back([this, step]() { this->submit(step); });
     } else if (step.verb == "cancel") {
@@ -218,7 +230,8 @@
             this->judge.cancelled(id);
             this->bench.cancel(id);
         });
-    } else if (step.verb == "cut-zone" || step.verb == "isolate" || step.verb == "cut-link") {
+    } else if (step.verb == "cut-zone" || step.verb == "isolate" || step.verb == "cut-link"
+        || step.verb == "cut-servers") {
         this->performCut(step);
     } else if (step.verb.starts_with("store-")) {
         this->performOnStore(step);
--- a/tests/emulator/history.cpp
+++ b/tests/emulator/history.cpp
@@ -35,6 +35,7 @@
     constexpr Argument time { .kind = Kind::Time };
     constexpr Argument count { .kind = Kind::Count };
     constexpr Argument optionalCount { .kind = Kind::Count, .required = false };
+    constexpr Argument optionalPercent { .kind = Kind::Percent, .required = false };
     constexpr Argument optionalTime { .kind = Kind::Time, .required = false };
     constexpr Argument server { .kind = Kind::Server };
     constexpr Argument daemon { .kind = Kind::DaemonOrLeader };
@@ -48,6 +49,7 @@
         { "cancel", { { "id", { .kind = Kind::Id } } } },
         { "cut-zone", { { "zone", { .kind = Kind::Zone } }, { "for", time } } },
         { "isolate", { { "daemon", daemon }, { "servers", { .kind = Kind::Servers } }, { "for", time } } },
+        { "cut-servers", { { "servers", { .kind = Kind::Servers } }, { "for", time } } },
         { "cut-link", { { "from", host }, { "to", host }, { "for", time } } },
         { "store-down", { { "for", time } } },
         { "store-silent", { { "for", time } } },
@@ -68,7 +70,7 @@
         { "server-entry-late", { { "server", server }, { "for", time } } },
         { "server-earlier-entry", { { "server", server } } },
         { "server-stall", { { "server", server }, { "for", time } } },
-        { "server-fails", { { "server", server }, { "for", time } } },
+        { "server-fails", { { "server", server }, { "for", time }, { "percent", optionalPercent } } },
     };
     return known;
 }
--- a/tests/emulator/rules.cpp
+++ b/tests/emulator/rules.cpp
@@ -156,6 +156,8 @@
         ++this->tasks[culprit].crashesCaused;
     for (auto& [name, task] : this->tasks) {
         for (Run& run : task.runs) {
+            if (run.server == server && !run.notedAt && !run.crashedAt)
+                run.crashedAt = now;
             if (run.server != server || run.endedAt)
                 continue;
             run.endedAt = now;
@@ -190,6 +192,8 @@
             if (known == this->tasks.end())
                 continue;
             crashes += known->second.crashes;
+            if (this->stepOf(name).longRunning)
+                continue; // fails as often as it likes
             failures += static_cast<int>(
                 std::ranges::count_if(known->second.runs, [](const Run& run) { return run.end == RunEnd::Failed; }));
         }
--- a/tests/support/benchlinks.h
+++ b/tests/support/benchlinks.h
@@ -31,6 +31,8 @@
 
     void clear() { this->cuts.clear(); }
 
+    bool isWhole() const { return this->cuts.empty(); }
+
     bool isCut(const std::string& from, const std::string& to) const
     {
         return std::ranges::any_of(
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -51,6 +51,8 @@
     std::map<std::string, LateOrders> lateOrders; ///< by server id
     std::map<std::string, std::string> successors; ///< server ids by former ids; orders to these name a wrong instance
     std::function<void(std::size_t daemon, const Scheduling::LogLine&)> onLog; ///< may be empty
+    /// Called with each order that gets no answer; may be empty. The server need not exist any more.
+    std::function<void(const std::string& server, const Scheduling::ServerOrder&)> onUnanswered;
     OrderOrigin origin; ///< valid while a server reports the event of a run that an order caused
 
     std::set<std::string> advisedServers; ///< that the placement advice allows for every step
--- a/tests/support/schedulerbenchcalls.cpp
+++ b/tests/support/schedulerbenchcalls.cpp
@@ -51,6 +51,8 @@
             && !this->isAnswerCut(daemon, known->second))
             result = OrderRefusal::WrongInstance;
     }
+    if (std::holds_alternative<NoAnswer>(result) && this->onUnanswered)
+        this->onUnanswered(id, call.order);
     const Duration delay = std::holds_alternative<NoAnswer>(result) ? call.timeout : networkDelay;
     this->answer(
         daemon, [done = std::move(call.done), result]() { done(result); }, delay);
