--- a/tests/emulator/historygenerator.cpp
+++ b/tests/emulator/historygenerator.cpp
@@ -51,9 +51,14 @@
             * this->choices.one(
                 { this->choices.between(60, 120), this->choices.between(120, 240), this->choices.between(200, 360) }));
         this->weakServer = this->choices.text(0, fleet.servers - 1);
+        this->endsQuietly = this->choices.chance(50);
+        if (this->endsQuietly) // faults go on for a minute or more after the last submission
+            this->history.length = std::max(this->history.length, Duration(110'000));
         this->drawClocks();
         this->drawJobs();
         this->drawFaults();
+        if (this->endsQuietly)
+            this->drawQuietEnd();
         std::ranges::stable_sort(this->history.steps, {}, &Step::at);
         return this->history;
     }
@@ -114,6 +119,8 @@
         }
     }
 
+    int lastSubmission() const { return this->lengthMs() * (this->endsQuietly ? 5 : 8) / 10; }
+
     std::string jobStep(bool lasting)
     {
         const int count = this->choices.between(1, lasting ? 3 : 6);
@@ -142,11 +149,11 @@
             this->add(this->choices.between(0, this->lengthMs() / 2), "submit",
                 { { "id", "large" }, { "queue", "ordinary" },
                     { "steps", this->choices.text(1000, 2000) + "x0:" + this->choices.text(200, 1500) } });
-        this->isFull = this->choices.chance(30);
+        this->isFull = !this->endsQuietly && this->choices.chance(30);
         const int jobs = this->choices.between(6, 12 + this->history.fleet.servers);
         for (int index = 0; index < jobs; ++index) {
             const std::string id = "job-" + std::to_string(index);
-            const int at = this->choices.between(0, this->lengthMs() * 8 / 10);
+            const int at = this->choices.between(0, this->lastSubmission());
             const bool lasting = this->choices.chance(15);
             const bool isTimed = !lasting && this->choices.chance(this->isFull ? 20 : 10);
             std::string steps = this->jobStep(lasting);
@@ -171,6 +178,36 @@
         }
     }
 
+    /// From the last submissions until the end: jobs that fail some of their attempts, or last, and servers that fail a
+    /// part of what they start, or all of it, while others are cut off and come back. The service is mostly idle.
+    void drawQuietEnd()
+    {
+        const int begin = this->lastSubmission();
+        const int jobs = this->choices.between(3, 8);
+        for (int index = 0; index < jobs; ++index) {
+            const bool lasting = this->choices.chance(35);
+            Arguments arguments { { "id", "late-" + std::to_string(index) },
+                { "queue", this->choices.one<std::string>({ "urgent", "ordinary", "background" }) },
+                { "steps", this->jobStep(lasting) } };
+            if (!lasting && this->choices.chance(60))
+                arguments["fails"] = this->choices.text(1, 2);
+            this->add(this->choices.between(begin * 9 / 10, begin), "submit", arguments);
+        }
+        const int percentOfServers = this->choices.one({ 20, 40, 70 });
+        for (int index = 0; index < this->history.fleet.servers; ++index) {
+            if (!this->choices.chance(percentOfServers))
+                continue;
+            const int at = this->choices.between(begin * 8 / 10, begin + 10'000);
+            Arguments arguments { { "server", std::to_string(index) }, { "for", std::to_string(this->lengthMs()) } };
+            if (this->choices.chance(75))
+                arguments["percent"] = this->choices.text(20, 80);
+            this->add(at, "server-fails", arguments);
+        }
+        for (int at = begin; at < this->lengthMs(); at += this->choices.between(2000, 25'000))
+            this->add(
+                at, "cut-servers", { { "servers", this->servers() }, { "for", this->choices.text(2000, 20'000) } });
+    }
+
     void drawFaults()
     {
         using Draw = std::function<Arguments()>;
@@ -279,10 +316,12 @@
             bag.push_back(0);
         const int faults = this->choices.between(10, this->lengthMs() > 90'000 ? 100 : 50);
         int at = 0;
+        // Some ends have only the faults of drawQuietEnd().
+        const int last = this->endsQuietly && this->choices.chance(60) ? this->lastSubmission() : this->lengthMs();
         for (int fault = 0; fault < faults; ++fault) {
             // Some come in pairs within one round trip.
             if (!this->choices.chance(25))
-                at = this->choices.between(1000, this->lengthMs());
+                at = this->choices.between(1000, last);
             const auto& [verb, draw]
                 = kinds[bag[static_cast<std::size_t>(this->choices.between(0, static_cast<int>(bag.size()) - 1))]];
             this->add(at + this->choices.between(0, 20), verb, draw());
@@ -295,6 +334,7 @@
     Choices choices;
     History history;
     std::string weakServer;
+    bool endsQuietly = false; ///< clients submit jobs in the first half only
     bool isFull = false; ///< more work is submitted than fits at once
 };
 
