A task that lasts does not wait for its last attempt, as it has none

After two failures a task that lasts was kept for 3 s for a server on which something had succeeded lately, as if a third failure ended its job. It may fail any number of times. The wait began anew with each loss: in a history a task that lasts stood from 87.48 to 100.65 s, twice 3 s of it in this wait.

--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -162,7 +162,8 @@
 
 bool Planner::waitsForSuccess(const PlanningPass& pass, const PendingStep& pending)
 {
-    if (pending.job->failedOn.empty())
+    // Tasks that last have no last attempt.
+    if (pending.job->failedOn.empty() || pending.specification->longRunning)
         return false;
     int failures = 0;
     for (const Task& task : pending.state->tasks)
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -210,3 +210,39 @@
     CHECK(bench.runUntilActive("job", 1, standstillLimit));
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a job does not stand still while its start was never sent to a server that fell silent")
+{
+    SchedulerBench bench({ .daemons = 1 });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 4, 60s) });
+    REQUIRE(bench.runUntilActive("job", 1, 2s));
+    FakeServer& first = bench.serverRunning("job");
+    StepSpecification other = makeStep(1, 4, 120s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        if (bench.server(index).entry.rack != first.entry.rack)
+            other.dataRack = bench.server(index).entry.rack;
+    }
+    bench.submit("other", "ordinary", { other });
+    REQUIRE(bench.runUntilActive("other", 1, 2s));
+    FakeServer& silent = bench.serverRunning("other");
+    REQUIRE(&silent != &first);
+    bench.run(4s);
+    first.restart();
+    silent.reachable = false;
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a task that lasts has no last attempt, for which it would wait for a server that succeeds")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeLastingStep(1) });
+    for (int failures = 0; failures < 2; ++failures) {
+        REQUIRE(bench.runUntilActive("job", 1, 1s));
+        failRun(bench, "job");
+    }
+    CHECK(bench.runUntilActive("job", 1, 1s));
+    CHECK(bench.violations().empty());
+}
