A start that was not sent does not wait for the lease of a server that fell silent

A task under which a server has crashed is started only on a server that has just answered. Nothing can run there under that attempt, so that the task is queued again as soon as a look fails.

--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -45,6 +45,12 @@
         return;
     BackendServer& server = *known;
     Run& run = *task->run;
+    if (server.unansweredPolls > 0 && !run.startSent && !this->board.stepOf(name).gang) {
+        // Nothing can be running there under this attempt, so that no lease has to expire first.
+        this->tracker.runLost(name, RunLoss::NeverStarted, now);
+        this->changed = true;
+        return;
+    }
     // A start that meets a dead server looks like a crash under the task.
     const bool suspect = task->crashes > 0 && now - server.clockReadAt > answerFreshness;
     const bool lookNeeded = suspect || (run.startUnanswered && server.clockReadAt <= run.unansweredAt);
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -246,3 +246,30 @@
     CHECK(bench.runUntilActive("job", 1, 1s));
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a job does not stand still for the lease of a server that fell silent before the start was sent there")
+{
+    SchedulerBench bench({ .racks = 1 });
+    std::string chosen;
+    bench.onLog = [&](std::size_t, const LogLine& line) {
+        if (line.event == WisteriaHill::Utils::Event::RunPlaced)
+            chosen = line.fields.at("server");
+    };
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 4, 5s) });
+    REQUIRE(bench.runUntilActive("job", 1, 2s));
+    bench.run(1s);
+    // The task is suspect, so that a server must answer before the start is sent there.
+    FakeServer& crashed = bench.serverRunning("job");
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).reachable = &bench.server(index) == &crashed;
+    crashed.restart();
+    const std::string first = chosen;
+    for (int ticks = 0; chosen == first && ticks < 300; ++ticks)
+        bench.run(10ms);
+    REQUIRE(chosen != first);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).reachable = bench.server(index).entry.id != chosen;
+    CHECK(bench.runUntilActive("job", 1, standstillLimit));
+    CHECK(bench.violations().empty());
+}
