--- a/tests/support/schedulerbenchcalls.cpp
+++ b/tests/support/schedulerbenchcalls.cpp
@@ -56,6 +56,8 @@
             result = OrderRefusal::WrongInstance;
     }
     const bool waited = std::holds_alternative<NoAnswer>(result) || std::holds_alternative<NotSent>(result);
+    if (std::holds_alternative<NoAnswer>(result) && this->onUnanswered)
+        this->onUnanswered(id, call.order);
     const Duration delay = waited ? call.timeout : networkDelay;
     this->answer(
         daemon, [done = std::move(call.done), result]() { done(result); }, delay);
