The soak checks that no job stands still while servers that fail have room for it

Neither the soak nor the emulator knew that rule, and no fault of the soak left failures until after the end of the traffic.

findStandstills() judges it from the logs of the server stand-ins and the calls of clients, from 14 s after the end of the traffic (finish_s): 3 s for a job, with room twice over and under half of the accelerators and cores in use; 6 s since its last run for each task that lasts. Samples are 50 ms apart, so a standstill may be 100 ms over its bound before it is noticed.

Draws of the other soaks are unchanged; seeds.txt has one more column.

Not findings: a step that waits for another one, jobs that were not accepted, have ended or were cancelled. A job whose task lasts may no longer be shown as failed after three failures.

--- a/tests/auto/soak/tst_history.cpp
+++ b/tests/auto/soak/tst_history.cpp
@@ -258,6 +258,22 @@
         checkFinds(history, "failed without cause");
 }
 
+TEST_CASE("a job whose task lasts has not failed, however often its runs have")
+{
+    History history = soundHistory();
+    history.runs.clear();
+    for (int attempt = 1; attempt <= 3; ++attempt)
+        history.runs.push_back({ .server = "i-1",
+            .task = firstTask,
+            .attempt = attempt,
+            .started = at(1000 * attempt),
+            .ended = at(1000 * attempt + 500),
+            .outcome = "failed",
+            .acknowledged = true });
+    history.jobs[job] = { .steps = { { .lasts = true } }, .calls = { submitted(200), shown("failed", at(4000)) } };
+    checkFinds(history, "failed without cause");
+}
+
 TEST_CASE("a job may be given up when two servers were killed under one of its tasks, and not sooner")
 {
     const int kills = GENERATE(1, 2);
--- a/tests/scripts/soak.sh
+++ b/tests/scripts/soak.sh
@@ -3,8 +3,11 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 failed=0
-while read -r seconds zones; do
-  mapfile -t seeds < <(awk -v kind="$seconds $zones" '/^[0-9]/ && $2 " " $3 == kind { print $1 }' tests/soak/seeds.txt)
-  scripts/soak --seconds "$seconds" --zones "$zones" --parallel 3 --build "${1:-build}" "${seeds[@]}" || failed=1
-done < <(awk '/^[0-9]/ { print $2, $3 }' tests/soak/seeds.txt | sort -n -u -k1,1 -k2,2)
+while read -r seconds zones servers; do
+  mapfile -t seeds < <(awk -v kind="$seconds $zones $servers" '/^[0-9]/ && $2 " " $3 " " $4 == kind { print $1 }' \
+    tests/soak/seeds.txt)
+  options=(--seconds "$seconds" --zones "$zones" --parallel 3 --build "${1:-build}")
+  [ "$servers" = failing ] && options+=(--failing)
+  scripts/soak "${options[@]}" "${seeds[@]}" || failed=1
+done < <(awk '/^[0-9]/ { print $2, $3, $4 }' tests/soak/seeds.txt | sort -u)
 exit "$failed"
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -28,7 +28,8 @@
 constexpr int urgentPercent = 25;
 constexpr int milliCores = 1000; ///< of each task
 constexpr int megabytes = 1000;
-constexpr int wholeServer = 8; ///< accelerators
+constexpr Duration lastingWork = std::chrono::hours(1);
+constexpr int lastingTasks = 2; ///< of each job with tasks that last
 
 bool isRefusal(int status)
 {
@@ -45,6 +46,8 @@
             { Wire::accelerators, step.accelerators }, { Wire::estimate, step.work.count() } };
         if (step.gang)
             json[Wire::gang] = true;
+        if (step.lasts)
+            json[Wire::longRunning] = true;
         if (step.afterPrevious)
             json[Wire::prerequisites] = { described.size() - 1 };
         described.push_back(json);
@@ -58,6 +61,7 @@
     std::string id;
     std::string queue;
     std::string body;
+    bool lasts = false;
     int daemon = 0;
     std::unique_ptr<HttpConnection> connection;
 };
@@ -95,7 +99,7 @@
     default:
         return { { .tasks = this->random.between(2, 3),
             .gang = true,
-            .accelerators = wholeServer / this->random.between(1, 2),
+            .accelerators = acceleratorsPerServer / this->random.between(1, 2),
             .work = this->random.between(Duration(200), Duration(1000)) } };
     }
 }
@@ -111,6 +115,10 @@
         std::vector<PlannedStep> steps = this->randomSteps();
         for (PlannedStep& step : steps)
             step.work *= this->scale.work;
+        if (static_cast<int>(this->history.jobs.size()) < this->scale.lastingJobs) {
+            steps = { { .tasks = lastingTasks, .accelerators = 1, .work = lastingWork, .lasts = true } };
+            caller->lasts = true;
+        }
         caller->body = bodyOf(steps);
         this->history.jobs[caller->id].steps = steps;
         ++this->openCount;
@@ -161,7 +169,7 @@
 
 void Callers::followJob(const std::shared_ptr<Caller>& caller, const boost::asio::yield_context& yield)
 {
-    const bool cancels = this->random.chance(cancelledPercent);
+    const bool cancels = this->random.chance(cancelledPercent) || caller->lasts;
     const bool repeats = this->random.chance(repeatedPercent);
     if (this->submit(caller, yield)) {
         if (repeats) {
@@ -170,12 +178,14 @@
         }
         if (cancels) {
             waitFor(this->context, this->random.between(Duration(0), maximumCancelDelay), yield);
+            while (caller->lasts && !this->lastingCancelled)
+                waitFor(this->context, pollInterval, yield);
             while (!isSuccess((this->call(caller, CallKind::Cancel, yield)).status))
                 waitFor(this->context, retryInterval, yield);
         }
         for (;;) {
             const Call polled = this->call(caller, CallKind::State, yield);
-            if (polled.state == "completed" || polled.state == "failed" || polled.state == "cancelled")
+            if (isFinal(polled.state))
                 break;
             waitFor(this->context, pollInterval, yield);
         }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -14,6 +14,7 @@
 struct LoadScale {
     int work = 1; ///< of the run times of tasks
     int pause = 1; ///< of the pauses between jobs
+    int lastingJobs = 0; ///< so many of the first jobs have tasks that last
 };
 
 /// Thread safety: none; all on the context's thread.
@@ -27,6 +28,9 @@
     /// Submits no new jobs; the callers follow those that were begun to their ends.
     void stopSubmitting() { this->submitting = false; }
 
+    /// Cancels the jobs with tasks that last.
+    void cancelLastingJobs() { this->lastingCancelled = true; }
+
     /// Jobs that their callers still follow.
     int openJobs() const { return this->openCount; }
 
@@ -45,6 +49,7 @@
     SeededRandom random;
     LoadScale scale;
     bool submitting = true;
+    bool lastingCancelled = false;
     int openCount = 0;
 };
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -47,7 +47,7 @@
 void FaultInjector::start(Moment end)
 {
     asio::spawn(this->context, [this, end](const asio::yield_context& yield) {
-        if (this->fleet.zoneCount() > 1)
+        if (this->fleet.zoneCount() > 1 || this->fleet.hasFailingServers())
             this->runCuts(end, yield);
         else
             this->run(end, yield);
@@ -79,7 +79,7 @@
         this->startFault(this->randomCut(yield), length);
         while (now() < next) {
             waitFor(this->context, std::min(this->random.between(minimumGap, maximumFaultGap), next - now()), yield);
-            if (now() < next)
+            if (now() < next && this->fleet.zoneCount() > 1)
                 this->startFault(
                     this->processFault(), this->random.between(minimumFaultDuration, maximumFaultDuration));
         }
@@ -135,7 +135,10 @@
     }
     Cut cut;
     std::string name;
-    if (this->random.chance(zonePercent)) {
+    if (this->fleet.zoneCount() == 1) {
+        cut.inside = someServers;
+        name = "cut off servers" + names;
+    } else if (this->random.chance(zonePercent)) {
         cut.inside = this->fleet.processesOfZone(this->fleet.zoneOf(daemon));
         name = "cut off zone of daemon " + std::to_string(daemon);
     } else if (this->random.chance(groupPercent)) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -16,7 +16,8 @@
     FaultInjector(boost::asio::io_context& context, Fleet& fleet, const std::string& logPath, std::uint64_t seed);
 
     /// Injects faults until `end`; returns at once. A fleet with several availability zones gets cuts that outlast
-    /// leases, mostly around the leader, and faults of processes meanwhile.
+    /// leases, mostly around the leader, and faults of processes meanwhile. One with failing servers in a single zone
+    /// gets cuts of some of the servers only.
     void start(Moment end);
 
     /// True when all faults have ended and no further one begins.
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -57,7 +57,8 @@
     server.process = std::make_unique<ChildProcess>(
         std::vector<std::string> { this->options.buildDirectory + "/tests/serverstandin",
             std::to_string(this->serverPort(number)), std::to_string(number), std::to_string(storeProxy),
-            std::to_string(linkPort), zoneName(this->zoneOf(number)) },
+            std::to_string(linkPort), zoneName(this->zoneOf(number)),
+            std::to_string(this->hasFailingServers() ? this->options.failingPercents.at(number) : 0) },
         this->logPath(name));
     server.process->start();
     return server;
@@ -283,6 +284,7 @@
 {
     for (int server = 0; server < this->options.servers; ++server)
         this->readRuns(server, history);
+    history.servers = this->options.servers;
     history.stops = this->stops;
     history.unexpectedEnds = this->unexpectedEnds;
 }
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -19,6 +19,7 @@
     int daemons = 3;
     int servers = 6;
     int zones = 1; ///< availability zones; daemons and servers are spread over them
+    std::vector<int> failingPercents; ///< of the runs that each server starts; empty when no server fails
 };
 
 /// Starts all processes at once. Thread safety: none; all on the context's thread.
@@ -67,6 +68,7 @@
     int daemonCount() const { return this->options.daemons; }
     int serverCount() const { return this->options.servers; }
     int zoneCount() const { return this->options.zones; }
+    bool hasFailingServers() const { return !this->options.failingPercents.empty(); }
 
     /// Adds the runs that the servers logged, the stops and the unexpected ends of processes.
     void readHistory(History& history) const;
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -1,5 +1,6 @@
 #include "soak/history.h"
 
+#include "soak/standstill.h"
 #include "utils/httpstatus.h"
 
 #include <algorithm>
@@ -29,6 +30,8 @@
 
 std::string text(Moment moment) { return std::to_string(moment.time_since_epoch().count()); }
 
+} // namespace
+
 std::string jobOf(const std::string& task) { return task.substr(0, task.find('.')); }
 
 std::size_t stepOf(const std::string& task)
@@ -42,6 +45,10 @@
     return job + ".0." + std::to_string(step) + "." + std::to_string(index);
 }
 
+bool isFinal(const std::string& state) { return state == "completed" || state == "failed" || state == "cancelled"; }
+
+namespace {
+
 /// Checks one history; each check appends its findings.
 class HistoryCheck {
 public:
@@ -64,6 +71,8 @@
             this->checkStop(stop);
         for (const std::string& end : this->history.unexpectedEnds)
             this->found.push_back("a process ended by itself: " + end);
+        for (const std::string& standstill : findStandstills(this->history).findings)
+            this->found.push_back(standstill);
         return this->found;
     }
 
@@ -123,9 +132,9 @@
     {
         std::map<std::string, std::set<int>> attempts; // failed ones, by task; by the first task of a gang
         for (const auto& [task, runs] : this->runsByTask) {
-            if (jobOf(task) != id)
-                continue;
             const std::size_t step = stepOf(task);
+            if (jobOf(task) != id || job.steps.at(step).lasts)
+                continue;
             const bool gang = job.steps.at(step).gang;
             for (const Run* run : runs) {
                 if (run->outcome == "failed" && run->ended && *run->ended <= moment)
@@ -172,10 +181,9 @@
             if (call.state.empty())
                 continue;
             this->checkState(id, job, call, cancelSent);
-            const bool isFinal = call.state == "completed" || call.state == "failed" || call.state == "cancelled";
             if (!finalState.empty() && call.sent > this->finalShown[id] && call.state != finalState)
                 this->reportChange(id, finalState, call.state);
-            if (isFinal && finalState.empty()) {
+            if (isFinal(call.state) && finalState.empty()) {
                 finalState = call.state;
                 this->finalShown[id] = call.ended;
             }
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -11,6 +11,9 @@
 
 using Duration = std::chrono::milliseconds;
 
+constexpr int acceleratorsPerServer = 8; ///< of the server stand-in
+constexpr int coresPerServer = 32; ///< of the server stand-in; each task needs one
+
 inline bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 /// A point on the machine's steady clock, shared by all processes of a soak.
@@ -37,6 +40,7 @@
     bool afterPrevious = false;
     int accelerators = 0;
     Duration work { 0 }; ///< run time of a task
+    bool lasts = false; ///< until the job is cancelled
 };
 
 enum class CallKind { Submit, State, Cancel };
@@ -73,10 +77,19 @@
     std::map<std::string, JobHistory> jobs;
     std::vector<PlannedStop> stops;
     std::vector<std::string> unexpectedEnds; ///< of processes that the soak did not end
-    Moment healed {}; ///< no fault was active from here on
+    int servers = 0;
+    Moment healed {}; ///< no fault was active from here on; servers may still fail a part of what they start
+    Moment trafficEnded {}; ///< no job was begun from here on; not before the end of the last fault
     Moment finished {};
 };
 
+std::string jobOf(const std::string& task);
+std::size_t stepOf(const std::string& task);
+std::string taskName(const std::string& job, std::size_t step, int index);
+
+/// True for the states that a job keeps.
+bool isFinal(const std::string& state);
+
 /// One line for each violated invariant; empty when there is none.
 std::vector<std::string> findViolations(const History& history);
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -4,6 +4,7 @@
 #include "platform/wirenames.h"
 #include "soak/callers.h"
 #include "soak/faults.h"
+#include "soak/standstill.h"
 #include "utils/base64.h"
 #include "utils/checkedjson.h"
 #include "utils/httpstatus.h"
@@ -25,7 +26,7 @@
 constexpr const char* usage = R"(Runs a fleet of real processes under random faults and checks its invariants.
 
 Usage:
-  soak --seed=N --build=DIR --work=DIR [--seconds=N] [--port=N] [--daemons=N] [--servers=N] [--zones=N]
+  soak --seed=N --build=DIR --work=DIR [--seconds=N] [--port=N] [--daemons=N] [--servers=N] [--zones=N] [--failing]
 
 Options:
   --seed=N      seed of the faults and the load
@@ -37,6 +38,7 @@
   --servers=N   [default: 6]
   --zones=N     availability zones; if more than one, the faults are cuts that outlast leases, and tasks are longer
                 [default: 1]
+  --failing     most servers fail a third to a half of what they start, until the end; the faults are cuts
 )";
 
 constexpr Duration tickInterval { 10 };
@@ -45,6 +47,11 @@
 constexpr Duration settleBound { 40'000 }; ///< until every job must have ended
 constexpr Duration longestJob { 4800 }; ///< three attempts of each task
 constexpr LoadScale scaleOfCuts { .work = 16, .pause = 8 }; ///< runs span cuts, which outlast leases
+constexpr LoadScale scaleOfFailing { .work = 16, .pause = 2, .lastingJobs = 2 };
+constexpr Duration lastingTime { 30'000 }; ///< of tasks that last, after the end of the traffic
+constexpr int failingServersPercent = 90;
+constexpr int leastFailingPercent = 33; ///< of the runs of a server that fails
+constexpr int mostFailingPercent = 50;
 constexpr Duration configurationBound { 2000 }; ///< until a change must be active
 constexpr Duration stopBound { 7000 }; ///< above the 6 s that a stop may take
 
@@ -61,7 +68,9 @@
 public:
     SoakRun(asio::io_context& context, const FleetOptions& options, std::uint64_t seed, Duration faultTime)
         : context(context)
-        , scale(options.zones > 1 ? scaleOfCuts : LoadScale())
+        , scale(!options.failingPercents.empty() ? scaleOfFailing
+                  : options.zones > 1            ? scaleOfCuts
+                                                 : LoadScale())
         , fleet(context, options)
         , callers(context, this->fleet, this->history, seed, this->scale)
         , faults(context, this->fleet, options.workDirectory + "/faults.log", seed + 1)
@@ -78,12 +87,18 @@
         this->faults.start(now() + this->faultTime);
         while (!this->faults.isHealed())
             waitFor(this->context, tickInterval, yield);
+        if (this->fleet.hasFailingServers())
+            this->endTraffic();
         waitFor(this->context, faultFreeTime, yield);
         this->history.healed = now();
         this->changeConfiguration(yield);
-        for (int daemon = 0; daemon < this->fleet.daemonCount(); ++daemon)
+        for (int daemon = 0; daemon < this->fleet.daemonCount() && !this->fleet.hasFailingServers(); ++daemon)
             this->replace(daemon, yield);
-        this->callers.stopSubmitting();
+        if (!this->fleet.hasFailingServers())
+            this->endTraffic();
+        if (this->scale.lastingJobs > 0)
+            waitFor(this->context, this->history.trafficEnded + lastingTime - now(), yield);
+        this->callers.cancelLastingJobs();
         this->waitWhile([this]() { return this->callers.openJobs() > 0; },
             now() + settleBound + longestJob * (this->scale.work - 1), yield);
         this->stopAll(yield);
@@ -102,13 +117,20 @@
         for (const auto& [id, job] : this->history.jobs)
             calls += job.calls.size();
         std::cout << this->history.jobs.size() << " jobs, " << calls << " calls, " << this->history.runs.size()
-                  << " runs, " << this->history.stops.size() << " graceful stops\n";
+                  << " runs, " << this->history.stops.size() << " graceful stops, longest standstill "
+                  << findStandstills(this->history).longest.count() << " ms\n";
         for (const std::string& finding : this->findings)
             std::cout << "BROKEN " << finding << "\n";
         return this->completed && this->findings.empty();
     }
 
 private:
+    void endTraffic()
+    {
+        this->callers.stopSubmitting();
+        this->history.trafficEnded = now();
+    }
+
     void tick(const boost::asio::yield_context& yield)
     {
         for (;;) {
@@ -205,20 +227,35 @@
 constexpr int exitViolation = 1; ///< an invariant was violated, or the run is incomplete
 constexpr int exitNotRun = 2;
 
+std::vector<int> failingPercents(std::uint64_t seed, int servers)
+{
+    SeededRandom random(seed);
+    std::vector<int> percents;
+    for (int server = 0; server < servers; ++server) {
+        const bool fails = random.chance(failingServersPercent);
+        percents.push_back(fails ? random.between(leastFailingPercent, mostFailingPercent) : 0);
+    }
+    return percents;
+}
+
 int runSoak(const std::map<std::string, docopt::value>& arguments)
 {
     const auto number = [&arguments](const char* name) { return std::stoll(arguments.at(name).asString()); };
     asio::io_context context;
     asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait([&context](const auto&, int) { context.stop(); });
+    const auto seed = static_cast<std::uint64_t>(number("--seed"));
     SoakRun soakRun(context,
         { .buildDirectory = arguments.at("--build").asString(),
             .workDirectory = arguments.at("--work").asString(),
             .firstPort = static_cast<std::uint16_t>(number("--port")),
             .daemons = static_cast<int>(number("--daemons")),
             .servers = static_cast<int>(number("--servers")),
-            .zones = static_cast<int>(number("--zones")) },
-        static_cast<std::uint64_t>(number("--seed")), std::chrono::seconds(number("--seconds")));
+            .zones = static_cast<int>(number("--zones")),
+            .failingPercents = arguments.at("--failing").asBool()
+                ? failingPercents(seed + 2, static_cast<int>(number("--servers")))
+                : std::vector<int>() },
+        seed, std::chrono::seconds(number("--seconds")));
     asio::spawn(context, [&soakRun](const asio::yield_context& yield) { soakRun.run(yield); });
     context.run();
     return soakRun.report() ? 0 : exitViolation;
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -4,7 +4,7 @@
 //
 // The payload of a job says what its tasks need: {"needs": [[millicores, megabytes, accelerators, milliseconds], ...]},
 // one entry per step. POST /stand-in/health sets the server's health: "sound", "fails" (every run) or "stands" (no
-// progress).
+// progress). A server may also fail a part of the runs that it starts, at a random moment of each.
 
 #include "adapters/httpclient.h"
 #include "adapters/httpserver.h"
@@ -18,6 +18,7 @@
 #include <chrono>
 #include <iostream>
 #include <map>
+#include <random>
 #include <vector>
 
 namespace {
@@ -40,6 +41,8 @@
 constexpr Duration heartbeatTimeout { 400 }; ///< below the interval, so that at most one call is open
 constexpr Duration crashDelay { 30 };
 constexpr int crashStatus = 9;
+constexpr Duration latestFailure { 10'000 }; ///< of a run that fails
+constexpr Duration lastingWork = std::chrono::hours(1); ///< from this run time on, each run fails on a failing server
 constexpr int serversPerRack = 4;
 constexpr Resources capacity { .milliCores = 32'000, .memoryMb = 64'000, .accelerators = 8 };
 
@@ -49,6 +52,7 @@
     std::uint16_t storePort = 0;
     std::uint16_t announcedPort = 0; ///< that daemons connect to
     std::string zone;
+    int failingPercent = 0; ///< of the runs that it starts
 };
 
 std::int64_t wallNowMs()
@@ -92,6 +96,7 @@
         , options(options)
         , backend(
               { .id = "i-" + std::to_string(options.number), .service = "scoring", .capacity = capacity }, wallNowMs())
+        , choices(static_cast<std::uint64_t>(options.number))
         , store(loop)
         , server(loop, { .address = loopback, .port = options.port },
               [this](HttpExchangeId exchange, const HttpRequest& request) { this->handle(exchange, request); })
@@ -145,10 +150,23 @@
             .attempt = json.at(Wire::attempt),
             .leaseEnd = ServerTime(json.at(Wire::leaseEnd).get<std::int64_t>()),
             .token = json.at(Wire::fencingToken) };
-        this->respond(exchange,
-            this->backend.handle(order,
-                { .milliCores = needs.at(0), .memoryMb = needs.at(1), .accelerators = needs.at(2) },
-                Duration(needs.at(3).get<std::int64_t>())));
+        const bool isRepeated = this->backend.active.contains(task);
+        const OrderResult result = this->backend.handle(order,
+            { .milliCores = needs.at(0), .memoryMb = needs.at(1), .accelerators = needs.at(2) },
+            Duration(needs.at(3).get<std::int64_t>()));
+        if (!isRepeated && this->backend.active.contains(task))
+            this->chooseFailure(this->backend.active.at(task));
+        this->respond(exchange, result);
+    }
+
+    void chooseFailure(TestSupport::FakeServer::ActiveTask& run)
+    {
+        constexpr int wholePercent = 100;
+        const bool lasts = run.work >= lastingWork && this->options.failingPercent > 0;
+        if (!lasts && std::uniform_int_distribution(1, wholePercent)(this->choices) > this->options.failingPercent)
+            return;
+        const Duration latest = std::min(run.work, latestFailure);
+        run.failsAfter = Duration(std::uniform_int_distribution<std::int64_t>(0, latest.count())(this->choices));
     }
 
     void respond(HttpExchangeId exchange, const OrderResult& result)
@@ -236,6 +254,7 @@
     std::int64_t advancedTo = nowMs();
     std::int64_t clock = 0; ///< ms since the start
     TestSupport::FakeServer backend;
+    std::mt19937_64 choices;
     std::vector<WaitingPoll> polls;
     Adapters::HttpClient store;
     Adapters::HttpServer server;
@@ -246,8 +265,9 @@
 int main(int argc, char** argv)
 {
     constexpr int argumentsWithZone = 6;
-    if (argc < 4 || argc > argumentsWithZone) {
-        std::cerr << "usage: serverstandin PORT NUMBER STORE-PORT [ANNOUNCED-PORT [ZONE]]\n";
+    constexpr int allArguments = 7;
+    if (argc < 4 || argc > allArguments) {
+        std::cerr << "usage: serverstandin PORT NUMBER STORE-PORT [ANNOUNCED-PORT [ZONE [FAILING-PERCENT]]]\n";
         return 2;
     }
     const auto port = [argv](int index) { return static_cast<std::uint16_t>(std::stoi(argv[index])); };
@@ -257,7 +277,8 @@
             .number = std::stoi(argv[2]),
             .storePort = port(3),
             .announcedPort = port(argc >= 5 ? 4 : 1),
-            .zone = argc == argumentsWithZone ? argv[argumentsWithZone - 1] : "sawshed" });
+            .zone = argc >= argumentsWithZone ? argv[argumentsWithZone - 1] : "sawshed",
+            .failingPercent = argc == allArguments ? std::stoi(argv[allArguments - 1]) : 0 });
     loop.onTerminationSignal([&loop]() { loop.stop(); });
     loop.run();
     std::cout.flush();
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -209,6 +209,10 @@
             continue;
         }
         task.timeRun = std::min(task.timeRun + time, std::max(task.work, task.timeRun));
+        if (task.failsAfter && task.timeRun >= *task.failsAfter) {
+            this->end(name, RunEnd::Failed);
+            continue;
+        }
         if (this->health == ServerHealth::WaitsAtEnd)
             continue;
         if (task.timeRun >= task.work)
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,7 @@
         bool stopping = false;
         Scheduling::Duration stopTimeLeft { 0 };
         bool standsStill = false; ///< makes no progress
+        std::optional<Scheduling::Duration> failsAfter; ///< time run until it ends as failed; unset: it does not
     };
 
     Scheduling::ServerEntry entry;
