--- a/src/libs/scheduling/attemptlimit.cpp
+++ b/src/libs/scheduling/attemptlimit.cpp
@@ -51,9 +51,9 @@
     return std::nullopt;
 }
 
-void countRunAfterCrashes(Task& task, SteadyTime now)
+void countRunAfterCrashes(Task& task)
 {
-    if (task.run->lastKnownRunning(now) - task.run->orderedAt >= provenRunTime)
+    if (task.run->listedAt - task.run->orderedAt >= provenRunTime)
         clearCrashes(task);
     else if (task.crashes >= crashesBeforeLastRuns)
         ++task.runsAfterCrashes;
--- a/src/libs/scheduling/attemptlimit.h
+++ b/src/libs/scheduling/attemptlimit.h
@@ -19,7 +19,7 @@
 
 /// Counts the run of a task, which is over and not done, if servers had crashed under the task before. Call it before
 /// the run is removed, and not for a run whose start no server has carried out. Precondition: the task has a run.
-void countRunAfterCrashes(Task& task, SteadyTime now);
+void countRunAfterCrashes(Task& task);
 
 /// Forgets the crashes of servers under a task.
 void clearCrashes(Task& task);
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -31,21 +31,6 @@
 
 } // namespace
 
-std::string runLossName(RunLoss loss)
-{
-    switch (loss) {
-    case RunLoss::ServerGone:
-        return "server gone";
-    case RunLoss::ServerRestarted:
-        return "server restarted";
-    case RunLoss::NeverStarted:
-        return "never started";
-    case RunLoss::NotListed:
-        return "not listed";
-    }
-    return "unknown";
-}
-
 bool JobTracker::hasNoRuns(const Job& job)
 {
     return std::ranges::all_of(job.occurrences, [](const auto& entry) {
@@ -305,7 +290,7 @@
         this->assessServer(server, job, now);
         countFailure(ended.task, job, step, *task);
     }
-    countRunAfterCrashes(*task, now);
+    countRunAfterCrashes(*task);
     this->requeue(ended.task, step, *task, now);
     if (hasUsedAttempts(job, ended.task))
         this->giveUp(job, exhaustionReason(job, ended.task), now);
@@ -462,7 +447,7 @@
     noteRunning(job, *task, task->run->listedAt);
     this->markDirty(name);
     if (loss != RunLoss::NeverStarted)
-        countRunAfterCrashes(*task, now);
+        countRunAfterCrashes(*task);
     this->requeue(name, occurrence.stepAt(name.step), *task, now);
     // A restart may be another crash: it is counted first.
     if (loss != RunLoss::ServerRestarted && hasUsedAttempts(job, name))
--- a/tests/emulator/rules.h
+++ b/tests/emulator/rules.h
@@ -69,8 +69,7 @@
 ///
 /// - a run ended there by itself, until the lease has expired;
 /// - the server crashed under a run or has not answered a start, until a lease of that time would have expired or it,
-/// or
-///   the next life of its machine, has been usable for 3 s.
+///   or the next life of its machine, has been usable for 3 s.
 ///
 /// A leader cannot tell when an earlier leader last renewed a lease, and one that is cut off does so for up to 8 s
 /// after the next election: these leases count as granted until then. What a scheduler holds, avoids, reserves or
