Emulator: a run that begins and ends between two observations ends a standstill

Its trace shows a run of 10 ms, from 75.360 to 75.370 s, on a server that fails what it starts; the rule is looked at each 100 ms and did not see it. The 3 s count from the end of the last run of the job at the earliest. The rule is as strict where nothing ran.

--- a/tests/auto/emulator/tst_rules_standstill.cpp
+++ b/tests/auto/emulator/tst_rules_standstill.cpp
@@ -123,6 +123,14 @@
     course.checkNeverBroken();
 }
 
+TEST_CASE("standing still: a run that begins and ends between two observations begins the 3 s anew")
+{
+    Course course;
+    course.observeUntil(16'000ms);
+    course.play(task, 1, "a", RunEnd::Failed);
+    course.checkBrokenAt(16'100ms + 3s);
+}
+
 TEST_CASE("standing still: a start in time begins the 3 s anew")
 {
     Course course;
--- a/tests/emulator/rules.h
+++ b/tests/emulator/rules.h
@@ -188,6 +188,7 @@
     bool isStoodDone(const TaskName& task) const;
     bool jobIsAtWork(const std::string& id) const;
     std::optional<SteadyTime> lastEndOf(const TaskName& task) const;
+    std::optional<SteadyTime> lastEndOfJob(const std::string& id) const;
 
     Scheduling::Duration longestLease;
     std::map<std::string, JobRecord> jobs;
