A gang whose other servers have room for a part of it goes to servers on which its job failed

The rest of the gang fits nowhere there, and the gang stood for ever. Now these servers must have room for the whole gang.

Before: the new case failed. After: tst_scheduler 132 passed.

--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -124,16 +124,12 @@
 std::vector<std::size_t> Planner::preferNotFailed(
     const PlanningPass& pass, const PendingStep& pending, std::vector<std::size_t> candidates)
 {
-    const Resources need = countedNeed(*pending.specification);
     std::vector<std::size_t> others;
-    bool hasRoom = false;
     for (const std::size_t index : candidates) {
-        if (pending.job->failedOn.contains(pass.servers[index].id))
-            continue;
-        others.push_back(index);
-        hasRoom = hasRoom || pass.servers[index].free.holds(need);
+        if (!pending.job->failedOn.contains(pass.servers[index].id))
+            others.push_back(index);
     }
-    return hasRoom ? others : candidates;
+    return canHold(pass, pending, others, Room::Free) ? others : candidates;
 }
 
 bool Planner::isPreemptedForOthers(const std::string& server, const PendingStep& pending) const
@@ -145,12 +141,14 @@
         && preemption->second.urgency <= pending.urgency;
 }
 
-bool Planner::canHold(const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers)
+bool Planner::canHold(
+    const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers, Room room)
 {
     const Resources need = countedNeed(*pending.specification);
     std::size_t missing = pending.specification->gang ? pending.state->tasks.size() : 1;
     for (const std::size_t index : servers) {
-        for (Resources left = pass.boardServers[index]->capacity; missing > 0 && left.holds(need); left -= need) {
+        Resources left = room == Room::Free ? pass.servers[index].free : pass.boardServers[index]->capacity;
+        for (; missing > 0 && left.holds(need); left -= need) {
             --missing;
             if (need == Resources {})
                 return true;
@@ -190,7 +188,7 @@
     }
     if (withFreeCapacity >= pending.waitingTasks.size() || waitsForSuccess(pass, pending))
         return successful;
-    return canHold(pass, pending, others) ? others : candidates;
+    return canHold(pass, pending, others, Room::WhenEmpty) ? others : candidates;
 }
 
 void Planner::countTasksOfStep(PlanningPass& pass, const PendingStep& pending, const Plan& plan)
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -138,16 +138,20 @@
 
     enum class PlacementOutcome { All, Some, None };
 
+    /// The room on servers: what is free, or all of it.
+    enum class Room { Free, WhenEmpty };
+
     void expirePreemptions(const Board& board, SteadyTime now);
     std::vector<std::size_t> candidatesFor(
         const PlanningPass& pass, const PendingStep& pending, Preferences preferences = Preferences::Kept) const;
     /// True when the step has waited for better servers as long as it may.
     bool preferencesAreOver(const PlanningPass& pass, const PendingStep& pending) const;
-    /// The candidates on which the job has not failed, or all when none of these has room for a task.
+    /// The candidates on which the job has not failed, or all when these have no room for a task or the gang.
     static std::vector<std::size_t> preferNotFailed(
         const PlanningPass& pass, const PendingStep& pending, std::vector<std::size_t> candidates);
-    /// True when the step, or a task of it that is no gang, fits on these servers while they are empty.
-    static bool canHold(const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers);
+    /// True when the step, or a task of it that is no gang, fits on these servers.
+    static bool canHold(
+        const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers, Room room);
     /// Restricts the candidates of a job that has failed to servers on which it did not fail, if these can hold it. Of
     /// these only the recently successful ones are returned when they have enough free capacity, or while the last
     /// attempt has waited less than its limit.
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -112,6 +112,24 @@
     CHECK(bench.violations().empty());
 }
 
+TEST_CASE("a gang does not stand still while the servers on which it has not failed have room for a part of it")
+{
+    SchedulerBench bench({});
+    bench.run(2s);
+    occupyServers(bench, 5);
+    StepSpecification gang = makeStep(2, 8, 5s);
+    gang.gang = true;
+    bench.submit("job", "ordinary", { gang });
+    REQUIRE(bench.runUntilActive("job", 2, 2s));
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        FakeServer& server = bench.server(index);
+        if (!server.active.empty() && server.active.begin()->first.jobId == "job")
+            server.end(server.active.begin()->first, RunEnd::Failed);
+    }
+    CHECK(bench.runUntilActive("job", 2, standstillLimit));
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("a task that lasts does not stand still while the only servers with room for it are avoided")
 {
     SchedulerBench bench({});
