--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -107,8 +107,7 @@
     }
     if (pending.job->failedOn.empty())
         return candidates;
-    return kept ? candidatesAfterFailure(pass, pending, candidates)
-                : preferNotFailed(pass, pending, std::move(candidates));
+    return kept ? candidatesAfterFailure(pass, pending, candidates) : preferNotFailed(pass, pending, candidates);
 }
 
 bool Planner::preferencesAreOver(const PlanningPass& pass, const PendingStep& pending) const
@@ -122,7 +121,7 @@
 }
 
 std::vector<std::size_t> Planner::preferNotFailed(
-    const PlanningPass& pass, const PendingStep& pending, std::vector<std::size_t> candidates)
+    const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& candidates)
 {
     std::vector<std::size_t> others;
     for (const std::size_t index : candidates) {
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -148,7 +148,7 @@
     bool preferencesAreOver(const PlanningPass& pass, const PendingStep& pending) const;
     /// The candidates on which the job has not failed, or all when these have no room for a task or the gang.
     static std::vector<std::size_t> preferNotFailed(
-        const PlanningPass& pass, const PendingStep& pending, std::vector<std::size_t> candidates);
+        const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& candidates);
     /// True when the step, or a task of it that is no gang, fits on these servers.
     static bool canHold(
         const PlanningPass& pass, const PendingStep& pending, const std::vector<std::size_t>& servers, Room room);
--- a/tests/auto/emulator/tst_rules_standstill.cpp
+++ b/tests/auto/emulator/tst_rules_standstill.cpp
@@ -15,6 +15,7 @@
 constexpr Duration interval = 100ms;
 constexpr std::int64_t accelerators = 8;
 const TaskName task { "job", 0, 0, 0 };
+const std::vector<std::string> none;
 
 StepSpecification stepOf(std::int64_t neededAccelerators, int count = 1)
 {
@@ -76,7 +77,7 @@
     void checkBrokenAt(Duration time)
     {
         this->observeUntil(time - interval);
-        CHECK(this->judge.violations() == std::vector<std::string>());
+        CHECK(this->judge.violations() == none);
         this->observeUntil(time);
         REQUIRE(this->found() > 0);
         CHECK(this->judge.violations().front().starts_with(
@@ -86,7 +87,7 @@
     void checkNeverBroken()
     {
         this->observeUntil(60s);
-        CHECK(this->judge.violations() == std::vector<std::string>());
+        CHECK(this->judge.violations() == none);
     }
 
     RuleJudge judge;
