CrashController: the comment of separateSuspects() stands at its function again

Found when the whole change was read once more: hold() had been declared between the comment and its function. Only the comment moves; format and syntax checked, no test run.

--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -91,9 +91,9 @@
     void countCrash(const BackendServer& server, const ExposedRun& run, Restart& restart, SteadyTime now);
     /// Takes back what was counted before a mass restart became apparent.
     void clearMassRestarts();
-    /// Lets suspects of one crash start one after the other, so that a further crash has one suspect.
     /// Does not place the task, or its gang, before `time` has passed. Precondition: the task is known.
     void hold(const TaskName& name, Duration time, const char* reason, SteadyTime now);
+    /// Lets suspects of one crash start one after the other, so that a further crash has one suspect.
     void separateSuspects(const std::vector<ExposedRun>& runs, SteadyTime now);
 
     Board& board;
