--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -23,8 +23,6 @@
 constexpr Duration lastAttemptWaitLimit { 3000 };
 /// A run that was placed within this time is about to start.
 constexpr Duration startPeriod { 500 };
-/// A server that has not listed a run for longer may be dead; polls take up to 1.5 s.
-constexpr Duration listingPeriod { 2000 };
 /// Limit for the searches for servers to preempt in one pass, since each examines every run of a service.
 constexpr int preemptionSearchesPerPass = 8;
 
--- a/src/libs/scheduling/planner.h
+++ b/src/libs/scheduling/planner.h
@@ -136,6 +136,9 @@
         void add(const PreemptionOption& option);
     };
 
+    /// A server that has not listed a run for longer may be dead; polls take up to 1.5 s.
+    static constexpr Duration listingPeriod { 2000 };
+
     enum class PlacementOutcome { All, Some, None };
 
     /// The room on servers: what is free, or all of it.
--- a/src/libs/scheduling/plannerwaits.cpp
+++ b/src/libs/scheduling/plannerwaits.cpp
@@ -97,7 +97,7 @@
     }
     const auto idle = std::chrono::duration_cast<Duration>(now - idleSince(pending));
     if (this->reportsLeft == 0 || idle < waitReportDelay || now - pending.state->waitReportedAt < waitReportInterval
-        || (!pending.specification->longRunning && pending.job->isRunning(now - waitReportDelay, now)))
+        || (!pending.specification->longRunning && pending.job->isRunning(now - listingPeriod, now)))
         return;
     --this->reportsLeft;
     StepWait wait { .step = pending.taskName(0), .waitingTasks = pending.waitingTasks.size(), .idle = idle };
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -133,8 +133,8 @@
     bool changed = false;
     bool renewalsExpired = false;
     SteadyTime nextOrderSweep {};
-    std::uint64_t lastPollSerial
-        = 0; ///< goes on through all terms, so that no answer is taken for that of another poll
+    /// Goes on through all terms, so that no answer is taken for that of another poll.
+    std::uint64_t lastPollSerial = 0;
 };
 
 } // namespace WisteriaHill::Scheduling
--- a/tests/auto/scheduling/tst_scheduler_standstill.cpp
+++ b/tests/auto/scheduling/tst_scheduler_standstill.cpp
@@ -396,3 +396,25 @@
     CHECK(bench.runUntilActive("job", 1, standstillLimit));
     CHECK(bench.violations().empty());
 }
+
+TEST_CASE("a job with a task that runs is not reported as one that has nothing running")
+{
+    SchedulerBench bench({ .daemons = 1, .racks = 3 });
+    bench.run(2s);
+    occupyServers(bench, 8);
+    const std::vector<FakeServer*> empty = emptyServers(bench);
+    REQUIRE(empty.size() == 4);
+    bench.run(6s); // polls of servers without runs are 5 s apart
+    for (std::size_t index = 1; index < empty.size(); ++index)
+        empty[index]->restart();
+    bench.run(5500ms);
+    int reports = 0;
+    bench.onLog = [&](std::size_t, const LogLine& line) {
+        reports += line.event == WisteriaHill::Utils::Event::StepWaits && line.fields.at("step") == "job.0.0.0" ? 1 : 0;
+    };
+    bench.submit("job", "ordinary", { makeStep(2, 8, 120s) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    while (bench.activeTasks("job") == 1)
+        bench.run(10ms);
+    CHECK(reports == 0);
+}
