--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -85,11 +85,24 @@
     """An HTTP/1.1 server. handle(method, path, query, headers, body) returns (status, object) or None, which leaves the
     call without an answer; the connection then delivers nothing more."""
 
+    writers = frozenset()
+
     async def listen(self, port=0):
-        self.server = await asyncio.start_server(self.serve, LOOPBACK, port, limit=1 << 22, backlog=512)
+        self.writers = set()
+        self.server = await asyncio.start_server(
+            self.serve, LOOPBACK, port, limit=1 << 22, backlog=512, reuse_address=True)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def reset(self):
+        """Stops listening and resets all connections, as the end of a process does."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        writers = self.writers
+        if isinstance(writers, set):
+            writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -113,6 +126,8 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            if isinstance(writers, set):
+                writers.discard(writer)
             writer.close()
 
 
@@ -309,6 +324,9 @@
         self.last_heartbeat = now()
         self.sequence = 0
         self.needs = lambda task, spec: {"Cpu": 0, "MemMb": 0, "Gpu": 0}
+        self.late_s = None  # orders to start or stop get no answer and are carried out after this time
+        self.orders = self.late_orders = 0
+        self.tasks = set()  # keeps them from being collected
 
     def clock_ms(self):
         return int((now() - self.begin) * 1000)
@@ -375,14 +393,44 @@
         if order.get("FencingToken", 0) < self.token:
             return 409, {"ClockMs": self.clock_ms(), "Reason": "fence"}
         self.token = order.get("FencingToken", 0)
-        if path == "/-/run-start":
-            return self.start(order)
-        if path == "/-/run-stop":
-            return self.stop(order)
+        if path in ("/-/run-start", "/-/run-stop"):
+            carry_out = self.start if path == "/-/run-start" else self.stop
+            self.orders += 1
+            if self.late_s is None:
+                return carry_out(order)
+            self.late_orders += 1
+            self.record.write(f"{self.name} leaves {path} {order['Task']} run {order['Attempt']} unanswered")
+            work = asyncio.create_task(self.carry_out_late(carry_out, order, self.born))
+            self.tasks.add(work)
+            work.add_done_callback(self.tasks.discard)
+            return None
         if path == "/-/hold":
             return await self.hold(order)
         return 404, {}
 
+    async def carry_out_late(self, carry_out, order, born):
+        await asyncio.sleep(self.late_s)
+        if born == self.born and not self.left:
+            self.record.write(f"{self.name} carries the order for {order['Task']} out late: {carry_out(order)}")
+
+    async def crash(self, down_s):
+        """Crashes and starts again under the same id; it then knows nothing of before."""
+        self.cut = True
+        self.reset()
+        begun = sorted(self.active)
+        for run in self.active.values():
+            run.end, run.how = now(), "crashed"
+        self.active, self.ended, self.closed = {}, [], {}
+        self.last_number, self.token, self.lease = 0, 0, 0.0
+        self.record.write(f"{self.name} crashed with {len(begun)} runs {' '.join(begun)}")
+        await asyncio.sleep(down_s)
+        self.born, self.begin, self.sequence = int(time.time() * 1000), now(), 0
+        await self.listen(self.port)
+        self.cut = False
+        self.last_heartbeat = now()
+        self.store.write("servers", self.name, self.entry())
+        self.record.write(f"{self.name} started again")
+
     def extend(self, order):
         if "DeadlineMs" in order:
             end = min(order["DeadlineMs"], self.clock_ms() + HOLD_MAX_MS)
