review: case 10, a lasting task stands still after a hand-over

A scheduler that is elected after a server's machine has come back as another server waits for the lease of the server that is gone.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -50,14 +50,23 @@
         self.file.flush()
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+chosen_ports = set()
 
 
-class HttpError(Exception):
-    pass
+def free_port():
+    """A free port below the range that the system takes for connections."""
+    while True:
+        port = random.randint(20000, 32000)
+        if port in chosen_ports:
+            continue
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind((LOOPBACK, port))
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        chosen_ports.add(port)
+        return port
 
 
 async def read_message(reader):
@@ -90,7 +99,7 @@
     async def listen(self, port=0):
         self.writers = set()
         self.server = await asyncio.start_server(
-            self.serve, LOOPBACK, port, limit=1 << 22, backlog=512, reuse_address=True)
+            self.serve, LOOPBACK, port or free_port(), limit=1 << 22, backlog=512, reuse_address=True)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def reset(self):
@@ -300,6 +309,10 @@
         self.taken_note_at = None
         self.lapsed_before_note = False
         self.server = None
+        self.lasts = False
+
+    def percent(self):
+        return 100 if self.lasts else min(int(100 * (now() - self.begin) / self.work), 99)
 
 
 class Server(HttpService):
@@ -454,6 +467,7 @@
             return 409, {**clock, "Reason": "room"}
         run = Run(task, attempt, spec["ms"] / 1000, needs)
         run.server = self.name
+        run.lasts = spec.get("lasts", False)
         self.active[task] = run
         self.runs.append(run)
         self.record.write(f"{self.name} started {task} run {attempt}, token {order['FencingToken']}")
@@ -486,8 +500,7 @@
             return None
         self.advance()
         return 200, {"ClockMs": self.clock_ms(), "born": self.born,
-                     "Active": [[run.task, run.attempt, "", min(int(100 * (now() - run.begin) / run.work), 99), 0]
-                                for run in self.active.values()],
+                     "Active": [[run.task, run.attempt, "", run.percent(), 0] for run in self.active.values()],
                      "Finished": [[run.number, run.task, run.attempt, run.how, ""]
                                   for run in self.ended[:ENDS_PER_ANSWER]]}
 
--- a/review/standins-2/machines.py
+++ b/review/standins-2/machines.py
@@ -5,7 +5,7 @@
 import json
 import socket
 
-from fleet import LOOPBACK, HttpService, now
+from fleet import LOOPBACK, HttpService, free_port, now
 
 MAINTENANCE_S = 2.0
 
@@ -23,7 +23,7 @@
 
     async def listen(self, port=0):
         self.socket = socket.socket()
-        self.socket.bind((LOOPBACK, 0))
+        self.socket.bind((LOOPBACK, free_port()))
         self.socket.setblocking(False)
         self.socket.listen(128)
         self.port = self.socket.getsockname()[1]
