--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -54,9 +54,12 @@
 
 
 def free_port():
-    """A free port below the range that the system takes for connections."""
+    """A free port below the range that the system takes for connections. Cases that run at the same time choose from
+    different parts of it, as a port is free until its daemon has started."""
+    parts, size = 60, 200
+    begin = 20000 + os.getpid() % parts * size
     while True:
-        port = random.randint(20000, 32000)
+        port = random.randrange(begin, begin + size)
         if port in chosen_ports:
             continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
