An entry ends no run: servers prove their lives, and only named services have servers

A server was cut off for 5.5 s, within its lease, and another program registered an entry for a service that no configuration names, on the server's machine.

Cause: any entry that could be decoded became a server, whatever its service, and the server of a new entry with a later start was taken for the next life of its machine before anyone had spoken to it. 866 said "replaced":true in the moment of the entry, 844 "server restarted" for all four runs. Ruled out: the lease (3.4 s were left), and a restart (the server answered as the same life after the cut).

Now the next life has to answer a poll under its id with the start that its entry states, while the former one does not answer; else the lease has to end. Entries of services that no configuration names are kept aside, and used without a new entry once one does. Servers of a withdrawn service stay until their runs, leases and ends are settled.

The configuration of tst_scheduler_terms did not name the service of its queue, which the platform's store would not accept; it does now.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -205,6 +205,9 @@
     /// When this life of the server's machine began, Unix milliseconds; 0 when unknown.
     std::int64_t startOfLife() const { return std::max(this->incarnation, this->registeredStart); }
 
+    /// True when the server has answered as the life that its entry states, so that the entry is its own.
+    bool hasConfirmedEntry() const { return this->incarnation != 0 && this->incarnation == this->registeredStart; }
+
     /// Capacity that the occupants leave free.
     Resources freeCapacity() const
     {
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -27,7 +27,6 @@
 Scheduler::Scheduler(SchedulerOptions givenOptions, ServerEntryDecoder decodeServer,
     std::function<SteadyTime()> givenClock, const StoreClock& storeClock)
     : options(std::move(givenOptions))
-    , decodeServer(std::move(decodeServer))
     , clock(std::move(givenClock))
     , storeClock(storeClock)
     , leader(this->effects, this->options.leadership, storeClock)
@@ -35,6 +34,7 @@
     , tracker(this->board, this->effects)
     , crashes(this->board, this->effects, this->tracker)
     , monitor(this->board, this->effects, this->tracker, this->crashes, this->leader, this->options.servers)
+    , serverEntries(this->board, this->effects, this->monitor, std::move(decodeServer))
     , writer(this->board, this->effects, this->leader)
     , retention(this->board, this->effects, this->leader, this->writer, this->crashes, this->options.stateRetention)
     , planner(this->options.planner)
@@ -71,8 +71,10 @@
 void Scheduler::setConfiguration(std::shared_ptr<const FleetConfiguration> configuration)
 {
     this->board.setConfiguration(std::move(configuration));
-    if (this->isActive())
+    if (this->isActive()) {
+        this->serverEntries.applyKept(this->clock());
         this->endExhaustedJobs(this->clock());
+    }
     this->nextSchedule = SteadyTime();
 }
 
@@ -108,6 +110,7 @@
     this->loadedRows.clear();
     this->unreadableJobs.clear();
     this->feeds.clear();
+    this->serverEntries.begin();
     this->planner.reset();
     this->advice.begin();
     this->upkeep.begin(this->options.leadership.node, this->leader.term());
@@ -146,63 +149,6 @@
     this->nextSchedule = now;
 }
 
-void Scheduler::applyServerRow(const Row& row, SteadyTime now)
-{
-    const std::string& id = row.key.key;
-    if (row.removed) {
-        const auto found = this->board.servers.find(id);
-        if (found != this->board.servers.end() && found->second.present) {
-            found->second.present = false;
-            this->effects.log(Event::ServerEntryGone, { { "server", id }, { "rowVersion", row.version } });
-        }
-        return;
-    }
-    const std::optional<ServerEntry> entry = this->decodeServer(row);
-    if (!entry)
-        return;
-    const bool isNew = !this->board.servers.contains(id) || this->board.servers.at(id).address.port == 0;
-    BackendServer& server = this->board.servers[id];
-    if (isNew) {
-        server.nextPollAt = now;
-        server.pollSoon = true;
-        this->effects.log(Event::ServerFound,
-            { { "server", id }, { "address", entry->address }, { "rack", entry->rack },
-                { "rowVersion", row.version } });
-    }
-    if (entry->draining && !server.draining)
-        this->effects.log(Event::ServerDraining,
-            { { "server", id }, { "rowVersion", row.version }, { "remainingMs", entry->drainRemaining.count() } });
-    const bool wasUsable = server.present && !server.draining;
-    server.address = { .id = id, .address = entry->address, .port = entry->port };
-    server.service = entry->service;
-    server.zone = entry->zone;
-    server.rack = entry->rack;
-    server.machine = entry->machine;
-    server.registeredStart = entry->startedAt;
-    server.labels = entry->labels;
-    server.capacity = entry->capacity;
-    server.present = true;
-    server.draining = entry->draining;
-    server.drainUntil = now + entry->drainRemaining;
-    if (isNew && this->loaded && !server.machine.empty())
-        this->monitor.noteSuccessor(server, now);
-    if (!wasUsable && !server.draining)
-        this->nextSchedule = now;
-}
-
-void Scheduler::reloadServers(const std::vector<Row>& rows, SteadyTime now)
-{
-    std::set<std::string> listed;
-    for (const Row& row : rows) {
-        listed.insert(row.key.key);
-        this->applyServerRow(row, now);
-    }
-    for (auto& [id, server] : this->board.servers) {
-        if (!listed.contains(id))
-            server.present = false;
-    }
-}
-
 void Scheduler::watch(const std::string& table, TableFeed& feed, Duration wait, SteadyTime now)
 {
     if (feed.open || now < feed.nextCall)
@@ -237,7 +183,7 @@
     feed.position = page->version;
     for (const Row& row : page->rows) {
         if (table == this->options.serverTable)
-            this->applyServerRow(row, now);
+            this->serverEntries.apply(row, now);
         else
             this->applyJobRow(row, now);
     }
@@ -260,6 +206,7 @@
         this->stalls.stopStalledRuns(now);
         this->gangStarts.stopIncompleteGangs(now);
         this->evacuation.tick(now);
+        this->serverEntries.removeWithdrawn(now);
         if (this->options.upkeep.decodeWave)
             this->upkeep.tick(now);
         this->pace.tick(this->leader.term(), now);
@@ -279,7 +226,8 @@
     const auto usable = [this](const BackendServer& server) { return this->monitor.isUsable(server); };
     this->advice.tick(usable, now);
     const bool ticketsChanged = this->advice.takeChanged();
-    if (this->monitor.takeChanged() || ticketsChanged)
+    const bool serversChanged = this->serverEntries.takeChanged();
+    if (this->monitor.takeChanged() || ticketsChanged || serversChanged)
         this->nextSchedule = std::min(this->nextSchedule, now);
     // Without a confirmed leadership nothing can be stored, so work stopped for others' sake would be lost for nothing.
     if (now >= this->nextSchedule && now >= this->earliestSchedule && this->leader.isConfirmed(now))
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/pacecontroller.h"
 #include "scheduling/planlog.h"
 #include "scheduling/planner.h"
+#include "scheduling/serverentries.h"
 #include "scheduling/servermonitor.h"
 #include "scheduling/stallcontroller.h"
 #include "scheduling/statewriter.h"
@@ -23,22 +24,6 @@
 
 namespace WisteriaHill::Scheduling {
 
-/// A backend server's entry in the store.
-struct ServerEntry {
-    std::string id;
-    std::string service;
-    std::string address; ///< IP address
-    std::uint16_t port = 0;
-    std::string zone;
-    std::string rack;
-    std::string machine; ///< machine that this server runs on; the machine may return under another server id
-    std::int64_t startedAt = 0; ///< start of the server, Unix milliseconds; 0 when the entry does not state it
-    std::set<std::string> labels;
-    Resources capacity;
-    bool draining = false;
-    Duration drainRemaining { 0 }; ///< minimum time left while draining
-};
-
 /// Counts that the leader sends to the other daemons.
 struct FleetSummary {
     std::map<std::string, std::int64_t> pending; ///< jobs without a started task, by "host path"
@@ -54,9 +39,6 @@
     std::string serverTable; ///< store table of the backend server entries
 };
 
-/// Decodes a row of the server table; std::nullopt when the row names no usable server.
-using ServerEntryDecoder = std::function<std::optional<ServerEntry>(const Row&)>;
-
 /// Thread safety: none; the owner calls everything on one thread and executes the effects in order.
 class Scheduler {
 public:
@@ -111,8 +93,6 @@
     void watch(const std::string& table, TableFeed& feed, Duration wait, SteadyTime now);
     void handleFeedResult(const std::string& table, const WatchResult& result);
     void applyJobRow(const Row& row, SteadyTime now);
-    void applyServerRow(const Row& row, SteadyTime now);
-    void reloadServers(const std::vector<Row>& rows, SteadyTime now);
     /// Ends jobs with a task that failed for the last time while the job had no queue, or under a higher limit.
     void endExhaustedJobs(SteadyTime now);
     void schedule(SteadyTime now);
@@ -123,7 +103,6 @@
     SteadyTime toSteadyTime(StoreTime accepted, SteadyTime now) const;
 
     SchedulerOptions options;
-    ServerEntryDecoder decodeServer;
     std::function<SteadyTime()> clock;
     const StoreClock& storeClock;
     Effects effects;
@@ -133,6 +112,7 @@
     JobTracker tracker;
     CrashController crashes;
     ServerMonitor monitor;
+    ServerEntries serverEntries;
     StateWriter writer;
     JobRetention retention;
     Planner planner;
--- a/src/libs/scheduling/schedulerload.cpp
+++ b/src/libs/scheduling/schedulerload.cpp
@@ -25,7 +25,7 @@
     this->feeds[contents.table].position = contents.position;
     if (this->loaded) {
         if (contents.table == this->options.serverTable)
-            this->reloadServers(contents.rows, now);
+            this->serverEntries.reload(contents.rows, now);
         else
             for (const Row& row : contents.rows)
                 this->applyJobRow(row, now);
@@ -41,7 +41,7 @@
 void Scheduler::finishLoad(SteadyTime now)
 {
     for (const Row& row : this->loadedRows[this->options.serverTable])
-        this->applyServerRow(row, now);
+        this->serverEntries.apply(row, now);
     for (const Row& row : this->loadedRows[StoreTable::runTimes]) {
         if (const std::optional<RunTimeSums> sums = decodeRunTimes(row.value))
             this->board.runTimes.restore(row.key.key, *sums);
@@ -50,6 +50,7 @@
     }
     this->loadJobs(now);
     this->loadProgress(now);
+    this->serverEntries.applyKept(now);
     for (const Row& row : this->loadedRows[StoreTable::jobs]) {
         if (jobOfCancelKey(row.key.key))
             this->applyJobRow(row, now);
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -203,26 +203,42 @@
     this->changed = true;
 }
 
-void ServerMonitor::noteSuccessor(const BackendServer& successor, SteadyTime now)
+void ServerMonitor::compareLives(BackendServer& server, SteadyTime now)
 {
-    for (auto& [id, server] : this->board.servers) {
-        if (server.machine != successor.machine || id == successor.address.id)
-            continue;
-        const bool later = server.startOfLife() != 0 && successor.startOfLife() > server.startOfLife();
-        this->effects.log(Event::MachineReturned,
-            { { "machine", server.machine }, { "server", successor.address.id },
-                { "startedAt", successor.startOfLife() }, { "known", id }, { "knownStartedAt", server.startOfLife() },
-                { "replaced", later } });
-        if (!later)
+    if (server.machine.empty())
+        return;
+    const auto isLater = [](const BackendServer& left, const BackendServer& right) {
+        return left.hasConfirmedEntry() && right.startOfLife() != 0 && left.incarnation > right.startOfLife();
+    };
+    for (auto& [id, other] : this->board.servers) {
+        if (other.machine != server.machine || id == server.address.id)
             continue;
-        server.replaced = true;
-        if (server.unansweredPolls > 0)
-            this->endReplaced(server, now);
-        else
-            this->pollAtOnce(id, now);
+        if (isLater(server, other))
+            this->replace(other, server, now);
+        else if (isLater(other, server))
+            this->replace(server, other, now);
     }
 }
 
+void ServerMonitor::replace(BackendServer& earlier, const BackendServer& successor, SteadyTime now)
+{
+    this->effects.log(Event::MachineReturned,
+        { { "machine", earlier.machine }, { "server", successor.address.id }, { "startedAt", successor.incarnation },
+            { "known", earlier.address.id }, { "knownStartedAt", earlier.startOfLife() },
+            { "runs", earlier.occupants.size() }, { "failedLooks", earlier.unansweredPolls } });
+    earlier.replaced = true;
+    if (earlier.unansweredPolls > 0)
+        this->endReplaced(earlier, now);
+    else
+        this->pollAtOnce(earlier.address.id, now);
+}
+
+bool ServerMonitor::isSettled(const BackendServer& server, SteadyTime now) const
+{
+    return server.occupants.empty() && !server.pollOpen && now > server.leaseEnd
+        && server.lastDiscardedEnd >= server.lastProcessedEnd;
+}
+
 void ServerMonitor::endReplaced(BackendServer& server, SteadyTime now)
 {
     constexpr std::int64_t none = 0;
@@ -325,11 +341,14 @@
     const SteadyTime lastAnswer = std::exchange(server.clockReadAt, now);
     const bool afterGap = now - lastAnswer > longestAnswerInterval;
     server.clock = answer.clock;
-    if (server.incarnation != answer.startedAt)
+    const bool isOtherLife = server.incarnation != answer.startedAt;
+    if (isOtherLife)
         this->handleRestart(server, answer, poll.sentAt, lastAnswer, now);
     else
         server.lastDiscardedEnd = std::max(server.lastDiscardedEnd, poll.acknowledged);
     this->crashes.judgeLost(server, server.incarnation, now);
+    if (isOtherLife)
+        this->compareLives(server, now);
     for (const EndedRun& ended : answer.ended) {
         if (ended.number <= server.lastProcessedEnd)
             continue;
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -44,9 +44,13 @@
     /// incarnation has changed.
     void acknowledgeEnds(const std::string& id, std::int64_t number, std::int64_t incarnation, SteadyTime now);
 
-    /// Ends the runs of earlier servers on the machine of a new one, unless they still answer: a server is one life of
-    /// its machine, but an entry may have another writer. An entry of an earlier life may come late.
-    void noteSuccessor(const BackendServer& successor, SteadyTime now);
+    /// Compares the lives of the server's machine after its entry has changed. A server is one life of its machine, but
+    /// entries come late and from other writers: only a server that answers as the life that its entry states proves
+    /// that the earlier lives are over.
+    void compareLives(BackendServer& server, SteadyTime now);
+
+    /// True when no run, order or end record of the server is left to settle.
+    bool isSettled(const BackendServer& server, SteadyTime now) const;
 
     /// True when new runs may be placed on the server.
     bool isUsable(const BackendServer& server) const;
@@ -104,6 +108,8 @@
     void expireServers(SteadyTime now);
     /// Removes and returns the occupants whose starts were sent and that no answer to a poll has listed.
     std::map<TaskName, Resources> extractUnlistedRuns(BackendServer& server);
+    /// Ends the runs of an earlier life of the successor's machine, unless it still answers.
+    void replace(BackendServer& earlier, const BackendServer& successor, SteadyTime now);
     /// Ends the runs of a server that does not answer and whose machine has another server now.
     void endReplaced(BackendServer& server, SteadyTime now);
     ServerTime leaseEndFor(const BackendServer& server, SteadyTime now) const;
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -222,8 +222,12 @@
     EventDescription {
         Event::LookRefused, Warning, "LookRefused", "A backend server refused to list its runs.", "See the reason." },
     EventDescription { Event::MachineReturned, Information, "MachineReturned",
-        "A new server entry names a machine that has a server already; the one that started earlier is over.",
+        "A backend server has answered as a later life of a machine that has a server already; the one that started "
+        "earlier is over, unless it still answers.",
         "None." },
+    EventDescription { Event::ServerEntryUnused, Information, "ServerEntryUnused",
+        "A server entry names a service that the configuration in force does not have; it is used once one has it.",
+        "Find the writer of the entry if the service is unknown." },
     EventDescription { Event::LogLinesDropped, Warning, "LogLinesDropped",
         "Log lines of an event were dropped because they exceeded its rate limit.",
         "See the counters of the metrics address." },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -105,6 +105,7 @@
     ServerReachable = 864,
     LookRefused = 865,
     MachineReturned = 866,
+    ServerEntryUnused = 867,
     LogLinesDropped = 870,
     AdviceTaken = 880,
     AdviceMissing = 881,
--- a/tests/auto/scheduling/tst_scheduler_terms.cpp
+++ b/tests/auto/scheduling/tst_scheduler_terms.cpp
@@ -28,6 +28,7 @@
             .pathPrefix = "/cut/",
             .service = "scoring",
             .maximumAttempts = 3 });
+        configuration.services.push_back({ .name = "scoring" });
         configuration.accounts.push_back({ .name = "mill", .keys = { "key" } });
         this->storeClock.addSample(StoreTime(1'000'000), this->now);
         this->scheduler.setConfiguration(std::make_shared<const FleetConfiguration>(configuration));
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -116,6 +116,8 @@
     void putEntry(const FakeServer& server);
     /// Stores an entry that keeps stating what the server states of itself now, until the next one is stored.
     void putEntryAsOfNow(const FakeServer& server);
+    /// Stores an entry of any writer, whatever the servers state of themselves.
+    void storeEntry(const Scheduling::ServerEntry& entry);
     /// Stores an entry of an earlier life of the server's machine, under another id.
     void putEntryOfEarlierLife(const FakeServer& server);
 
@@ -150,6 +152,8 @@
 
     /// Puts a configuration without the queue in force at all daemons, and returns the queue.
     Scheduling::Queue removeQueue(const std::string& name);
+    /// Puts a configuration in force at all daemons that names these services.
+    void setServices(const std::vector<std::string>& names);
     /// Puts a configuration with the queue in force at all daemons.
     void addQueue(const Scheduling::Queue& queue);
 
--- a/tests/support/schedulerbenchdaemons.cpp
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -85,8 +85,22 @@
 {
     ServerEntry entry = server.entry;
     entry.startedAt = server.startedAt;
+    this->storeEntry(entry);
+}
+
+void SchedulerBench::storeEntry(const ServerEntry& entry)
+{
     this->store.put({ serverTable, "", entry.id }, "entry " + std::to_string(this->writtenEntries.size()));
-    this->writtenEntries.push_back(std::move(entry));
+    this->writtenEntries.push_back(entry);
+}
+
+void SchedulerBench::setServices(const std::vector<std::string>& names)
+{
+    FleetConfiguration next = *this->configuration;
+    next.services.clear();
+    for (const std::string& name : names)
+        next.services.push_back({ .name = name });
+    this->setConfiguration(std::move(next));
 }
 
 void SchedulerBench::beginStop(std::size_t index)
