Upkeep evacuates all servers of a machine, not the first one in the list

As the review of this code played it: with another program's entry on the machine of a server that is due for upkeep, the upkeep cut all four runs on the server off; without the entry none. Not played again here with real processes.

Cause: UpkeepController::serverOf() returned the first registered server with the name of the machine. That one had no runs, so the upkeep was ordered at once. A server whose entry had lapsed was not found at all, with the same end.

Now all servers of the machine that are registered or may have runs are evacuated, and the order waits until none of them has any. The machine has returned when one of its servers answers as a life that was not known at the order.

Before: "upkeep evacuates all servers of a machine that several entries name" failed, for a service with and without a name. After: it passes; the other upkeep cases as before.

--- a/src/libs/scheduling/upkeepcontroller.cpp
+++ b/src/libs/scheduling/upkeepcontroller.cpp
@@ -37,13 +37,14 @@
     this->nextRead = {};
 }
 
-BackendServer* UpkeepController::serverOf(const std::string& machine)
+std::vector<BackendServer*> UpkeepController::serversOn(const std::string& machine)
 {
+    std::vector<BackendServer*> servers;
     for (auto& [id, server] : this->board.servers) {
-        if (server.present && server.machine == machine)
-            return &server;
+        if (server.machine == machine && (server.present || !server.occupants.empty()))
+            servers.push_back(&server);
     }
-    return nullptr;
+    return servers;
 }
 
 void UpkeepController::readWaves(SteadyTime now)
@@ -137,7 +138,7 @@
         machine.stage = Stage::Evacuating;
         machine.since = now;
         ++inUpkeep;
-        if (BackendServer* server = this->serverOf(id))
+        for (BackendServer* server : this->serversOn(id))
             server->evacuating = true;
     }
     if (allOrdered && !wave.progressDirty && !wave.progressCallOpen && !wave.completed) {
@@ -153,37 +154,38 @@
 
 void UpkeepController::advanceMachine(Wave& wave, const std::string& id, Machine& machine, SteadyTime now)
 {
-    BackendServer* server = this->serverOf(id);
+    const std::vector<BackendServer*> servers = this->serversOn(id);
     if (machine.stage == Stage::Evacuating) {
         const auto rounds
             = static_cast<std::int64_t>((wave.machines.size() + static_cast<std::size_t>(wave.wave.maximumDown) - 1)
                 / static_cast<std::size_t>(std::max(wave.wave.maximumDown, 1)));
         const Duration share = wave.wave.duration / std::max<std::int64_t>(rounds, 1);
         const bool force = now - machine.since > std::chrono::duration_cast<Duration>(share * forceAfterShare);
-        if (server) {
+        for (BackendServer* server : servers) {
             server->evacuating = true;
             this->evacuation.evacuate(*server, force, now);
         }
-        if (!server || server->occupants.empty())
+        if (std::ranges::all_of(servers, [](const BackendServer* server) { return server->occupants.empty(); }))
             machine.stage = Stage::Ordering;
     }
     if (machine.stage == Stage::Ordering && !machine.callOpen && now >= machine.nextCall && this->mayOrder(now))
         this->sendOrder(wave, id, machine);
     if (machine.stage == Stage::Down) {
-        const bool returned = server && server->incarnation != machine.incarnation && server->incarnation != 0;
+        const bool returned = std::ranges::any_of(servers, [&](const BackendServer* server) {
+            return server->incarnation != 0 && !machine.incarnations.contains(server->incarnation);
+        });
         if (now - machine.since > this->options.upkeepTime && (returned || now - machine.since > lateExecutionTime)) {
             machine.stage = Stage::Completed;
-            if (server)
-                server->evacuating = false;
+            for (auto& [serverId, server] : this->board.servers)
+                server.evacuating = server.evacuating && server.machine != id;
         }
     }
 }
 
 void UpkeepController::sendOrder(Wave& wave, const std::string& id, Machine& machine)
 {
-    const BackendServer* server = this->serverOf(id);
-    if (server)
-        machine.incarnation = server->incarnation;
+    for (const BackendServer* server : this->serversOn(id))
+        machine.incarnations.insert(server->incarnation);
     machine.callOpen = true;
     this->effects.push(UpkeepCall { .machine = id,
         .wave = wave.wave.number,
--- a/src/libs/scheduling/upkeepcontroller.h
+++ b/src/libs/scheduling/upkeepcontroller.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace WisteriaHill::Scheduling {
 
@@ -58,7 +59,7 @@
     struct Machine {
         Stage stage = Stage::Waiting;
         SteadyTime since {};
-        std::int64_t incarnation = 0; ///< incarnation of the machine's server when the upkeep was ordered
+        std::set<std::int64_t> incarnations; ///< of the machine's servers when the upkeep was ordered
         bool callOpen = false;
         SteadyTime nextCall {};
     };
@@ -83,7 +84,9 @@
     void handleOrderResult(std::int64_t number, const std::string& id, UpkeepResult result);
     void storeProgress(Wave& wave);
     void storeStatus(Wave& wave);
-    BackendServer* serverOf(const std::string& machine);
+    /// The servers that are registered on the machine or may have runs there: more than one while an entry is out of
+    /// date or has another writer.
+    std::vector<BackendServer*> serversOn(const std::string& machine);
     static bool mayBeDown(const Machine& machine)
     {
         return machine.stage == Stage::Ordering || machine.stage == Stage::Down;
--- a/tests/auto/scheduling/tst_scheduler_entries.cpp
+++ b/tests/auto/scheduling/tst_scheduler_entries.cpp
@@ -51,6 +51,29 @@
     CHECK(bench.violations().empty());
 }
 
+// The machine's first entry was taken for its only server, so that the upkeep cut the runs of the others off.
+TEST_CASE("upkeep evacuates all servers of a machine that several entries name")
+{
+    const std::string service = GENERATE(as<std::string>(), knownService, otherService);
+    CAPTURE(service);
+    SchedulerBench bench({});
+    bench.run(2s);
+    StepSpecification saving = makeStep(8, 2, 30s);
+    saving.savesProgress = true;
+    bench.submit("job", "ordinary", { saving });
+    REQUIRE(bench.runUntilActive("job", 8, 1s));
+    std::size_t busy = 0;
+    while (bench.server(busy).active.empty())
+        ++busy;
+    bench.storeEntry(entryOfLaterLife(bench.server(busy), service));
+    bench.run(1s);
+    bench.requestUpkeep(1, { busy }, 1, 20s);
+    bench.run(18s);
+    CHECK(bench.waveStatus(1) == "completed");
+    CHECK(bench.maximumMachinesDown == 1);
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("a server whose service no configuration names is neither polled nor used")
 {
     SchedulerBench bench({ .racks = 1, .serversPerRack = 1 });
