Runs whose ends an answer has no room for are not taken for lost

Cause: a server lists at most 500 end records, and the others once these are acknowledged. A run that was neither active nor listed counted as lost (844 "not listed"). The store only keeps the acknowledgement up: the cut of a server, within its lease, shows the same with the store up (a test), so this is no matter of ends that are not stored. Ruled out as well: the number up to which ends are processed; all 640 ends were read later.

Now the adapter hands on whether there may be more end records, and as long as there may, absence proves nothing: not to the reconciliation of runs, nor after a restart, to the judgement of crashes, or to that of progress. Polls of such a server do not wait. 868 shows what is undecided. The fake servers, and with them the stand-in, keep to the limit.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -183,6 +183,7 @@
     std::int64_t lastProcessedEnd = 0; ///< end records up to this number are processed into the blackboard
     std::int64_t lastStoredEnd = 0; ///< the state after the end records up to this number is stored
     std::int64_t lastDiscardedEnd = 0; ///< the server has confirmed that it discarded end records up to this number
+    bool hasUnlistedEnds = false; ///< the last answer may have left out end records
     bool pollOpen = false; ///< a poll awaits its answer
     bool pollMayWait = false; ///< the open poll is answered at the next end of a run or after its wait
     std::uint64_t pollSerial = 0; ///< number of the newest poll; answers to older ones are ignored
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -271,7 +271,8 @@
     PollOrder order { .token = this->token,
         .acknowledged = acknowledgementDue && sameIncarnation ? server.lastStoredEnd : 0 };
     const bool answerAtOnce = server.pollSoon || server.lastProcessedEnd > server.lastStoredEnd
-        || (acknowledgementDue && !sameIncarnation) || !server.fenced || server.occupants.empty();
+        || (acknowledgementDue && !sameIncarnation) || server.hasUnlistedEnds || !server.fenced
+        || server.occupants.empty();
     order.wait = answerAtOnce ? Duration(0) : this->needsFrequentPolls(server) ? shortPollWait : pollWait;
     // A server that does not answer gets no new lease, so that its runs are certain to be over when the lease expires.
     // A leader that the store has not confirmed for long renews none either: a successor counts on it.
@@ -341,6 +342,7 @@
     const SteadyTime lastAnswer = std::exchange(server.clockReadAt, now);
     const bool afterGap = now - lastAnswer > longestAnswerInterval;
     server.clock = answer.clock;
+    server.hasUnlistedEnds = answer.moreEnded;
     const bool isOtherLife = server.incarnation != answer.startedAt;
     if (isOtherLife)
         this->handleRestart(server, answer, poll.sentAt, lastAnswer, now);
@@ -400,10 +402,11 @@
             task->run->nextOrderAt = now;
             this->tracker.requestStop(name, "the server restarted while a start had no answer", now);
         }
-        if (mustHaveEnded(*task->run, sentAt, this->options.stopTime))
+        if (!answer.moreEnded && mustHaveEnded(*task->run, sentAt, this->options.stopTime))
             this->tracker.runLost(name, RunLoss::ServerRestarted, now);
     }
-    std::erase_if(exposed, [&](const ExposedRun& run) { return known.contains(run.name); });
+    // A run that the answer has no room for may have started, and ended, after the restart.
+    std::erase_if(exposed, [&](const ExposedRun& run) { return answer.moreEnded || known.contains(run.name); });
     if (!first)
         server.avoidUntil = std::max(server.avoidUntil, now + restartAvoidancePeriod);
     if (!exposed.empty())
@@ -419,6 +422,7 @@
         reportedAttempts[active.task] = active.attempt;
         this->updateRun(server, active, afterGap, now);
     }
+    std::size_t undecided = 0;
     const std::map<TaskName, Resources> occupants = server.occupants;
     for (const auto& [name, need] : occupants) {
         if (reportedAttempts.contains(name))
@@ -428,10 +432,21 @@
             server.occupants.erase(name);
             this->changed = true;
         } else if (mustHaveEnded(*task->run, sentAt, this->options.stopTime)) {
+            // Its end may be one that the answer has no room for. Later answers list the rest once the ends of this one
+            // are stored; until then the run keeps its task, its capacity and its lease.
+            if (answer.moreEnded) {
+                ++undecided;
+                continue;
+            }
             this->tracker.runLost(name, RunLoss::NotListed, now);
             this->changed = true;
         }
     }
+    if (undecided > 0)
+        this->effects.log(Event::EndRecordsCut,
+            { { "server", server.address.id }, { "incarnation", server.incarnation }, { "listed", answer.ended.size() },
+                { "processedUpTo", server.lastProcessedEnd }, { "storedUpTo", server.lastStoredEnd },
+                { "runsUndecided", undecided } });
 }
 
 void ServerMonitor::updateRun(BackendServer& server, const ActiveRun& active, bool afterGap, SteadyTime now)
--- a/src/libs/scheduling/serverorders.h
+++ b/src/libs/scheduling/serverorders.h
@@ -87,6 +87,7 @@
     std::int64_t startedAt = 0; ///< start of the server's incarnation, Unix milliseconds; identifies the incarnation
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended;
+    bool moreEnded = false; ///< the server may have further end records, which this answer had no room for
 };
 
 enum class OrderRefusal {
--- a/src/libs/scheduling/stallcontroller.cpp
+++ b/src/libs/scheduling/stallcontroller.cpp
@@ -39,7 +39,10 @@
     // A gang member that has done its work waits for the slowest member.
     if (step.longRunning || (step.gang && task->run->percent >= completePercent))
         return false;
-    // Progress is judged by what the server has listed, so only the time up to its last answer counts.
+    // Progress is judged by what the server has listed, so only the time up to its last answer counts. A run that this
+    // answer did not list may have ended.
+    if (task->run->listedAt < lastAnswer)
+        return false;
     const auto withoutProgress = lastAnswer - task->run->progressedAt;
     return withoutProgress >= stallTimeout && withoutProgress >= this->stallTimeoutOf(name);
 }
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -228,6 +228,10 @@
     EventDescription { Event::ServerEntryUnused, Information, "ServerEntryUnused",
         "A server entry names a service that the configuration in force does not have; it is used once one has it.",
         "Find the writer of the entry if the service is unknown." },
+    EventDescription { Event::EndRecordsCut, Information, "EndRecordsCut",
+        "A backend server has more end records than one answer lists; runs that it does not list stay undecided until "
+        "the rest is read.",
+        "Check the state store if it lasts: end records are read on once they are stored." },
     EventDescription { Event::LogLinesDropped, Warning, "LogLinesDropped",
         "Log lines of an event were dropped because they exceeded its rate limit.",
         "See the counters of the metrics address." },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -106,6 +106,7 @@
     LookRefused = 865,
     MachineReturned = 866,
     ServerEntryUnused = 867,
+    EndRecordsCut = 868,
     LogLinesDropped = 870,
     AdviceTaken = 880,
     AdviceMissing = 881,
--- a/tests/auto/platform/tst_serverclient.cpp
+++ b/tests/auto/platform/tst_serverclient.cpp
@@ -2,9 +2,12 @@
 
 #include "adapters/httpserver.h"
 #include "platform/serverclient.h"
+#include "utils/checkedjson.h"
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 
 using namespace WisteriaHill;
@@ -68,3 +71,35 @@
     fixture.runFor(timeout / 2);
     CHECK(fixture.arrived == 2);
 }
+
+// An answer with as many end records as the platform lists at once was taken for the whole list.
+TEST_CASE("an answer to a poll with as many end records as fit may leave others out")
+{
+    constexpr std::uint16_t port = 18'456;
+    const int listed = GENERATE(0, 499, 500);
+    CAPTURE(listed);
+    Adapters::EventLoop loop;
+    std::unique_ptr<Adapters::HttpServer> server;
+    server = std::make_unique<Adapters::HttpServer>(loop,
+        Adapters::HttpServerOptions { .address = "127.0.0.1", .port = port },
+        [&](Adapters::HttpExchangeId exchange, const Adapters::HttpRequest&) {
+            Utils::Json answer { { "ClockMs", 1000 }, { "born", 77 }, { "Active", Utils::Json::array() },
+                { "Finished", Utils::Json::array() } };
+            for (int number = 1; number <= listed; ++number)
+                answer["Finished"].push_back(
+                    { number, "0123456789abcdef.0.0." + std::to_string(number), 1, "done", "" });
+            server->respond(exchange, { .body = answer.dump() });
+        });
+    Platform::ServerClient client(loop);
+    std::optional<Scheduling::OrderResult> result;
+    client.send({ .server = { .id = "i-1", .address = "127.0.0.1", .port = port },
+        .order = Scheduling::PollOrder { .token = 1 },
+        .timeout = 2s,
+        .done = [&](const Scheduling::OrderResult& received) { result = received; } });
+    while (!result)
+        loop.runOnce();
+    const auto* answer = std::get_if<Scheduling::PollAnswer>(&*result);
+    REQUIRE(answer);
+    CHECK(answer->ended.size() == static_cast<std::size_t>(listed));
+    CHECK(answer->moreEnded == (listed == 500));
+}
--- a/tests/support/fakeserver.cpp
+++ b/tests/support/fakeserver.cpp
@@ -147,7 +147,9 @@
         answer.active.push_back(
             { .task = name, .attempt = task.attempt, .percent = static_cast<int>(percent), .load = this->latencyMs() });
     }
-    answer.ended.assign(this->ended.begin(), this->ended.end());
+    const std::size_t listed = std::min(this->ended.size(), this->maximumListedEnds);
+    answer.ended.assign(this->ended.begin(), this->ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    answer.moreEnded = listed >= this->maximumListedEnds;
     return answer;
 }
 
--- a/tests/support/fakeserver.h
+++ b/tests/support/fakeserver.h
@@ -63,6 +63,7 @@
     int startsOverCapacity = 0; ///< starts that did not fit
     int answersToLose = 0; ///< so many of the next orders take effect without an answer
     int startsToDelay = 0; ///< so many of the next starts get no answer; releaseDelayedStarts() executes them
+    std::size_t maximumListedEnds = 500; ///< end records in one answer
     std::string checkpointOfEnds; ///< checkpoint in the records of runs that do not end as done
     std::set<std::string> crashesOn; ///< ids of jobs whose starts crash the server before it answers
     std::string crashedOn; ///< job whose start has crashed the server
