A job does not end for crashes of a server that did not begin its task

Cause: each run whose start was sent counted as a crash under its task when the server restarted. The answers to polls after the start did not list the run, and nothing remembered it. Ruled out: MaxAttempts (no run ended as failed), other servers.

Now a run remembers that an answer to a poll sent after its first start order omitted it. Such a crash still counts, so that the bound of starts after three crashes holds for tasks that crash servers which carry starts out late, but a job ends only with two crashes without such an answer.

Tried and left out: to count a crash only if the server had answered in the 200 ms before the start.

--- a/src/libs/scheduling/attemptlimit.cpp
+++ b/src/libs/scheduling/attemptlimit.cpp
@@ -15,7 +15,8 @@
 
 bool hasUsedLastRuns(const Task& task)
 {
-    return task.crashes >= crashesBeforeLastRuns && task.runsAfterCrashes >= lastRuns;
+    return task.crashes >= crashesBeforeLastRuns && task.provenCrashes >= provenCrashesToGiveUp
+        && task.runsAfterCrashes >= lastRuns;
 }
 
 int failuresOf(const Job& job, const TaskName& name)
@@ -62,6 +63,7 @@
 void clearCrashes(Task& task)
 {
     task.crashes = 0;
+    task.provenCrashes = 0;
     task.suspicion = 0;
     task.runsAfterCrashes = 0;
 }
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -55,6 +55,9 @@
     bool orderOpen = false; ///< a start or stop order awaits its answer
     SteadyTime nextOrderAt {};
     bool startSent = false; ///< a start order was sent; set for adopted runs too
+    /// When the first start order was sent to this life of the server, or the run was adopted.
+    std::optional<SteadyTime> firstSentAt;
+    bool omitted = false; ///< the server has answered a poll sent after `firstSentAt`, and did not list the run
     bool listed = false; ///< the answer to a poll has listed the run
     bool startUnanswered = false; ///< a start order got no answer, and the server may still execute it
     SteadyTime unansweredAt {}; ///< when the last start order without an answer was given up
@@ -76,13 +79,15 @@
     std::string server;
     std::int64_t incarnation = 0;
     int suspicion = 0; ///< that its start crashed the server, if it crashed
+    bool wasThere = true; ///< the run had begun on the server, or no answer after its start shows that it had not
 };
 
 struct Task {
     TaskPhase phase = TaskPhase::Waiting;
     int attempts = 0; ///< number of runs so far
     int failures = 0; ///< number of runs that failed by themselves; a gang counts in its first task
-    int crashes = 0; ///< number of server crashes under a run of the task
+    int crashes = 0; ///< number of server crashes under a run of the task, with those before which it may have begun
+    int provenCrashes = 0; ///< those of them without an answer that shows that the run had not begun
     int suspicion = 0; ///< that the task's start causes the crashes; CrashController weighs them
     int runsAfterCrashes = 0; ///< that have ended, but not as done, after servers had crashed under the task
     std::vector<LostRun> lostRuns; ///< oldest first; each until its server answers again
--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -94,6 +94,16 @@
     }
 }
 
+namespace {
+
+/// True when the run had begun on its server, or no answer of the server after the start shows that it had not.
+bool wasOnServer(const Run& run)
+{
+    return run.activeSince.has_value() || run.listed || (run.firstSentAt && !run.omitted);
+}
+
+} // namespace
+
 std::vector<ExposedRun> CrashController::exposedRuns(
     const BackendServer& server, std::int64_t incarnation, SteadyTime lastAnswer) const
 {
@@ -111,6 +121,7 @@
             .orderedAt = run.orderedAt,
             .confirmed = run.activeSince.has_value(),
             .adopted = run.adopted,
+            .wasThere = wasOnServer(run),
             .age = std::chrono::duration_cast<Duration>(age) });
     }
     assignSuspicion(exposed);
@@ -124,8 +135,10 @@
         Task& task = *this->board.findTask(run.name);
         if (run.age >= provenRunTime)
             clearCrashes(task);
-        task.lostRuns.push_back(
-            { .server = server.address.id, .incarnation = run.incarnation, .suspicion = run.suspicion });
+        task.lostRuns.push_back({ .server = server.address.id,
+            .incarnation = run.incarnation,
+            .suspicion = run.suspicion,
+            .wasThere = run.wasThere });
         this->lost[server.address.id].insert(run.name);
         this->tracker.markDirty(run.name);
         const auto possible = static_cast<std::size_t>(
@@ -159,6 +172,7 @@
                 crashed.push_back({ .name = name,
                     .attempt = task->attempts,
                     .incarnation = run.incarnation,
+                    .wasThere = run.wasThere,
                     .suspicion = run.suspicion });
             return true;
         });
@@ -230,6 +244,7 @@
                 return false;
             if (Task* task = this->board.findTask(counted.name)) {
                 task->crashes = std::max(0, task->crashes - counted.crashes);
+                task->provenCrashes = std::max(0, task->provenCrashes - counted.provenCrashes);
                 task->suspicion = std::max(0, task->suspicion - counted.suspicion);
                 this->tracker.markDirty(counted.name);
             }
@@ -299,21 +314,30 @@
         clearCrashes(*task);
     const Verdict verdict = this->verdictOn(server, run);
     const bool longRunning = this->board.stepOf(run.name).longRunning;
+    const int proven = run.wasThere ? 1 : 0;
     ++task->crashes;
+    task->provenCrashes += proven;
     const int suspicion = verdict == Verdict::Suspect ? run.suspicion : 0;
     task->suspicion += suspicion;
     // A task that lasts meets any number of power losses.
     const int explained = longRunning ? 1 : 0;
-    if (verdict == Verdict::MassRestart)
-        task->crashes -= explained;
-    else
-        restart.counted.push_back({ .name = run.name, .crashes = explained, .suspicion = suspicion });
+    const CountedCrash counted {
+        .name = run.name, .crashes = explained, .provenCrashes = explained * proven, .suspicion = suspicion
+    };
+    if (verdict == Verdict::MassRestart) {
+        task->crashes -= counted.crashes;
+        task->provenCrashes -= counted.provenCrashes;
+    } else {
+        restart.counted.push_back(counted);
+    }
     this->tracker.markDirty(run.name);
     this->effects.log(Event::ServerCrashedUnderTask,
         { { "task", formatTaskName(run.name) }, { "attempt", run.attempt }, { "server", server.address.id },
             { "incarnation", server.incarnation }, { "ageMs", run.age.count() }, { "verdict", verdictName(verdict) },
-            { "crashes", task->crashes }, { "suspicion", task->suspicion } });
-    if (task->suspicion >= maximumSuspicion || task->crashes >= maximumCrashes)
+            { "wasThere", run.wasThere }, { "crashes", task->crashes }, { "proven", task->provenCrashes },
+            { "suspicion", task->suspicion } });
+    if (task->provenCrashes >= provenCrashesToGiveUp
+        && (task->suspicion >= maximumSuspicion || task->crashes >= maximumCrashes))
         this->tracker.giveUp(job,
             std::to_string(task->crashes) + " backend servers crashed under task " + formatTaskName(run.name), now);
     else if (hasUsedAttempts(job, run.name))
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -17,6 +17,7 @@
     SteadyTime orderedAt {};
     bool confirmed = false; ///< the server has answered the start
     bool adopted = false; ///< started by a former leader
+    bool wasThere = false; ///< the run had begun on the server, or no answer after its start shows that it had not
     Duration age { 0 }; ///< from the start order until the last answer of the server
     int suspicion = 0; ///< that its start crashed the server; zero when another run is suspect
 };
@@ -24,7 +25,8 @@
 /// Answers the load of tasks with a defect that crashes each server that starts them. A run is suspect when the server
 /// crashed soon after its start and no other run started later there; two or three such crashes end the job. Silent,
 /// drained and removed servers do not count, nor do power losses of many servers, nor servers that crash under any
-/// work. Whatever is suspect, a task is given up after a number of crashes in a row that no power loss or run of a
+/// work. A server that answers polls after a start, and does not list the run, leaves orders unanswered: when it crashes
+/// later, that is counted, but ends a job only beside two crashes without such an answer. Whatever is suspect, a task is given up after a number of crashes in a row that no power loss or run of a
 /// minute explains. The counts are part of the task's stored row. Runs in the leader only. Thread safety: none.
 class CrashController {
 public:
@@ -60,6 +62,7 @@
     struct CountedCrash {
         TaskName name;
         int crashes = 0;
+        int provenCrashes = 0;
         int suspicion = 0;
     };
 
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -126,6 +126,7 @@
             task.run->orderedAt = now;
             task.run->adopted = true;
             task.run->startSent = true; // perhaps, by the former leader
+            task.run->firstSentAt = now;
             const TaskName name { job.record.id, occurrence.index, number, position };
             this->board.servers[task.run->server].occupants[name] = countedNeed(specificationOf(job, number));
             if (job.ended())
--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -100,9 +100,9 @@
         json.push_back(task.run->checkpoint);
     }
     if (task.crashes > 0 || !task.lostRuns.empty() || lastFailedAttempt > 0) {
-        Json counts { { "crashes", task.crashes }, { "suspicion", task.suspicion } };
+        Json counts { { "crashes", task.crashes }, { "proven", task.provenCrashes }, { "suspicion", task.suspicion } };
         for (const LostRun& run : task.lostRuns)
-            counts["lost"].push_back({ run.server, run.incarnation, run.suspicion });
+            counts["lost"].push_back({ run.server, run.incarnation, run.suspicion, run.wasThere });
         if (task.runsAfterCrashes > 0)
             counts["runsAfter"] = task.runsAfterCrashes;
         if (lastFailedAttempt > 0)
@@ -112,16 +112,20 @@
     return json;
 }
 
+constexpr std::size_t fieldsOfLostRun = 4; ///< three in earlier releases
+
 void countsFromJson(const Json& json, Step& step, Task& task)
 {
     step.lastFailedAttempt = json.value("failedAttempt", step.lastFailedAttempt);
     task.crashes = json.at("crashes").get<int>();
+    task.provenCrashes = json.value("proven", task.crashes); // earlier releases took all crashes for proven
     task.suspicion = json.at("suspicion").get<int>();
     task.runsAfterCrashes = json.value("runsAfter", 0);
     for (const Json& run : json.value("lost", Json::array()))
         task.lostRuns.push_back({ .server = run.at(0).get<std::string>(),
             .incarnation = run.at(1).get<std::int64_t>(),
-            .suspicion = run.at(2).get<int>() });
+            .suspicion = run.at(2).get<int>(),
+            .wasThere = run.size() < fieldsOfLostRun || run.at(3).get<bool>() });
 }
 
 constexpr std::size_t fieldsOfRunningTask = 8;
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -397,6 +397,8 @@
         // still wanted is sent again, and the answer settles the run; else the stop is ordered there.
         task->run->incarnation = answer.startedAt;
         task->run->orderedAt = now;
+        task->run->firstSentAt.reset();
+        task->run->omitted = false;
         if (task->run->startUnanswered && task->run->phase != RunPhase::Ordered) {
             task->run->stopConfirmedAt.reset();
             task->run->nextOrderAt = now;
@@ -422,16 +424,20 @@
         reportedAttempts[active.task] = active.attempt;
         this->updateRun(server, active, afterGap, now);
     }
-    std::size_t undecided = 0;
+    std::size_t undecided = 0; // runs that an answer with all end records would show as over
     const std::map<TaskName, Resources> occupants = server.occupants;
     for (const auto& [name, need] : occupants) {
         if (reportedAttempts.contains(name))
             continue;
-        const Task* task = this->board.findTask(name);
+        Task* task = this->board.findTask(name);
         if (!task || !task->run || task->run->server != server.address.id) {
             server.occupants.erase(name);
             this->changed = true;
-        } else if (mustHaveEnded(*task->run, sentAt, this->options.stopTime)) {
+            continue;
+        }
+        if (!answer.moreEnded && task->run->firstSentAt && *task->run->firstSentAt < sentAt)
+            task->run->omitted = true;
+        if (mustHaveEnded(*task->run, sentAt, this->options.stopTime)) {
             // Its end may be one that the answer has no room for. Later answers list the rest once the ends of this one
             // are stored; until then the run keeps its task, its capacity and its lease.
             if (answer.moreEnded) {
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -70,6 +70,8 @@
         return;
     }
     run.orderOpen = true;
+    if (!run.firstSentAt)
+        run.firstSentAt = now;
     const SentStart start { .attempt = run.attempt,
         .server = server.address.id,
         .token = this->token,
@@ -132,6 +134,8 @@
 void ServerMonitor::handleUnsentStart(const TaskName& name, Run& run, const SentStart& start, SteadyTime now)
 {
     run.startSent = !start.first;
+    if (start.first)
+        run.firstSentAt.reset();
     if (run.startSent || run.phase != RunPhase::Stopping)
         return;
     this->tracker.runLost(name, RunLoss::NeverStarted, now);
--- a/tests/auto/scheduling/tst_scheduler_crashes.cpp
+++ b/tests/auto/scheduling/tst_scheduler_crashes.cpp
@@ -326,3 +326,55 @@
     CHECK(bench.storedState("sound") != JobState::Failed);
     CHECK(storedCrashes(bench, "sound") <= 1);
 }
+
+// A start without an answer counted as a crash under its task when its server restarted, though the server's answers to
+// polls after the start had not listed the run.
+TEST_CASE("a job is not given up for crashes of a server that left the starts of its task unanswered")
+{
+    const bool leaderChanges = GENERATE(false, true);
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 6 });
+    bench.run(2s);
+    FakeServer& sick = bench.server(0);
+    const std::string id = sick.entry.id;
+    // The other servers have no room, so that the task stays with the server that does not start it.
+    for (std::size_t index = 1; index < bench.serverCount(); ++index) {
+        bench.server(index).entry.draining = true;
+        bench.putEntry(bench.server(index));
+    }
+    bench.run(1s);
+    constexpr int allOrders = 10'000;
+    bench.lateOrders[id] = { .count = allOrders, .delay = 4s, .startsOnly = true };
+    bench.submit("job", "ordinary", { makeStep(1, 8, 3s) });
+    for (int crash = 0; crash < 6; ++crash) {
+        bench.run(2500ms);
+        sick.restart();
+        sick.alive = false;
+        if (leaderChanges && crash == 2) {
+            const std::size_t former = bench.leader();
+            bench.killDaemon(former);
+            bench.startDaemon(former);
+        }
+        bench.run(600ms);
+        sick.alive = true;
+    }
+    REQUIRE(bench.startsOf("job") == 0);
+    CHECK(bench.storedState("job") != JobState::Failed);
+    bench.lateOrders.clear();
+    CHECK(bench.runUntil("job", JobState::Completed, 20s));
+    CHECK(bench.violations().empty());
+}
+
+// A task that crashes its servers is given up, also when one of them leaves some orders unanswered.
+TEST_CASE("a task that crashes its servers is given up in time beside starts that are carried out late")
+{
+    SchedulerBench bench({ .racks = 1, .serversPerRack = 4 });
+    bench.deadly.options = { .startIsAnswered = false };
+    bench.deadly.jobs = { "deadly" };
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.lateOrders[bench.server(index).entry.id] = { .count = 3, .delay = 3s, .startsOnly = true };
+    bench.submit("deadly", "ordinary", { makeStep(1, 1, 4s) });
+    bench.runUntil("deadly", JobState::Failed, 60s);
+    CHECK(bench.storedState("deadly") == JobState::Failed);
+    CHECK(bench.deadly.crashesUnder("deadly") <= 5); // two starts more are allowed after the third crash
+}
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -47,6 +47,7 @@
     struct LateOrders {
         int count = 0; ///< so many of the next orders get no answer and are carried out after `delay`
         Scheduling::Duration delay { 0 };
+        bool startsOnly = false;
     };
     std::map<std::string, LateOrders> lateOrders; ///< by server id
     std::map<std::string, int> startsNotSent; ///< by server id: so many of the next starts do not leave their daemon
