An order that waited for its connection is not sent once its leader may be replaced

A leader was suspended while its order waited for a connection; its successor ordered the same upkeep; the first one woke and sent.

Cause: the permission was asked when the order was queued, and HttpClient sent a request whenever its connection opened, without a look at the call's time-out. Ruled out: the leadership itself (the former leader stepped down at its next tick).

Now a request whose time-out has passed ends as not sent, and a call can carry a condition that is asked right before the request leaves: upkeep orders and starts of runs carry that of the leadership and its term. Starts are included because a server that has restarted has forgotten the successor's token.

--- a/src/libs/adapters/httpclient.cpp
+++ b/src/libs/adapters/httpclient.cpp
@@ -72,6 +72,7 @@
     HttpCall call;
     CompletionHandler done;
     EventLoop::TimerId timer;
+    Utils::SteadyTime latestSending {}; ///< the request is not sent later
     Connection* connection = nullptr; ///< null while the call waits for a connection
     bool sent = false; ///< at least one byte of the request may have been sent
     std::optional<Utils::SteadyTime> beganAt {}; ///< when the first byte of the response arrived
@@ -127,13 +128,24 @@
     this->transactions.emplace(&transaction, std::move(owned));
     transaction.call = std::move(call);
     transaction.done = std::move(done);
+    transaction.latestSending = Utils::steadyNow() + transaction.call.timeout;
     this->armTimer(transaction, transaction.call.timeout);
     if (!this->waiting.empty() || !this->start(transaction))
         this->waiting.push_back(&transaction);
 }
 
+bool HttpClient::isWanted(const Transaction& transaction)
+{
+    return Utils::steadyNow() <= transaction.latestSending
+        && (!transaction.call.mayBeSent || transaction.call.mayBeSent());
+}
+
 bool HttpClient::start(Transaction& transaction)
 {
+    if (!isWanted(transaction)) {
+        this->finish(transaction, HttpClientError::NotSent);
+        return true;
+    }
     if (Connection* connection = this->takeIdle(endpointOf(transaction.call))) {
         connection->transaction = &transaction;
         transaction.connection = connection;
@@ -225,6 +237,19 @@
         this->idleByEndpoint.erase(found);
 }
 
+void HttpClient::handleConnected(Connection& connection)
+{
+    // Time passes while a connection opens, much of it if the process was suspended.
+    Transaction& transaction = *connection.transaction;
+    if (isWanted(transaction)) {
+        this->sendRequest(connection);
+        return;
+    }
+    this->close(connection);
+    this->finish(transaction, HttpClientError::NotSent);
+    this->startWaiting();
+}
+
 void HttpClient::sendRequest(Connection& connection)
 {
     Transaction& transaction = *connection.transaction;
@@ -396,7 +421,7 @@
     switch (reason) {
     case LWS_CALLBACK_RAW_CONNECTED:
         connection->wsi = wsi;
-        client.sendRequest(*connection);
+        client.handleConnected(*connection);
         return 0;
     case LWS_CALLBACK_RAW_WRITEABLE:
         client.writeMore(*connection);
--- a/src/libs/adapters/httpclient.h
+++ b/src/libs/adapters/httpclient.h
@@ -31,6 +31,9 @@
     Duration stallTimeout { 0 };
     std::size_t maximumAnswer = 8'388'608; ///< largest accepted response body, in bytes
     std::function<void(std::size_t)> received {}; ///< optional; called with the number of bytes as they arrive
+    /// Optional; called right before the request is sent, which may be long after send(). The call ends as NotSent
+    /// when it returns false.
+    std::function<bool()> mayBeSent {};
 };
 
 struct HttpClientOptions {
@@ -63,7 +66,8 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /// Sends the call. `done` is called exactly once, from the loop, at the latest when a time-out of the call ends.
+    /// Sends the call. `done` is called exactly once, from the loop, at the latest when a time-out of the call ends. A
+    /// request whose time-out has passed is not sent, also when the process was suspended meanwhile.
     void send(HttpCall call, CompletionHandler done);
 
     /// Bytes of requests sent since the start.
@@ -80,7 +84,9 @@
     struct Connection;
 
     static int callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
-    /// Gives the transaction a connection. Returns false when it has to wait for one.
+    /// True while the transaction's request may still be sent.
+    static bool isWanted(const Transaction& transaction);
+    /// Gives the transaction a connection, or ends it. Returns false when it has to wait for a connection.
     bool start(Transaction& transaction);
     void startWaiting();
     void connect(Transaction& transaction);
@@ -88,6 +94,7 @@
     Connection* takeIdle(const std::string& endpoint);
     void addIdle(Connection& connection);
     void removeIdle(Connection& connection);
+    void handleConnected(Connection& connection);
     void sendRequest(Connection& connection);
     /// Writes what the socket takes of the request.
     void writeMore(Connection& connection);
--- a/src/libs/scheduling/effects.h
+++ b/src/libs/scheduling/effects.h
@@ -46,6 +46,7 @@
     std::string holder; ///< node of the leader
     FencingToken token = 0;
     Duration timeout { 0 };
+    std::function<bool()> mayBeSent {}; ///< called right before the order leaves; when false, it is not sent
     std::function<void(UpkeepResult)> done;
 };
 
--- a/src/libs/scheduling/serverorders.h
+++ b/src/libs/scheduling/serverorders.h
@@ -114,6 +114,7 @@
     ServerAddress server;
     ServerOrder order;
     Duration timeout { 0 }; ///< includes the wait for earlier orders to the same server
+    std::function<bool()> mayBeSent {}; ///< optional; called right before the order leaves; when false, it is not sent
     std::function<void(OrderResult)> done;
 };
 
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -90,6 +90,10 @@
             .checkpoint = run.checkpoint,
             .ticket = run.ticket },
         .timeout = orderTimeout,
+        .mayBeSent =
+            [this, sentToken = this->token]() {
+                return sentToken == this->token && this->leadership.mayStartRuns(this->clock());
+            },
         .done = [this, name, start](const OrderResult& result) { this->handleStartResult(name, start, result); } });
 }
 
--- a/src/libs/scheduling/upkeepcontroller.cpp
+++ b/src/libs/scheduling/upkeepcontroller.cpp
@@ -192,10 +192,15 @@
         .holder = this->holder,
         .token = this->token,
         .timeout = callTimeout,
-        .done = [this, number = wave.wave.number, id, callGeneration = this->generation](UpkeepResult result) {
-            if (callGeneration == this->generation)
-                this->handleOrderResult(number, id, result);
-        } });
+        .mayBeSent =
+            [this, callGeneration = this->generation]() {
+                return callGeneration == this->generation && this->mayOrder(this->clock());
+            },
+        .done =
+            [this, number = wave.wave.number, id, callGeneration = this->generation](UpkeepResult result) {
+                if (callGeneration == this->generation)
+                    this->handleOrderResult(number, id, result);
+            } });
 }
 
 void UpkeepController::handleOrderResult(std::int64_t number, const std::string& id, UpkeepResult result)
--- a/tests/auto/scheduling/tst_scheduler_contracts.cpp
+++ b/tests/auto/scheduling/tst_scheduler_contracts.cpp
@@ -93,6 +93,30 @@
     CHECK(bench.maximumMachinesDown == 1);
 }
 
+// The permission was asked when the order was queued for its connection, which opened after another daemon had taken
+// over.
+TEST_CASE("an upkeep order that waits for its connection is not sent once another daemon may lead")
+{
+    SchedulerBench bench({ .daemons = 2 });
+    bench.run(2s);
+    bench.requestUpkeep(1, { 0 }, 1, 30s);
+    bench.holdsUpkeepCalls = true;
+    for (int round = 0; round < 500 && bench.heldUpkeepCalls() == 0; ++round)
+        bench.run(10ms);
+    REQUIRE(bench.heldUpkeepCalls() == 1);
+    const std::size_t former = bench.leader();
+    bench.pauseDaemon(former);
+    bench.holdsUpkeepCalls = false;
+    bench.run(8s);
+    REQUIRE(bench.leader() != former);
+    REQUIRE(bench.maximumMachinesDown == 1);
+    bench.resumeDaemon(former);
+    bench.sendHeldUpkeepCalls();
+    bench.run(10s);
+    CHECK(bench.waveStatus(1) == "completed");
+    CHECK(bench.violations().empty());
+}
+
 TEST_CASE("upkeep stops no more long-running tasks than their step may miss")
 {
     SchedulerBench bench({ .racks = 1, .serversPerRack = 6 });
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -185,7 +185,10 @@
         } else if (const auto* advice = std::get_if<AdviceCall>(&effect)) {
             this->advise(index, *advice);
         } else if (const auto* upkeep = std::get_if<UpkeepCall>(&effect)) {
-            this->performUpkeep(index, *upkeep);
+            if (this->holdsUpkeepCalls)
+                this->heldUpkeeps.push_back({ index, daemon.generation, *upkeep });
+            else
+                this->performUpkeep(index, *upkeep);
         } else if (const auto* line = std::get_if<LogLine>(&effect)) {
             if (this->onLog)
                 this->onLog(index, *line);
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -61,6 +61,7 @@
     int storeReads = 0; ///< by all daemons, including rejected ones
     int adviceCalls = 0;
     Scheduling::Duration adviceDelay { 50 }; ///< until the placement advice answers
+    bool holdsUpkeepCalls = false; ///< upkeep orders wait for their connection until sendHeldUpkeepCalls()
     int maximumMachinesDown = 0; ///< most machines that upkeep took down at once
 
     /// Stores a job, as an entry host does after its client's call. Queues: "urgent", "ordinary", "background",
@@ -82,6 +83,10 @@
     void requestUpkeep(
         std::int64_t wave, const std::vector<std::size_t>& servers, int maximumDown, Scheduling::Duration duration);
     std::optional<std::string> waveStatus(std::int64_t wave) const;
+    /// Number of upkeep orders that wait for their connection.
+    std::size_t heldUpkeepCalls() const { return this->heldUpkeeps.size(); }
+    /// Opens the connections that upkeep orders wait for. A process that was paused sends on them before its next tick.
+    void sendHeldUpkeepCalls();
 
     /// Advances the clock by `time` in ticks of 10 ms.
     void run(Scheduling::Duration time);
@@ -200,6 +205,12 @@
         OrderOrigin origin;
     };
 
+    struct HeldUpkeep {
+        std::size_t daemon = 0;
+        std::uint64_t generation = 0;
+        Scheduling::UpkeepCall call;
+    };
+
     struct LateCommit {
         Scheduling::SteadyTime at {};
         Scheduling::Transaction transaction;
@@ -254,6 +265,7 @@
     std::vector<WaitingWatch> watches;
     std::vector<LateOrder> waitingOrders;
     std::vector<LateCommit> waitingCommits;
+    std::vector<HeldUpkeep> heldUpkeeps;
     std::vector<Scheduling::ServerEntry> writtenEntries; ///< that rows of the server table name by their index
     std::map<std::string, Scheduling::ServerEntry> earlierEntries; ///< by server id
     std::map<std::string, Scheduling::JobRecord> submitted;
--- a/tests/support/schedulerbenchcalls.cpp
+++ b/tests/support/schedulerbenchcalls.cpp
@@ -65,6 +65,19 @@
         daemon, [done = std::move(call.done), result]() { done(result); }, delay);
 }
 
+void SchedulerBench::sendHeldUpkeepCalls()
+{
+    for (const HeldUpkeep& held : std::exchange(this->heldUpkeeps, {})) {
+        const Daemon& daemon = *this->daemons.at(held.daemon);
+        if (!daemon.alive || daemon.generation != held.generation)
+            continue;
+        if (held.call.mayBeSent && !held.call.mayBeSent())
+            held.call.done(UpkeepResult::Unavailable);
+        else
+            this->performUpkeep(held.daemon, held.call);
+    }
+}
+
 void SchedulerBench::carryOutLateCalls()
 {
     std::vector<LateOrder> orders;
