Stored runs name the machine of their server, so that its next life ends them for a new leader

The leader was killed, and the task's server crashed; its machine was back as another server before the next leader was elected.

Cause: the stored run named the server alone. With its entry gone the new leader did not know the machine, and waited for the end of the lease.

Now the row names the machine; rows of earlier releases are read as before, and these releases ignore the new field. A server without an entry gets machine and start from its runs and is over when a later life of the machine answers.

--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -41,6 +41,7 @@
     int attempt = 0;
     std::string server;
     std::int64_t incarnation = 0; ///< of the server when the run was placed
+    std::string machine; ///< of the server; empty when it is not known
     RunPhase phase = RunPhase::Recording;
     SteadyTime phaseSince {};
     SteadyTime orderedAt {}; ///< when the start was first ordered, or the run was adopted
--- a/src/libs/scheduling/jobtracker.cpp
+++ b/src/libs/scheduling/jobtracker.cpp
@@ -128,7 +128,12 @@
             task.run->startSent = true; // perhaps, by the former leader
             task.run->firstSentAt = now;
             const TaskName name { job.record.id, occurrence.index, number, position };
-            this->board.servers[task.run->server].occupants[name] = countedNeed(specificationOf(job, number));
+            BackendServer& server = this->board.servers[task.run->server];
+            server.occupants[name] = countedNeed(specificationOf(job, number));
+            if (server.address.port == 0) { // no entry describes it
+                server.machine = task.run->machine;
+                server.registeredStart = std::max(server.registeredStart, task.run->incarnation);
+            }
             if (job.ended())
                 this->requestStop(name, "job has ended", now);
         }
--- a/src/libs/scheduling/rowcodec.cpp
+++ b/src/libs/scheduling/rowcodec.cpp
@@ -89,8 +89,8 @@
 }
 
 /// A task with at least one attempt, as [index, phase, attempts, failures, checkpoint]; while it runs, followed by
-/// server, incarnation and the checkpoint that it started from. Counts of server crashes follow as an object, if any;
-/// in that of a gang's first task is the newest attempt in which a member failed.
+/// server, incarnation, the checkpoint that it started from and the server's machine. Counts of server crashes follow
+/// as an object, if any; in that of a gang's first task is the newest attempt in which a member failed.
 Json taskToJson(std::size_t index, const Task& task, int lastFailedAttempt)
 {
     Json json { index, static_cast<int>(task.phase), task.attempts, task.failures, task.checkpoint };
@@ -98,6 +98,7 @@
         json.push_back(task.run->server);
         json.push_back(task.run->incarnation);
         json.push_back(task.run->checkpoint);
+        json.push_back(task.run->machine);
     }
     if (task.crashes > 0 || !task.lostRuns.empty() || lastFailedAttempt > 0) {
         Json counts { { "crashes", task.crashes }, { "proven", task.provenCrashes }, { "suspicion", task.suspicion } };
@@ -128,7 +129,7 @@
             .wasThere = run.size() < fieldsOfLostRun || run.at(3).get<bool>() });
 }
 
-constexpr std::size_t fieldsOfRunningTask = 8;
+constexpr std::size_t fieldsOfRunningTask = 8; ///< without the machine, which earlier releases did not store
 
 void taskFromJson(const Json& json, Step& step)
 {
@@ -154,6 +155,8 @@
     run.server = json.at(5).get<std::string>();
     run.incarnation = json.at(6).get<std::int64_t>();
     run.checkpoint = json.at(7).get<std::string>();
+    if (json.size() > fieldsOfRunningTask && json.at(fieldsOfRunningTask).is_string())
+        run.machine = json.at(fieldsOfRunningTask).get<std::string>();
     run.phase = RunPhase::Ordered;
     task.run = std::move(run);
 }
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -275,6 +275,7 @@
     task.run = Run { .attempt = attempt,
         .server = start.server,
         .incarnation = server.incarnation,
+        .machine = server.machine,
         .phase = RunPhase::Recording,
         .phaseSince = now,
         .checkpoint = specification.gang ? step.tasks.front().checkpoint : task.checkpoint };
--- a/src/libs/scheduling/servermonitor.cpp
+++ b/src/libs/scheduling/servermonitor.cpp
@@ -227,7 +227,8 @@
             { "known", earlier.address.id }, { "knownStartedAt", earlier.startOfLife() },
             { "runs", earlier.occupants.size() }, { "failedLooks", earlier.unansweredPolls } });
     earlier.replaced = true;
-    if (earlier.unansweredPolls > 0)
+    // Nobody can answer for a server without an entry.
+    if (earlier.unansweredPolls > 0 || earlier.address.port == 0)
         this->endReplaced(earlier, now);
     else
         this->pollAtOnce(earlier.address.id, now);
--- a/tests/auto/scheduling/tst_rowcodec.cpp
+++ b/tests/auto/scheduling/tst_rowcodec.cpp
@@ -49,30 +49,49 @@
     task.failures = 1;
     task.checkpoint = "c";
     task.crashes = 2;
+    task.provenCrashes = 1;
     task.suspicion = 5;
     task.runsAfterCrashes = 1;
-    task.run = Run { .attempt = 4, .server = "s", .incarnation = 9, .checkpoint = "c" };
+    task.run = Run { .attempt = 4, .server = "s", .incarnation = 9, .machine = "m", .checkpoint = "c" };
     Task& waiting = occurrence.steps[0].tasks[0];
     waiting.attempts = 1;
-    waiting.lostRuns
-        = { { .server = "gone", .incarnation = 7, .suspicion = 3 }, { .server = "cut", .incarnation = 8 } };
+    waiting.lostRuns = { { .server = "gone", .incarnation = 7, .suspicion = 3, .wasThere = false },
+        { .server = "cut", .incarnation = 8 } };
     occurrence.steps[1].tasks[0].phase = TaskPhase::Done;
     Occurrence read = makeOccurrence();
     REQUIRE(decodeProgress(encodeProgress(occurrence), read));
     REQUIRE(read.steps[0].tasks[1].run);
     CHECK(read.steps[0].tasks[1].run->server == "s");
     CHECK(read.steps[0].tasks[1].run->attempt == 4);
+    CHECK(read.steps[0].tasks[1].run->machine == "m");
     CHECK(read.steps[0].tasks[1].failures == 1);
     CHECK(read.steps[1].tasks[0].phase == TaskPhase::Done);
     CHECK(read.steps[0].tasks[0].phase == TaskPhase::Waiting);
     CHECK(read.steps[0].tasks[1].crashes == 2);
+    CHECK(read.steps[0].tasks[1].provenCrashes == 1);
     CHECK(read.steps[0].tasks[1].suspicion == 5);
     CHECK(read.steps[0].tasks[1].runsAfterCrashes == 1);
     REQUIRE(read.steps[0].tasks[0].lostRuns.size() == 2);
     CHECK(read.steps[0].tasks[0].lostRuns[0].server == "gone");
     CHECK(read.steps[0].tasks[0].lostRuns[0].incarnation == 7);
     CHECK(read.steps[0].tasks[0].lostRuns[0].suspicion == 3);
+    CHECK_FALSE(read.steps[0].tasks[0].lostRuns[0].wasThere);
     CHECK(read.steps[0].tasks[0].lostRuns[1].server == "cut");
+    CHECK(read.steps[0].tasks[0].lostRuns[1].wasThere);
+}
+
+TEST_CASE("rows of earlier releases name no machine, and all crashes in them count as proven")
+{
+    Occurrence read = makeOccurrence();
+    REQUIRE(decodeProgress(
+        R"([[[1,1,4,0,"c","s",9,"c",{"crashes":2,"suspicion":3,"lost":[["gone",7,3]]}]],[[0,2,1,0,""]]])", read));
+    const Task& task = read.steps[0].tasks[1];
+    REQUIRE(task.run);
+    CHECK(task.run->machine.empty());
+    CHECK(task.run->incarnation == 9);
+    CHECK(task.provenCrashes == 2);
+    REQUIRE(task.lostRuns.size() == 1);
+    CHECK(task.lostRuns[0].wasThere);
 }
 
 TEST_CASE("malformed rows are rejected as a whole")
--- a/tests/auto/scheduling/tst_scheduler_handover.cpp
+++ b/tests/auto/scheduling/tst_scheduler_handover.cpp
@@ -342,3 +342,45 @@
         CHECK(bench.runUntil("job-" + std::to_string(job), JobState::Completed, 90s));
     CHECK(bench.violations().empty());
 }
+
+// The stored run named the server alone, so that a new leader did not know which machine's next life proves its end.
+TEST_CASE("a new leader starts the runs again of a machine that came back as another server before its election")
+{
+    SchedulerBench bench({ .maximumLease = 10s });
+    bench.run(2s);
+    StepSpecification lasting = makeStep(1, 1, 4s);
+    lasting.longRunning = true;
+    bench.submit("job", "ordinary", { lasting });
+    bench.setRunTime("job", 3600s);
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    bench.run(1s);
+    FakeServer& server = bench.serverRunning("job");
+    bench.killDaemon(bench.leader());
+    server.restart();
+    bench.removeEntry(server);
+    server.entry.id += "-next";
+    bench.putEntry(server);
+    CHECK(bench.runUntilActive("job", 1, 5s));
+    bench.run(10s);
+    CHECK(bench.activeTasks("job") == 1);
+    CHECK(bench.startsOf("job") == 2);
+    CHECK(bench.violations().empty());
+}
+
+TEST_CASE("a new leader leaves runs alone on a server without an entry that no later life of its machine replaces")
+{
+    SchedulerBench bench({ .maximumLease = 10s });
+    bench.run(2s);
+    bench.submit("job", "ordinary", { makeStep(1, 1, longWork) });
+    REQUIRE(bench.runUntilActive("job", 1, 1s));
+    FakeServer& server = bench.serverRunning("job");
+    bench.killDaemon(bench.leader());
+    bench.removeEntry(server);
+    bench.putEntryOfEarlierLife(server);
+    bench.run(6s);
+    bench.putEntry(server);
+    bench.run(3s);
+    CHECK(bench.activeTasks("job") == 1);
+    CHECK(bench.startsOf("job") == 1);
+    CHECK(bench.violations().empty());
+}
