A start without an answer is not sent again to a server that drains

Cause: orderStart() repeats a start after a look at the server and did not ask whether the server drains; a new leader sent recorded starts in the same way.

Now such a run is stopped, which queues its task again; the look has shown that it has not begun.

--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -63,6 +63,12 @@
             this->pollAtOnce(run.server, now);
         return;
     }
+    // The poll that is needed before a start is repeated has not listed the run, so it has not begun there.
+    if (server.draining) {
+        this->tracker.requestStop(name, "its server is draining", now);
+        this->changed = true;
+        return;
+    }
     if (exceedsCapacity(server, countedNeed(this->board.stepOf(name)))) {
         // The capacity has shrunk since the placement; what is being stopped still occupies it.
         this->tracker.requestStop(name, "the server has become too small", now);
--- a/tests/auto/scheduling/tst_scheduler_entries.cpp
+++ b/tests/auto/scheduling/tst_scheduler_entries.cpp
@@ -141,3 +141,42 @@
     CHECK(bench.runUntil("job", JobState::Completed, 4s));
     CHECK(bench.startsOf("job") == 1);
 }
+
+// A start without an answer was sent again though its server had said meanwhile that it leaves, also by a new leader.
+TEST_CASE("a start without an answer is not sent again to a server that drains")
+{
+    const bool leaderChanges = GENERATE(false, true);
+    CAPTURE(leaderChanges);
+    SchedulerBench bench({});
+    bench.run(2s);
+    std::string chosen;
+    int starts = 0;
+    bench.onUnanswered = [&](const std::string& server, const ServerOrder& order) {
+        if (!std::holds_alternative<StartOrder>(order))
+            return;
+        chosen = server;
+        ++starts;
+    };
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.lateOrders[bench.server(index).entry.id] = { .count = 1000, .delay = 60s, .startsOnly = true };
+    bench.submit("job", "ordinary", { makeStep(1, 1, 2s) });
+    bench.run(700ms);
+    REQUIRE(starts > 0);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index) {
+        FakeServer& server = bench.server(index);
+        if (server.entry.id != chosen) {
+            bench.lateOrders.erase(server.entry.id);
+            continue;
+        }
+        server.entry.draining = true;
+        bench.putEntry(server);
+    }
+    if (leaderChanges)
+        bench.killDaemon(bench.leader());
+    else
+        bench.run(600ms); // until the entry is read
+    starts = 0;
+    CHECK(bench.runUntil("job", JobState::Completed, 8s));
+    CHECK(starts == 0);
+    CHECK(bench.violations().empty());
+}
