Emulator: entries of other programs, and servers that list few end records at once

Steps server-foreign-entry (an entry on the machine of a server, for its service or another one, at whose address nobody answers) and server-lists; each is drawn in two of five histories, after all others, so that the earlier part of a seed's history stays as it was.

--- a/tests/emulator/emulator.h
+++ b/tests/emulator/emulator.h
@@ -70,6 +70,8 @@
     void after(Duration delay, std::function<void()> action);
     void healAll();
     void cutFor(const Hosts& inside, Duration time);
+    /// Stores an entry of another program that names the machine of the server.
+    void putForeignEntry(const TestSupport::FakeServer& server, const Step& step);
     void takeDown(std::size_t server, Duration time, bool replace, const std::set<Scheduling::TaskName>& culprits);
     void runDueActions();
     void sendPendingRequests();
@@ -118,6 +120,7 @@
     Scheduling::SteadyTime disturbedUntil {}; ///< by single faults
     Scheduling::SteadyTime writesLateUntil {}; ///< writes may get no answer
     std::map<std::size_t, Scheduling::SteadyTime> lateUntil; ///< servers carry out orders late
+    int foreignEntries = 0; ///< stored so far
     int storeDowns = 0;
     int storeSilences = 0;
     std::map<std::size_t, int> refusals;
--- a/tests/emulator/emulatorsteps.cpp
+++ b/tests/emulator/emulatorsteps.cpp
@@ -14,6 +14,8 @@
 constexpr const char* leaderWord = "leader";
 constexpr Duration earlierEntryLifetime { 1500 };
 constexpr Duration observationInterval { 100 };
+constexpr const char* foreignAddress = "10.0.0.99"; ///< at which nobody answers
+constexpr Duration foreignEntryDelay { 1000 }; ///< from the start of the server whose machine a foreign entry names
 
 } // namespace
 
@@ -150,6 +152,17 @@
     });
 }
 
+void Emulator::putForeignEntry(const FakeServer& server, const Step& step)
+{
+    ServerEntry entry = server.entry;
+    entry.id = "foreign-" + std::to_string(++this->foreignEntries);
+    entry.service = step.text("service");
+    entry.address = foreignAddress;
+    entry.startedAt = server.startedAt + foreignEntryDelay.count();
+    this->bench.storeEntry(entry);
+    this->after(step.duration("for"), [this, id = entry.id]() { this->bench.store.remove({ "servers", "", id }); });
+}
+
 void Emulator::performOnServer(const Step& step)
 {
     const std::size_t index = std::stoul(step.text("server"));
@@ -181,6 +194,10 @@
         this->after(earlierEntryLifetime, [this, id = server.entry.id + "-earlier"]() {
             this->bench.store.remove({ "servers", "", id });
         });
+    } else if (step.verb == "server-foreign-entry") {
+        this->putForeignEntry(server, step);
+    } else if (step.verb == "server-lists") {
+        server.maximumListedEnds = static_cast<std::size_t>(std::max(1, step.number("ends")));
     } else if (step.verb == "server-fails" && step.has("percent")) {
         this->failingPercents[index] = step.number("percent");
         this->after(step.duration("for"), [this, index]() { this->failingPercents.erase(index); });
--- a/tests/emulator/history.cpp
+++ b/tests/emulator/history.cpp
@@ -69,6 +69,8 @@
         { "server-shrink", { { "server", server }, { "percent", { .kind = Kind::Percent } }, { "for", time } } },
         { "server-entry-late", { { "server", server }, { "for", time } } },
         { "server-earlier-entry", { { "server", server } } },
+        { "server-foreign-entry", { { "server", server }, { "service", { .kind = Kind::Id } }, { "for", time } } },
+        { "server-lists", { { "server", server }, { "ends", count } } },
         { "server-stall", { { "server", server }, { "for", time } } },
         { "server-fails", { { "server", server }, { "for", time }, { "percent", optionalPercent } } },
     };
--- a/tests/emulator/historygenerator.cpp
+++ b/tests/emulator/historygenerator.cpp
@@ -59,6 +59,8 @@
         this->drawFaults();
         if (this->endsQuietly)
             this->drawQuietEnd();
+        this->drawForeignEntries();
+        this->drawShortLists();
         std::ranges::stable_sort(this->history.steps, {}, &Step::at);
         return this->history;
     }
@@ -208,6 +210,28 @@
                 at, "cut-servers", { { "servers", this->servers() }, { "for", this->choices.text(2000, 20'000) } });
     }
 
+    /// Other programs register on the machines of servers, some under the service of the servers.
+    void drawForeignEntries()
+    {
+        if (!this->choices.chance(40))
+            return;
+        const int entries = this->choices.between(1, 12);
+        for (int entry = 0; entry < entries; ++entry)
+            this->add(this->choices.between(1000, this->lengthMs()), "server-foreign-entry",
+                { { "server", this->server() },
+                    { "service", this->choices.one<std::string>({ "inventory", "scoring" }) },
+                    { "for", this->time() } });
+    }
+
+    /// Servers that list few end records at once, as with many runs that end while none can be stored.
+    void drawShortLists()
+    {
+        if (!this->choices.chance(40))
+            return;
+        for (int index = 0; index < this->history.fleet.servers; ++index)
+            this->add(0, "server-lists", { { "server", std::to_string(index) }, { "ends", this->choices.text(1, 6) } });
+    }
+
     void drawFaults()
     {
         using Draw = std::function<Arguments()>;
