Members and upkeep waves are read to the last page of their tables

Cause: a read returns at most 500 rows and says whether there are more. TableReader goes on; the reads of the members and of the upkeep waves did not. Rows of members stay when hosts are replaced, so that a daemon whose row comes after 500 others was found by heartbeats only; a wave after 500 others was never begun.

Before: "members on all pages of the table are found" read the first page again and knew 2 of 3 members; "an upkeep wave after many others is carried out" failed, 2 of 2 checks. After: both pass.

--- a/src/libs/scheduling/peers.cpp
+++ b/src/libs/scheduling/peers.cpp
@@ -85,28 +85,41 @@
 {
     this->callOpen = true;
     this->nextCall = now + (this->members.empty() ? firstReadInterval : readInterval);
-    this->effects.push(ReadCall {
-        .range = { .table = StoreTable::members }, .timeout = storeTimeout, .done = [this](const ReadResult& result) {
-            this->callOpen = false;
+    this->readMembersFrom("");
+}
+
+void PeerDirectory::readMembersFrom(const std::string& key)
+{
+    this->effects.push(ReadCall { .range = { .table = StoreTable::members, .from = key },
+        .timeout = storeTimeout,
+        .done = [this](const ReadResult& result) {
             const auto* page = std::get_if<RowPage>(&result);
-            if (!page)
-                return;
-            const SteadyTime readAt = this->clock();
-            for (const Row& row : page->rows) {
-                const std::optional<MemberRow> member = decodeMember(row.value);
-                if (!member || member->node == this->self.node)
-                    continue;
-                const auto known = this->members.find(member->node);
-                if (known == this->members.end() || known->second != *member) {
-                    this->members[member->node] = *member;
-                    this->memberSince[member->node] = readAt;
-                }
-                if (readAt - this->memberSince.at(member->node) >= destinationExpiry)
-                    this->probesDue.insert(member->node);
-            }
+            if (page)
+                this->applyMembers(page->rows);
+            if (page && page->more && !page->rows.empty())
+                this->readMembersFrom(keyAfter(page->rows.back().key.key));
+            else
+                this->callOpen = false;
         } });
 }
 
+void PeerDirectory::applyMembers(const std::vector<Row>& rows)
+{
+    const SteadyTime readAt = this->clock();
+    for (const Row& row : rows) {
+        const std::optional<MemberRow> member = decodeMember(row.value);
+        if (!member || member->node == this->self.node)
+            continue;
+        const auto known = this->members.find(member->node);
+        if (known == this->members.end() || known->second != *member) {
+            this->members[member->node] = *member;
+            this->memberSince[member->node] = readAt;
+        }
+        if (readAt - this->memberSince.at(member->node) >= destinationExpiry)
+            this->probesDue.insert(member->node);
+    }
+}
+
 bool PeerDirectory::handleHeartbeat(const PeerHeartbeat& heartbeat, SteadyTime now)
 {
     if (heartbeat.node == this->self.node)
--- a/src/libs/scheduling/peers.h
+++ b/src/libs/scheduling/peers.h
@@ -100,6 +100,9 @@
 private:
     void registerSelf(SteadyTime now);
     void readMembers(SteadyTime now);
+    /// Reads the page of members that begins at `key`, and those after it.
+    void readMembersFrom(const std::string& key);
+    void applyMembers(const std::vector<Row>& rows);
 
     Effects& effects;
     MemberRow self;
--- a/src/libs/scheduling/upkeepcontroller.cpp
+++ b/src/libs/scheduling/upkeepcontroller.cpp
@@ -51,20 +51,27 @@
         return;
     this->readCallOpen = true;
     this->nextRead = now + readInterval;
-    this->effects.push(ReadCall { .range = { .table = this->options.waveTable,
-                                      .from = this->options.wavePrefix,
-                                      .to = this->options.wavePrefix + '\x7f' },
-        .timeout = storeTimeout,
-        .done = [this, callGeneration = this->generation](const ReadResult& result) {
-            if (callGeneration != this->generation)
-                return;
-            this->readCallOpen = false;
-            const auto* page = std::get_if<RowPage>(&result);
-            if (!page)
-                return;
-            for (const Row& row : page->rows)
-                this->addWave(row, this->clock());
-        } });
+    this->readWavesFrom(this->options.wavePrefix);
+}
+
+void UpkeepController::readWavesFrom(const std::string& key)
+{
+    this->effects.push(
+        ReadCall { .range = { .table = this->options.waveTable, .from = key, .to = this->options.wavePrefix + '\x7f' },
+            .timeout = storeTimeout,
+            .done = [this, callGeneration = this->generation](const ReadResult& result) {
+                if (callGeneration != this->generation)
+                    return;
+                const auto* page = std::get_if<RowPage>(&result);
+                if (page) {
+                    for (const Row& row : page->rows)
+                        this->addWave(row, this->clock());
+                }
+                if (page && page->more && !page->rows.empty())
+                    this->readWavesFrom(keyAfter(page->rows.back().key.key));
+                else
+                    this->readCallOpen = false;
+            } });
 }
 
 void UpkeepController::addWave(const Row& row, SteadyTime now)
--- a/src/libs/scheduling/upkeepcontroller.h
+++ b/src/libs/scheduling/upkeepcontroller.h
@@ -76,6 +76,8 @@
     };
 
     void readWaves(SteadyTime now);
+    /// Reads the page of waves that begins at `key`, and those after it.
+    void readWavesFrom(const std::string& key);
     void readProgress(Wave& wave);
     void addWave(const Row& row, SteadyTime now);
     void advance(Wave& wave, SteadyTime now);
--- a/tests/auto/scheduling/tst_peers.cpp
+++ b/tests/auto/scheduling/tst_peers.cpp
@@ -202,3 +202,33 @@
     run(10s, false);
     CHECK(heard == 20);
 }
+
+// Only the first page of the table was read.
+TEST_CASE("members on all pages of the table are found")
+{
+    RouteBench bench;
+    constexpr int pages = 3;
+    const auto rowOf = [](int number) {
+        const std::string node = "node-" + std::to_string(number);
+        return Row { .key = { StoreTable::members, "", node },
+            .value = encodeMember({ .node = node, .zone = "z", .address = "10.0.0.2", .heartbeatPort = 7000 }) };
+    };
+    std::vector<std::string> begins;
+    for (int step = 0; step < 100 && begins.size() < pages; ++step) {
+        bench.now += 100ms;
+        bench.peers.tick(bench.now);
+        while (!bench.effects.empty()) {
+            const Effect effect = bench.effects.pop();
+            if (const auto* commit = std::get_if<CommitCall>(&effect))
+                commit->done(Committed { 1 });
+            const auto* read = std::get_if<ReadCall>(&effect);
+            if (!read)
+                continue;
+            const int page = static_cast<int>(begins.size());
+            begins.push_back(read->range.from);
+            read->done(RowPage { .rows = { rowOf(page) }, .more = page + 1 < pages });
+        }
+    }
+    CHECK(begins == std::vector<std::string> { "", keyAfter("node-0"), keyAfter("node-1") });
+    CHECK(bench.peers.takeDestinations(bench.now).size() == pages);
+}
--- a/tests/auto/scheduling/tst_scheduler_contracts.cpp
+++ b/tests/auto/scheduling/tst_scheduler_contracts.cpp
@@ -117,6 +117,20 @@
     CHECK(bench.violations().empty());
 }
 
+// Only the first page of the table was read.
+TEST_CASE("an upkeep wave after many others is carried out")
+{
+    constexpr int rowsPerPage = 500;
+    SchedulerBench bench({});
+    bench.run(2s);
+    for (int wave = 1; wave <= rowsPerPage; ++wave)
+        bench.requestUpkeep(1000 + wave, {}, 1, 20s);
+    bench.requestUpkeep(9000, { 0 }, 1, 20s);
+    bench.run(15s);
+    CHECK(bench.waveStatus(9000) == "completed");
+    CHECK(bench.maximumMachinesDown == 1);
+}
+
 TEST_CASE("upkeep stops no more long-running tasks than their step may miss")
 {
     SchedulerBench bench({ .racks = 1, .serversPerRack = 6 });
