--- a/src/libs/scheduling/crashcontroller.cpp
+++ b/src/libs/scheduling/crashcontroller.cpp
@@ -73,6 +73,9 @@
         suspects.front()->suspicion = suspicionOfOnlySuspect;
 }
 
+/// True when the run had begun on its server, or no answer of the server after the start shows that it had not.
+bool wasOnServer(const Run& run) { return run.activeSince.has_value() || run.listed || !run.omitted; }
+
 } // namespace
 
 void CrashController::begin()
@@ -94,13 +97,6 @@
     }
 }
 
-namespace {
-
-/// True when the run had begun on its server, or no answer of the server after the start shows that it had not.
-bool wasOnServer(const Run& run) { return run.activeSince.has_value() || run.listed || !run.omitted; }
-
-} // namespace
-
 std::vector<ExposedRun> CrashController::exposedRuns(
     const BackendServer& server, std::int64_t incarnation, SteadyTime lastAnswer) const
 {
--- a/src/libs/scheduling/crashcontroller.h
+++ b/src/libs/scheduling/crashcontroller.h
@@ -25,9 +25,10 @@
 /// Answers the load of tasks with a defect that crashes each server that starts them. A run is suspect when the server
 /// crashed soon after its start and no other run started later there; two or three such crashes end the job. Silent,
 /// drained and removed servers do not count, nor do power losses of many servers, nor servers that crash under any
-/// work. A server that answers polls after a start, and does not list the run, leaves orders unanswered: when it crashes
-/// later, that is counted, but ends a job only beside two crashes without such an answer. Whatever is suspect, a task is given up after a number of crashes in a row that no power loss or run of a
-/// minute explains. The counts are part of the task's stored row. Runs in the leader only. Thread safety: none.
+/// work. A server that answers polls after a start, and does not list the run, leaves orders unanswered: when it
+/// crashes later, that is counted, but ends a job only beside two crashes without such an answer. Whatever is suspect,
+/// a task is given up after a number of crashes in a row that no power loss or run of a minute explains. The counts are
+/// part of the task's stored row. Runs in the leader only. Thread safety: none.
 class CrashController {
 public:
     CrashController(Board& board, Effects& effects, JobTracker& tracker)
--- a/tests/auto/adapters/tst_httpclient_late.cpp
+++ b/tests/auto/adapters/tst_httpclient_late.cpp
@@ -34,7 +34,8 @@
         constexpr int fillers = 4;
         for (int number = 0; number < fillers; ++number) {
             this->sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-            connect(this->sockets.back(), this->socketAddress(), sizeof(this->address)); // not awaited
+            // The connection opens later, or never.
+            static_cast<void>(connect(this->sockets.back(), this->socketAddress(), sizeof(this->address)));
         }
     }
     ~FullListener()
