--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -264,10 +264,15 @@
         self.host, self.port = world.address(100 + number), 8080
         self.service = None
         self.up = False
+        self.dark = False  # without power: connections hang
+        self.cut = False  # cut off from the daemons, not from the store: it runs on
         self.on_start = None  # called before a start is carried out; a true result means that no answer is given
         self.accepts_ticket = None  # returns false for a start that has no valid ticket
 
     async def boot(self):
+        if self.dark:
+            self.service.stop()
+            self.dark = False
         self.born = wall_ms()
         self.clock_begin = steady_ms()
         self.fence = 0
@@ -283,9 +288,10 @@
         self.world.record.write(f"server {self.id} on {self.machine} is up, kind {self.kind}, born {self.born}")
         self.beat()
 
-    def crash(self, why):
-        self.up = False
-        self.service.stop()
+    def crash(self, why, dark=False):
+        self.up, self.dark = False, dark
+        if not dark:
+            self.service.stop()
         self.world.record.write(f"server {self.id} is down: {why}; it ran {sorted(self.runs)}")
         for task, run in self.runs.items():
             self.world.run_over(self, task, run, "crash")
@@ -330,6 +336,13 @@
 
     async def handle(self, method, path, arguments, headers, document):
         world, where = self.world, f"server {self.id}"
+        if self.cut:
+            return None
+        if self.dark:
+            if path == "/-/run-start":
+                world.record.write(f"{where} is without power; start {document['Task']} run {document['Attempt']} is lost")
+                world.starts_to_dark += 1
+            return None
         if headers.get("expect-instance", self.id) != self.id:
             return 421, {"ClockMs": self.clock()}
         if path == "/healthz":
@@ -351,6 +364,8 @@
                     await asyncio.wait_for(self.end_listed.wait(), wait)
                 except asyncio.TimeoutError:
                     pass
+                if not self.up or self.cut:
+                    return None
             active = [[task, run.attempt, "", run.percent(), 0] for task, run in self.runs.items()]
             return 200, {"ClockMs": self.clock(), "born": self.born, "Active": active, "Finished": self.ended[:500]}
         task, attempt = document.get("Task", ""), document.get("Attempt", 0)
@@ -446,6 +461,7 @@
         self.service_name = "roundhouse"
         self.store = Store()
         self.jobs = {}
+        self.starts_to_dark = 0
         self.refused = {}  # number of starts that servers refused, by reason
         self.servers, self.machines, self.last_beats = [], {}, {}
         self.accesses, self.daemons, self.logs = {}, {}, []
