Tickets hold for one life of a server, and end when it rejects one

Cause: a step kept tickets and denials by server id. A ticket of the server's former life counted as valid, so that no other one was requested, and the rejection of a start taught nothing.

Why the fix works: StepTickets keeps the life that a ticket or a denial was given for, and stateOf() compares it with the server's present one. A rejected ticket is not used again; another one for that life is requested after a pause that doubles with each rejection in a row. TicketRejected reports each case with the ticket's age.

--- a/src/libs/scheduling/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -1,10 +1,10 @@
-#include "scheduling/advicecontroller.h"
+#include "scheduling/advice/advicecontroller.h"
 
 #include "scheduling/placement.h"
 
 #include <algorithm>
 
-namespace WisteriaHill::Scheduling {
+namespace WisteriaHill::Scheduling::Advice {
 
 using Utils::Event;
 
@@ -13,51 +13,60 @@
 constexpr std::size_t serversPerRequest = 30; ///< the decision time grows with each server and delays all tickets
 constexpr Duration queueingSlack { 800 }; ///< added to the announced decision time for queued calls of other daemons
 constexpr Duration retryPause { 150 };
+constexpr Duration firstRejectionPause { 250 };
+constexpr Duration longestRejectionPause { 30'000 };
 constexpr Duration ticketMargin { 400 }; ///< remaining validity of a usable ticket: the start order has to arrive
 
+/// `first`, doubled with each further time.
+Duration pauseAfter(int times, Duration first, Duration longest)
+{
+    Duration pause = first;
+    for (int count = 1; count < times && pause < longest; ++count)
+        pause *= 2;
+    return std::min(pause, longest);
+}
+
+Duration elapsed(SteadyTime since, SteadyTime now) { return std::chrono::duration_cast<Duration>(now - since); }
+
 } // namespace
 
-bool hasTicket(const Queue& queue, const Step& step, const std::string& server, SteadyTime now)
+bool hasTicket(const Queue& queue, const Step& step, const BackendServer& server, SteadyTime now)
 {
-    if (!queue.advice)
-        return true;
-    const auto found = step.tickets.find(server);
-    return found != step.tickets.end() && now + ticketMargin < found->second.validUntil;
+    return !queue.advice || step.advice.stateOf(server.address.id, server.startOfLife(), now) == TicketState::Usable;
 }
 
-std::vector<std::string> AdviceController::serversToQuery(const Step& step, const StepSpecification& wanted,
-    const Queue& queue, const std::function<bool(const BackendServer&)>& usable, SteadyTime now) const
+std::vector<NamedServer> AdviceController::serversToQuery(
+    const Step& step, const StepSpecification& wanted, const Queue& queue, const Usable& usable, SteadyTime now) const
 {
     const Resources need = countedNeed(wanted);
     int covered = 0;
-    std::vector<std::pair<std::int64_t, std::string>> candidates;
+    std::vector<std::pair<std::int64_t, NamedServer>> candidates;
     for (const auto& [id, server] : this->board.servers) {
-        if (server.service != queue.service || !usable(server) || step.deniedServers.contains(id)
-            || !hasRequiredLabel(server.labels, wanted))
+        if (server.service != queue.service || !usable(server) || !hasRequiredLabel(server.labels, wanted))
             continue;
         const Resources free = server.freeCapacity();
         if (!free.holds(need))
             continue;
-        if (hasTicket(queue, step, id, now))
+        const TicketState state = step.advice.stateOf(id, server.startOfLife(), now);
+        if (state == TicketState::Usable)
             ++covered;
-        else
-            candidates.emplace_back(free.accelerators, id);
+        else if (state != TicketState::Denied && state != TicketState::Rejected)
+            candidates.push_back({ free.accelerators, { id, server.startOfLife() } });
     }
     const int waiting = static_cast<int>(step.tasks.size()) - step.done - step.running;
     if (covered >= waiting)
         return {};
     // One ticket allows several tasks, so servers with more free accelerators come first.
-    std::ranges::sort(candidates, std::greater());
+    std::ranges::stable_sort(candidates, std::greater(), &std::pair<std::int64_t, NamedServer>::first);
     candidates.resize(std::min(candidates.size(), serversPerRequest));
-    std::vector<std::string> servers;
+    std::vector<NamedServer> servers;
     servers.reserve(candidates.size());
-    for (const auto& [free, id] : candidates)
-        servers.push_back(id);
+    for (const auto& [free, server] : candidates)
+        servers.push_back(server);
     return servers;
 }
 
-std::optional<AdviceController::Request> AdviceController::nextRequest(
-    const std::function<bool(const BackendServer&)>& usable, SteadyTime now) const
+std::optional<AdviceController::Request> AdviceController::nextRequest(const Usable& usable, SteadyTime now) const
 {
     std::optional<Request> best;
     SteadyTime bestSince {};
@@ -74,7 +83,7 @@
                     || std::pair(queue->priority, step.readySince) < std::pair(best->queue->priority, bestSince);
                 if (!better)
                     continue;
-                std::vector<std::string> servers
+                std::vector<NamedServer> servers
                     = this->serversToQuery(step, job.record.specification.steps[number], *queue, usable, now);
                 if (servers.empty())
                     continue;
@@ -86,7 +95,7 @@
     return best;
 }
 
-void AdviceController::tick(const std::function<bool(const BackendServer&)>& usable, SteadyTime now)
+void AdviceController::tick(const Usable& usable, SteadyTime now)
 {
     if (this->callOpen || now < this->nextCall || !this->board.hasAdvisedQueues)
         return;
@@ -95,8 +104,12 @@
         return;
     const PlacementAdvice& advice = *request->queue->advice;
     this->callOpen = true;
+    std::vector<std::string> servers;
+    servers.reserve(request->servers.size());
+    for (const NamedServer& server : request->servers)
+        servers.push_back(server.id);
     this->effects.push(AdviceCall { .step = request->step,
-        .servers = request->servers,
+        .servers = std::move(servers),
         .timeout = advice.decisionTime + advice.timePerServer * static_cast<std::int64_t>(request->servers.size())
             + queueingSlack,
         .done = [this, request = *request, validity = advice.ticketValidity, now, callGeneration = this->generation](
@@ -123,17 +136,59 @@
     if (!known)
         return; // the job has ended in the meantime
     Step& step = *known;
-    std::set<std::string> denied(request.servers.begin(), request.servers.end());
-    for (const auto& [server, ticket] : answer->allowed) {
-        denied.erase(server);
+    const Duration valid = answer->validity.count() > 0 ? answer->validity : validity;
+    std::map<std::string, std::int64_t> unanswered;
+    for (const NamedServer& server : request.servers)
+        unanswered.emplace(server.id, server.life);
+    for (const auto& [server, text] : answer->allowed) {
+        const auto named = unanswered.find(server);
+        if (named == unanswered.end())
+            continue;
         // The validity counts from the sending of the request, since the ticket may have been issued right after it.
-        step.tickets[server] = { ticket, sentAt + (answer->validity.count() > 0 ? answer->validity : validity) };
+        step.advice.tickets[server] = { .text = text,
+            .life = named->second,
+            .calledAt = sentAt,
+            .answeredAt = now,
+            .validity = valid,
+            .usableUntil = sentAt + valid - ticketMargin };
+        unanswered.erase(named);
+    }
+    for (const auto& [server, life] : unanswered) {
+        step.advice.denied[server] = life;
+        step.advice.tickets.erase(server);
     }
-    step.deniedServers.insert(denied.begin(), denied.end());
     this->changed = true;
     this->effects.log(Event::AdviceTaken,
         { { "step", formatTaskName(request.step) }, { "asked", request.servers.size() },
             { "allowed", answer->allowed.size() } });
 }
 
-} // namespace WisteriaHill::Scheduling
+void AdviceController::ticketUsed(const UsedTicket& used, SteadyTime now)
+{
+    Step* step = this->board.findStep(used.task);
+    if (!step)
+        return;
+    StepTickets& tickets = step->advice;
+    const auto known = tickets.tickets.find(used.server);
+    if (known == tickets.tickets.end() || known->second.text != used.text)
+        return; // another ticket has taken its place
+    if (used.accepted) {
+        tickets.rejections.erase(used.server);
+        return;
+    }
+    Rejection& rejection = tickets.rejections[used.server];
+    if (rejection.life != known->second.life)
+        rejection = { .life = known->second.life };
+    ++rejection.count;
+    rejection.askAgainAt = now + pauseAfter(rejection.count, firstRejectionPause, longestRejectionPause);
+    this->effects.log(Event::TicketRejected,
+        { { "task", formatTaskName(used.task) }, { "server", used.server }, { "life", known->second.life },
+            { "sinceCallMs", elapsed(known->second.calledAt, used.sentAt).count() },
+            { "sinceAnswerMs", elapsed(known->second.answeredAt, used.sentAt).count() },
+            { "validMs", known->second.validity.count() }, { "rejections", rejection.count } });
+    known->second.text.clear(); // the advice allows the server all the same
+    known->second.usableUntil = now;
+    this->changed = true;
+}
+
+} // namespace WisteriaHill::Scheduling::Advice
--- a/src/libs/scheduling/advicecontroller.h
+++ b/src/libs/scheduling/advice/advicecontroller.h
@@ -6,7 +6,15 @@
 
 #include <functional>
 
-namespace WisteriaHill::Scheduling {
+namespace WisteriaHill::Scheduling::Advice {
+
+using Usable = std::function<bool(const BackendServer&)>;
+
+/// A server that a call names, in the life for which its ticket will hold.
+struct NamedServer {
+    std::string id;
+    std::int64_t life = 0;
+};
 
 /// Stores the tickets in the blackboard's steps. Thread safety: none.
 class AdviceController {
@@ -29,21 +37,24 @@
 
     /// Requests tickets for the most urgent step that needs some. Only one call is outstanding at a time, as the
     /// service handles calls one after the other.
-    void tick(const std::function<bool(const BackendServer&)>& usable, SteadyTime now);
+    void tick(const Usable& usable, SteadyTime now);
 
     /// Returns true once after new tickets were stored.
     bool takeChanged() { return std::exchange(this->changed, false); }
 
+    /// Learns from a start that its server has accepted, or rejected for its ticket.
+    void ticketUsed(const UsedTicket& used, SteadyTime now);
+
 private:
     struct Request {
         TaskName step; ///< the step's task with index 0
-        std::vector<std::string> servers;
+        std::vector<NamedServer> servers;
         const Queue* queue = nullptr;
     };
 
-    std::optional<Request> nextRequest(const std::function<bool(const BackendServer&)>& usable, SteadyTime now) const;
-    std::vector<std::string> serversToQuery(const Step& step, const StepSpecification& wanted, const Queue& queue,
-        const std::function<bool(const BackendServer&)>& usable, SteadyTime now) const;
+    std::optional<Request> nextRequest(const Usable& usable, SteadyTime now) const;
+    std::vector<NamedServer> serversToQuery(const Step& step, const StepSpecification& wanted, const Queue& queue,
+        const Usable& usable, SteadyTime now) const;
     void handleAnswer(const Request& request, Duration validity, SteadyTime sentAt, const AdviceResult& result);
 
     Board& board;
@@ -55,8 +66,8 @@
     SteadyTime nextCall {};
 };
 
-/// True when the step's queue needs no placement advice, or the step has a ticket for the server that stays valid until
-/// a start order would arrive.
-bool hasTicket(const Queue& queue, const Step& step, const std::string& server, SteadyTime now);
+/// True when the step's queue needs no placement advice, or the step has a ticket for this life of the server that
+/// stays valid until a start order would arrive.
+bool hasTicket(const Queue& queue, const Step& step, const BackendServer& server, SteadyTime now);
 
-} // namespace WisteriaHill::Scheduling
+} // namespace WisteriaHill::Scheduling::Advice
--- /dev/null
+++ b/src/libs/scheduling/advice/steptickets.cpp
@@ -0,0 +1,18 @@
+#include "scheduling/advice/steptickets.h"
+
+namespace WisteriaHill::Scheduling::Advice {
+
+TicketState StepTickets::stateOf(const std::string& server, std::int64_t life, SteadyTime now) const
+{
+    if (const auto refused = this->denied.find(server); refused != this->denied.end() && refused->second == life)
+        return TicketState::Denied;
+    if (const auto rejection = this->rejections.find(server);
+        rejection != this->rejections.end() && rejection->second.life == life && now < rejection->second.askAgainAt)
+        return TicketState::Rejected;
+    const auto ticket = this->tickets.find(server);
+    if (ticket == this->tickets.end() || ticket->second.life != life)
+        return TicketState::NotAsked;
+    return now < ticket->second.usableUntil ? TicketState::Usable : TicketState::Expired;
+}
+
+} // namespace WisteriaHill::Scheduling::Advice
--- a/src/libs/scheduling/board.h
+++ b/src/libs/scheduling/board.h
@@ -1,6 +1,7 @@
 /// The scheduler's blackboard: jobs, their tasks and runs, and backend servers. Controllers read and write it.
 #pragma once
 
+#include "scheduling/advice/steptickets.h"
 #include "scheduling/estimates/serverspeeds.h"
 #include "scheduling/estimates/speedrows.h"
 #include "scheduling/evacuation/evacuatedzones.h"
@@ -104,12 +105,6 @@
     SteadyTime lastRunAt {}; ///< latest time at which an ended or lost run is known to have been running
 };
 
-/// Permission by the placement advice to run a step's tasks on one server.
-struct Ticket {
-    std::string text;
-    SteadyTime validUntil {};
-};
-
 struct Step {
     std::vector<Task> tasks;
     int done = 0;
@@ -121,8 +116,7 @@
     Outlook outlook = Outlook::OnTime; ///< outlook in the last planning pass in which the step waited
     WaitReason waitReason = WaitReason::NoRoom; ///< in the last report
     SteadyTime waitReportedAt {}; ///< when `waitReason` was found
-    std::map<std::string, Ticket> tickets; ///< by server; only for queues with placement advice
-    std::set<std::string> deniedServers; ///< servers refused by the advice, which does not change for a step
+    Advice::StepTickets advice; ///< only for queues with placement advice
     Estimates::StepObservation observation; ///< what the runs have told of the step's tasks
 };
 
--- a/src/libs/scheduling/fleetconfiguration.h
+++ b/src/libs/scheduling/fleetconfiguration.h
@@ -15,6 +15,8 @@
     Duration decisionTime { 0 }; ///< of one request
     Duration timePerServer { 0 }; ///< added for each server in the request
     Duration ticketValidity { 0 };
+
+    bool operator==(const PlacementAdvice&) const = default;
 };
 
 /// A queue of jobs, reached by host name and path.
--- a/src/libs/scheduling/planner.cpp
+++ b/src/libs/scheduling/planner.cpp
@@ -1,6 +1,6 @@
 #include "scheduling/planner.h"
 
-#include "scheduling/advicecontroller.h"
+#include "scheduling/advice/advicecontroller.h"
 
 #include <algorithm>
 #include <optional>
@@ -92,7 +92,7 @@
     for (std::size_t index = 0; index < pass.servers.size(); ++index) {
         const PlacementServer& server = pass.servers[index];
         if (pass.boardServers[index]->service != pending.queue->service || !isEligible(server, *pending.specification)
-            || !hasTicket(*pending.queue, *pending.state, server.id, pass.time()))
+            || !Advice::hasTicket(*pending.queue, *pending.state, *pass.boardServers[index], pass.time()))
             continue;
         const bool isExcluded = kept ? (server.avoided && this->excludeAvoided) || this->claimed.contains(server.id)
                                      : pass.time() < pass.boardServers[index]->refusesUntil;
--- a/src/libs/scheduling/plannerwaits.cpp
+++ b/src/libs/scheduling/plannerwaits.cpp
@@ -1,6 +1,5 @@
 // What keeps waiting steps from servers that have room; the rest of Planner is in planner.cpp.
 
-#include "scheduling/advicecontroller.h"
 #include "scheduling/planner.h"
 
 #include <algorithm>
@@ -15,6 +14,23 @@
 /// Limit for the reports of one interval, since each examines every server.
 constexpr int reportsPerInterval = 16;
 
+/// Precondition: the ticket cannot be used.
+WaitReason reasonOf(Advice::TicketState ticket)
+{
+    switch (ticket) {
+    case Advice::TicketState::Denied:
+        return WaitReason::TicketDenied;
+    case Advice::TicketState::Expired:
+        return WaitReason::TicketExpired;
+    case Advice::TicketState::Rejected:
+        return WaitReason::TicketRejected;
+    case Advice::TicketState::NotAsked:
+    case Advice::TicketState::Usable:
+        break;
+    }
+    return WaitReason::NoTicket;
+}
+
 } // namespace
 
 std::string waitReasonName(WaitReason reason)
@@ -39,7 +55,13 @@
     case WaitReason::Preemption:
         return "servers preempted for another job";
     case WaitReason::NoTicket:
-        return "no ticket";
+        return "no ticket requested yet";
+    case WaitReason::TicketDenied:
+        return "denied by the placement advice";
+    case WaitReason::TicketExpired:
+        return "expired tickets";
+    case WaitReason::TicketRejected:
+        return "rejected tickets";
     case WaitReason::LimitPerServer:
         return "limit per server";
     case WaitReason::LaterPass:
@@ -73,8 +95,12 @@
         return WaitReason::Preemption;
     if (server.avoided && this->excludeAvoided)
         return WaitReason::AvoidedServers;
-    if (!hasTicket(*pending.queue, *pending.state, server.id, pass.time()))
-        return WaitReason::NoTicket;
+    if (pending.queue->advice) {
+        const Advice::TicketState ticket
+            = pending.state->advice.stateOf(server.id, pass.boardServers[index]->startOfLife(), pass.time());
+        if (ticket != Advice::TicketState::Usable)
+            return reasonOf(ticket);
+    }
     if (pending.job->failedOn.contains(server.id))
         return WaitReason::FailedServers;
     if (step.maximumPerServer > 0 && server.tasksOfStep >= step.maximumPerServer)
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -55,6 +55,7 @@
         this->upkeep.handleRequests(rows, now);
     });
     this->advice.setClock(this->clock);
+    this->monitor.onTicketUsed([this](const UsedTicket& used, SteadyTime now) { this->advice.ticketUsed(used, now); });
     this->upkeep.setClock(this->clock);
     this->upkeep.setPermission([this](SteadyTime now) { return this->leader.isConfirmed(now); });
     this->monitor.setFrequentPollCondition([this](const BackendServer& server) { return this->pace.isMixed(server); });
@@ -299,8 +300,8 @@
         .phase = RunPhase::Recording,
         .phaseSince = now,
         .checkpoint = specification.gang ? step.tasks.front().checkpoint : task.checkpoint };
-    const auto ticket = step.tickets.find(start.server);
-    if (ticket != step.tickets.end())
+    const auto ticket = step.advice.tickets.find(start.server);
+    if (ticket != step.advice.tickets.end())
         task.run->ticket = ticket->second.text;
     ++step.running;
     server.occupants[start.task] = countedNeed(specification);
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -1,7 +1,7 @@
 /// The scheduler of the fleet: active in the daemon that holds the leadership, idle in the others.
 #pragma once
 
-#include "scheduling/advicecontroller.h"
+#include "scheduling/advice/advicecontroller.h"
 #include "scheduling/evacuation/zoneevacuation.h"
 #include "scheduling/gangstartcontroller.h"
 #include "scheduling/jobretention.h"
@@ -124,7 +124,7 @@
     Evacuation::ZoneEvacuation zones;
     StallController stalls;
     GangStartController gangStarts;
-    AdviceController advice;
+    Advice::AdviceController advice;
     PaceController pace;
     UpkeepController upkeep;
     Requests::OperatorRequests requests;
--- a/src/libs/scheduling/servermonitor.h
+++ b/src/libs/scheduling/servermonitor.h
@@ -58,6 +58,12 @@
     /// `handler` is called when a server refuses an order because it has seen a higher token.
     void onFenced(std::function<void(SteadyTime)> handler) { this->fenced = std::move(handler); }
 
+    /// `handler` is called when a server has accepted a start with a ticket, or rejected it for its ticket.
+    void onTicketUsed(std::function<void(const UsedTicket&, SteadyTime now)> handler)
+    {
+        this->ticketUsed = std::move(handler);
+    }
+
     /// `handler` returns true for servers that must answer polls after a short wait.
     void setFrequentPollCondition(std::function<bool(const BackendServer&)> handler)
     {
@@ -96,6 +102,8 @@
         std::string server;
         FencingToken token = 0;
         bool first = false; ///< no start of this run was sent before
+        SteadyTime sentAt {};
+        std::string ticket;
     };
 
     void handleStartResult(const TaskName& name, const SentStart& start, const OrderResult& result);
@@ -134,6 +142,7 @@
     ServerMonitorOptions options;
     FencingToken token = 0;
     std::function<void(SteadyTime)> fenced;
+    std::function<void(const UsedTicket&, SteadyTime)> ticketUsed;
     std::function<bool(const BackendServer&)> needsFrequentPolls;
     std::function<SteadyTime()> clock;
     bool changed = false;
--- a/src/libs/scheduling/serverorders.h
+++ b/src/libs/scheduling/serverorders.h
@@ -36,6 +36,15 @@
     std::string ticket; ///< placement ticket; empty when the queue needs none
 };
 
+/// What became of the placement ticket that a start order carried.
+struct UsedTicket {
+    TaskName task;
+    std::string server;
+    std::string text;
+    bool accepted = false;
+    SteadyTime sentAt {}; ///< the order left this process then or later
+};
+
 struct StopOrder {
     TaskName task;
     int attempt = 1;
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -86,7 +86,9 @@
     const SentStart start { .attempt = run.attempt,
         .server = server.address.id,
         .token = this->token,
-        .first = !std::exchange(run.startSent, true) };
+        .first = !std::exchange(run.startSent, true),
+        .sentAt = now,
+        .ticket = run.ticket };
     run.nextOrderAt = now + orderRetryPause;
     const ServerTime leaseEnd = this->leaseEndForStart(server, now);
     server.unlistedLeaseEnd = now + this->longestLease();
@@ -126,12 +128,21 @@
     }
     run->orderOpen = false;
     run->nextOrderAt = now + orderRetryPause;
-    if (std::holds_alternative<OrderDone>(result)) {
+    const auto* refusal = std::get_if<OrderRefusal>(&result);
+    const bool accepted = std::holds_alternative<OrderDone>(result);
+    if (this->ticketUsed && !start.ticket.empty() && (accepted || (refusal && *refusal == OrderRefusal::NoTicket)))
+        this->ticketUsed({ .task = name,
+                             .server = start.server,
+                             .text = start.ticket,
+                             .accepted = accepted,
+                             .sentAt = start.sentAt },
+            now);
+    if (accepted) {
         if (run->phase == RunPhase::Ordered)
             this->tracker.runConfirmed(name, now);
         return;
     }
-    if (const auto* refusal = std::get_if<OrderRefusal>(&result)) {
+    if (refusal) {
         this->handleStartRefusal(name, start.server, *refusal, now);
         return;
     }
--- a/src/libs/scheduling/waitreason.h
+++ b/src/libs/scheduling/waitreason.h
@@ -15,7 +15,10 @@
     ReservedServers, ///< they are reserved for urgent work
     ClaimedServers, ///< they are claimed for a waiting gang
     Preemption, ///< runs on them were stopped for another job
-    NoTicket, ///< the placement advice does not allow them
+    NoTicket, ///< the placement advice was not asked about them yet, or has not answered
+    TicketDenied, ///< the placement advice does not allow them
+    TicketExpired, ///< the step's tickets for them have expired
+    TicketRejected, ///< they have rejected the step's tickets
     LimitPerServer, ///< they run as many tasks of the step as one server may
     LaterPass, ///< nothing; the next pass places it
 };
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -247,6 +247,9 @@
         "See the result; the order is repeated until it succeeds." },
     EventDescription {
         Event::WaveCompleted, Information, "WaveCompleted", "Every machine of a wave has begun its upkeep.", "None." },
+    EventDescription { Event::TicketRejected, Warning, "TicketRejected",
+        "A backend server rejected a ticket that counted as valid; it is not used again.",
+        "None, unless it lasts: then the servers and the placement advice disagree, or their figures are wrong." },
     EventDescription { Event::ZoneEvacuationBegun, Information, "ZoneEvacuationBegun",
         "The operator evacuates a zone; no run is started there until it is taken back.", "None." },
     EventDescription { Event::ZoneTakenBack, Information, "ZoneTakenBack",
--- a/tests/support/schedulerbench.cpp
+++ b/tests/support/schedulerbench.cpp
@@ -209,6 +209,15 @@
 void SchedulerBench::advise(std::size_t daemon, const AdviceCall& call)
 {
     ++this->adviceCalls;
+    if (this->advisor) {
+        const FakeAdvisor::Decision decision = this->advisor->decide(call, this->time);
+        const auto wait = std::chrono::duration_cast<Duration>(decision.at - this->time);
+        const AdviceResult result
+            = wait < call.timeout ? AdviceResult(decision.answer) : AdviceResult(AdviceError::NoAnswer);
+        this->answer(
+            daemon, [done = call.done, result]() { done(result); }, std::min(wait, call.timeout));
+        return;
+    }
     AdviceAnswer answer;
     for (const std::string& server : call.servers) {
         if (this->advisedServers.contains(server))
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -3,6 +3,7 @@
 
 #include "support/benchlinks.h"
 #include "support/deadlytasks.h"
+#include "support/fakeadvisor.h"
 #include "support/fakeserver.h"
 #include "support/fakestore.h"
 #include "support/gangwatch.h"
@@ -64,6 +65,8 @@
     int storeReads = 0; ///< by all daemons, including rejected ones
     int adviceCalls = 0;
     Scheduling::Duration adviceDelay { 50 }; ///< until the placement advice answers
+    /// When set, it gives the advice in place of `advisedServers`, and servers demand its tickets. See useAdvisor().
+    std::optional<FakeAdvisor> advisor;
     bool holdsUpkeepCalls = false; ///< upkeep orders wait for their connection until sendHeldUpkeepCalls()
     int maximumMachinesDown = 0; ///< most machines that upkeep took down at once
 
@@ -135,6 +138,8 @@
 
     /// Index of the daemon that leads; daemons.size() when none does.
     std::size_t leader() const;
+    /// What the leader tells operators of a job.
+    Utils::Json explain(const std::string& id) const;
     /// The blackboard of a daemon's scheduler.
     const Scheduling::Board& boardOf(std::size_t index) const { return this->daemons.at(index)->scheduler->state(); }
     bool isElected(std::size_t index) const
@@ -170,6 +175,10 @@
     void setServices(const std::vector<std::string>& names);
     /// Puts a configuration with the queue in force at all daemons.
     void addQueue(const Scheduling::Queue& queue);
+    /// Sets up `advisor`, and puts a configuration in force at all daemons that announces its figures.
+    FakeAdvisor& useAdvisor(const Scheduling::PlacementAdvice& figures);
+    /// Puts a configuration in force at all daemons that announces these figures for the queue "advised".
+    void announceAdvice(const Scheduling::PlacementAdvice& figures);
 
     Scheduling::SteadyTime now() const { return this->time; }
     Scheduling::StoreTime storeNow() const { return this->storeClock.at(this->time); }
--- a/tests/support/schedulerbenchcalls.cpp
+++ b/tests/support/schedulerbenchcalls.cpp
@@ -23,6 +23,12 @@
     if (const auto* start = std::get_if<StartOrder>(&order)) {
         need = countedNeed(this->specificationOf(start->task));
         work = this->runTimeOf(start->task);
+        const bool needsTicket = this->advisor && this->submitted.at(start->task.jobId).pathPrefix == "/advised/"
+            && target.alive && target.reachable && !target.active.contains(start->task);
+        if (needsTicket && !this->advisor->accepts(*start, target.entry.id, this->time)) {
+            ++this->advisor->rejectedStarts;
+            return OrderRefusal::NoTicket;
+        }
     }
     this->origin = sender;
     return target.handle(order, need, work);
--- a/tests/support/schedulerbenchdaemons.cpp
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -2,6 +2,8 @@
 
 #include "support/schedulerbench.h"
 
+#include "scheduling/boarddump.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -89,6 +91,26 @@
     this->setConfiguration(std::move(next));
 }
 
+FakeAdvisor& SchedulerBench::useAdvisor(const PlacementAdvice& figures)
+{
+    this->advisor.emplace();
+    this->advisor->figures = figures;
+    this->advisor->lifeOf = [this](const std::string& id) {
+        const FakeServer* known = this->findServer(id);
+        return known ? known->startedAt : 0;
+    };
+    this->announceAdvice(figures);
+    return *this->advisor;
+}
+
+void SchedulerBench::announceAdvice(const PlacementAdvice& figures)
+{
+    FleetConfiguration next = *this->configuration;
+    const auto advised = std::ranges::find(next.queues, "advised", &Queue::name);
+    advised->advice = figures;
+    this->setConfiguration(std::move(next));
+}
+
 void SchedulerBench::putEntryAsOfNow(const FakeServer& server)
 {
     ServerEntry entry = server.entry;
@@ -166,6 +188,11 @@
     }
 }
 
+Utils::Json SchedulerBench::explain(const std::string& id) const
+{
+    return explainJob(*this->daemons.at(this->leader())->scheduler, id, this->time);
+}
+
 std::size_t SchedulerBench::leader() const
 {
     for (std::size_t index = 0; index < this->daemons.size(); ++index) {
