Advice: a call names no more servers than leave time to use the tickets

What callers saw: LOST.

Cause: a call always named up to 30 servers, and a ticket's validity counted from the sending of the call. When DecideMs + 30 x PeriodMs + 400 ms exceed ValidMs, every ticket counted as expired on arrival, and the same call was made again. With some figures that holds for a single server too: no number of servers helps, since the platform does not say from when a ticket counts.

AdviceTaken named neither the time that the answer took nor the time left, which is why logs alone did not show it.

Validity counts from the call where that leaves time for a start, as no start is rejected then. Where it leaves none, one ticket is tried by the other reading, from the answer; whether its server accepts the start shows which one holds, for a minute, and the other tickets follow it. An answer's own validity goes before the configuration's, a validity that nobody states is taken as open, and the margin for the start order shrinks with a short validity.

--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -1,8 +1,7 @@
 #include "scheduling/advice/advicecontroller.h"
 
-#include "scheduling/placement.h"
-
 #include <algorithm>
+#include <utility>
 
 namespace WisteriaHill::Scheduling::Advice {
 
@@ -10,12 +9,9 @@
 
 namespace {
 
-constexpr std::size_t serversPerRequest = 30; ///< the decision time grows with each server and delays all tickets
-constexpr Duration queueingSlack { 800 }; ///< added to the announced decision time for queued calls of other daemons
 constexpr Duration retryPause { 150 };
 constexpr Duration firstRejectionPause { 250 };
 constexpr Duration longestRejectionPause { 30'000 };
-constexpr Duration ticketMargin { 400 }; ///< remaining validity of a usable ticket: the start order has to arrive
 
 /// `first`, doubled with each further time.
 Duration pauseAfter(int times, Duration first, Duration longest)
@@ -26,6 +22,14 @@
     return std::min(pause, longest);
 }
 
+SteadyTime usableUntil(const Ticket& ticket, ValidityStart start)
+{
+    if (ticket.validity.count() <= 0)
+        return SteadyTime::max();
+    return (start == ValidityStart::Call ? ticket.calledAt : ticket.answeredAt) + ticket.validity
+        - orderMargin(ticket.validity);
+}
+
 Duration elapsed(SteadyTime since, SteadyTime now) { return std::chrono::duration_cast<Duration>(now - since); }
 
 } // namespace
@@ -35,41 +39,22 @@
     return !queue.advice || step.advice.stateOf(server.address.id, server.startOfLife(), now) == TicketState::Usable;
 }
 
-std::vector<NamedServer> AdviceController::serversToQuery(
-    const Step& step, const StepSpecification& wanted, const Queue& queue, const Usable& usable, SteadyTime now) const
+void AdviceController::begin()
 {
-    const Resources need = countedNeed(wanted);
-    int covered = 0;
-    std::vector<std::pair<std::int64_t, NamedServer>> candidates;
-    for (const auto& [id, server] : this->board.servers) {
-        if (server.service != queue.service || !usable(server) || !hasRequiredLabel(server.labels, wanted))
-            continue;
-        const Resources free = server.freeCapacity();
-        if (!free.holds(need))
-            continue;
-        const TicketState state = step.advice.stateOf(id, server.startOfLife(), now);
-        if (state == TicketState::Usable)
-            ++covered;
-        else if (state != TicketState::Denied && state != TicketState::Rejected)
-            candidates.push_back({ free.accelerators, { id, server.startOfLife() } });
-    }
-    const int waiting = static_cast<int>(step.tasks.size()) - step.done - step.running;
-    if (covered >= waiting)
-        return {};
-    // One ticket allows several tasks, so servers with more free accelerators come first.
-    std::ranges::stable_sort(candidates, std::greater(), &std::pair<std::int64_t, NamedServer>::first);
-    candidates.resize(std::min(candidates.size(), serversPerRequest));
-    std::vector<NamedServer> servers;
-    servers.reserve(candidates.size());
-    for (const auto& [free, server] : candidates)
-        servers.push_back(server);
-    return servers;
+    ++this->generation;
+    this->callOpen = false;
+}
+
+PlacementAdvice AdviceController::figuresOf(const Queue& queue)
+{
+    ServiceTiming& timing = this->timings[queue.name];
+    timing.announce(*queue.advice);
+    return timing.figures();
 }
 
-std::optional<AdviceController::Request> AdviceController::nextRequest(const Usable& usable, SteadyTime now) const
+std::vector<AdvisedStep> AdviceController::waitingSteps() const
 {
-    std::optional<Request> best;
-    SteadyTime bestSince {};
+    std::vector<AdvisedStep> steps;
     for (const auto& [id, job] : this->board.jobs) {
         const Queue* queue = job.ended() ? nullptr : job.queue;
         if (!queue || !queue->advice)
@@ -77,22 +62,44 @@
         for (const auto& [index, occurrence] : job.occurrences) {
             for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
                 const Step& step = occurrence.steps[number];
-                if (!step.ready || step.done + step.running >= static_cast<int>(step.tasks.size()))
-                    continue;
-                const bool better = !best
-                    || std::pair(queue->priority, step.readySince) < std::pair(best->queue->priority, bestSince);
-                if (!better)
-                    continue;
-                std::vector<NamedServer> servers
-                    = this->serversToQuery(step, job.record.specification.steps[number], *queue, usable, now);
-                if (servers.empty())
-                    continue;
-                best = Request { { id, index, static_cast<int>(number), 0 }, std::move(servers), queue };
-                bestSince = step.readySince;
+                if (step.ready && step.done + step.running < static_cast<int>(step.tasks.size()))
+                    steps.push_back({ .name = { id, index, static_cast<int>(number), 0 },
+                        .job = &job,
+                        .state = &step,
+                        .specification = &job.record.specification.steps[number],
+                        .queue = queue });
             }
         }
     }
-    return best;
+    return steps;
+}
+
+std::optional<AdviceController::Request> AdviceController::requestFor(
+    const AdvisedStep& step, const Usable& usable, SteadyTime now)
+{
+    const PlacementAdvice figures = this->figuresOf(*step.queue);
+    CallSelection selection = selectServers(this->board, step, figures, this->evidence.proven(now), usable, now);
+    if (selection.servers.empty())
+        return std::nullopt;
+    const Duration timeout = this->timings.at(step.queue->name).timeout(selection.servers.size());
+    return Request { .step = step.name,
+        .queue = step.queue->name,
+        .figures = figures,
+        .selection = std::move(selection),
+        .sentAt = now,
+        .timeout = timeout };
+}
+
+std::optional<AdviceController::Request> AdviceController::nextRequest(const Usable& usable, SteadyTime now)
+{
+    std::vector<AdvisedStep> steps = this->waitingSteps();
+    std::ranges::stable_sort(
+        steps, {}, [](const AdvisedStep& step) { return std::pair(step.queue->priority, step.state->readySince); });
+    for (const AdvisedStep& step : steps) {
+        if (std::optional<Request> request = this->requestFor(step, usable, now))
+            return request;
+    }
+    return std::nullopt;
 }
 
 void AdviceController::tick(const Usable& usable, SteadyTime now)
@@ -102,65 +109,88 @@
     std::optional<Request> request = this->nextRequest(usable, now);
     if (!request)
         return;
-    const PlacementAdvice& advice = *request->queue->advice;
     this->callOpen = true;
     std::vector<std::string> servers;
-    servers.reserve(request->servers.size());
-    for (const NamedServer& server : request->servers)
+    servers.reserve(request->selection.servers.size());
+    for (const NamedServer& server : request->selection.servers)
         servers.push_back(server.id);
     this->effects.push(AdviceCall { .step = request->step,
         .servers = std::move(servers),
-        .timeout = advice.decisionTime + advice.timePerServer * static_cast<std::int64_t>(request->servers.size())
-            + queueingSlack,
-        .done = [this, request = *request, validity = advice.ticketValidity, now, callGeneration = this->generation](
-                    const AdviceResult& result) {
+        .timeout = request->timeout,
+        .done = [this, request = *request, callGeneration = this->generation](const AdviceResult& result) {
             if (callGeneration == this->generation)
-                this->handleAnswer(request, validity, now, result);
+                this->handleAnswer(request, result);
         } });
 }
 
-void AdviceController::handleAnswer(
-    const Request& request, Duration validity, SteadyTime sentAt, const AdviceResult& result)
+void AdviceController::handleFailure(const Request& request, AdviceError error, SteadyTime now)
+{
+    const Duration waited = elapsed(request.sentAt, now);
+    const bool timedOut = error == AdviceError::NoAnswer && waited >= request.timeout;
+    this->nextCall = now + retryPause;
+    this->effects.log(Event::AdviceMissing,
+        { { "step", formatTaskName(request.step) }, { "servers", request.selection.servers.size() },
+            { "busy", error == AdviceError::Busy }, { "timedOut", timedOut }, { "waitedMs", waited.count() },
+            { "announcedMs", decisionTime(request.figures, request.selection.servers.size()).count() } });
+}
+
+void AdviceController::handleAnswer(const Request& request, const AdviceResult& result)
 {
     this->callOpen = false;
     const SteadyTime now = this->clock();
     const auto* answer = std::get_if<AdviceAnswer>(&result);
     if (!answer) {
-        this->nextCall = now + retryPause;
-        this->effects.log(Event::AdviceMissing,
-            { { "step", formatTaskName(request.step) }, { "servers", request.servers.size() },
-                { "busy", std::get<AdviceError>(result) == AdviceError::Busy } });
+        this->handleFailure(request, std::get<AdviceError>(result), now);
         return;
     }
-    Step* known = this->board.findStep(request.step);
-    if (!known)
+    if (const auto timing = this->timings.find(request.queue); timing != this->timings.end())
+        timing->second.answered(answer->validity);
+    Step* step = this->board.findStep(request.step);
+    if (!step)
         return; // the job has ended in the meantime
-    Step& step = *known;
-    const Duration valid = answer->validity.count() > 0 ? answer->validity : validity;
+    this->storeTickets(request, *answer, *step, now);
+    this->changed = true;
+}
+
+void AdviceController::storeTickets(const Request& request, const AdviceAnswer& answer, Step& step, SteadyTime now)
+{
+    const Duration validity = answer.validity.count() > 0 ? answer.validity : request.figures.ticketValidity;
+    const std::optional<ValidityStart> proven = this->evidence.proven(now);
+    Ticket ticket { .calledAt = request.sentAt, .answeredAt = now, .validity = validity };
+    const bool isCertain = now < usableUntil(ticket, ValidityStart::Call);
+    const ValidityStart start = proven.value_or(isCertain ? request.selection.validityStart : ValidityStart::Answer);
+    ticket.usableUntil = usableUntil(ticket, start);
+    // A ticket that is certainly over may be valid still. Only a start can show it, and one start is enough.
+    const bool isTrial = !proven && !isCertain && !this->board.stepOf(request.step).gang;
     std::map<std::string, std::int64_t> unanswered;
-    for (const NamedServer& server : request.servers)
+    for (const NamedServer& server : request.selection.servers)
         unanswered.emplace(server.id, server.life);
-    for (const auto& [server, text] : answer->allowed) {
+    std::size_t allowed = 0;
+    for (const auto& [server, text] : answer.allowed) {
         const auto named = unanswered.find(server);
         if (named == unanswered.end())
             continue;
-        // The validity counts from the sending of the request, since the ticket may have been issued right after it.
-        step.advice.tickets[server] = { .text = text,
-            .life = named->second,
-            .calledAt = sentAt,
-            .answeredAt = now,
-            .validity = valid,
-            .usableUntil = sentAt + valid - ticketMargin };
+        ++allowed;
+        ticket.text = text;
+        ticket.life = named->second;
+        if (isTrial && allowed > 1)
+            ticket.usableUntil = now;
+        step.advice.tickets[server] = ticket;
         unanswered.erase(named);
     }
     for (const auto& [server, life] : unanswered) {
         step.advice.denied[server] = life;
         step.advice.tickets.erase(server);
     }
-    this->changed = true;
-    this->effects.log(Event::AdviceTaken,
-        { { "step", formatTaskName(request.step) }, { "asked", request.servers.size() },
-            { "allowed", answer->allowed.size() } });
+    const SteadyTime end = usableUntil(ticket, start);
+    const Duration usable = end == SteadyTime::max() ? Duration::max() : elapsed(now, end);
+    const bool areUsable = allowed == 0 || usable.count() > 0;
+    this->effects.log(areUsable ? Event::AdviceTaken : Event::TicketsUnusable,
+        { { "step", formatTaskName(request.step) }, { "asked", request.selection.servers.size() },
+            { "allowed", allowed }, { "tookMs", elapsed(request.sentAt, now).count() },
+            { "announcedMs", decisionTime(request.figures, request.selection.servers.size()).count() },
+            { "validMs", validity.count() }, { "countsFrom", validityStartName(start) },
+            { "countIsProven", proven.has_value() }, { "trial", isTrial }, { "usableMs", usable.count() } });
 }
 
 void AdviceController::ticketUsed(const UsedTicket& used, SteadyTime now)
@@ -172,6 +202,9 @@
     const auto known = tickets.tickets.find(used.server);
     if (known == tickets.tickets.end() || known->second.text != used.text)
         return; // another ticket has taken its place
+    const bool learned = this->evidence.learn(known->second, used.accepted, used.sentAt, now);
+    if (learned)
+        this->recountTickets(now);
     if (used.accepted) {
         tickets.rejections.erase(used.server);
         return;
@@ -180,15 +213,49 @@
     if (rejection.life != known->second.life)
         rejection = { .life = known->second.life };
     ++rejection.count;
-    rejection.askAgainAt = now + pauseAfter(rejection.count, firstRejectionPause, longestRejectionPause);
+    if (!learned)
+        rejection.askAgainAt = now + pauseAfter(rejection.count, firstRejectionPause, longestRejectionPause);
     this->effects.log(Event::TicketRejected,
         { { "task", formatTaskName(used.task) }, { "server", used.server }, { "life", known->second.life },
             { "sinceCallMs", elapsed(known->second.calledAt, used.sentAt).count() },
             { "sinceAnswerMs", elapsed(known->second.answeredAt, used.sentAt).count() },
-            { "validMs", known->second.validity.count() }, { "rejections", rejection.count } });
+            { "validMs", known->second.validity.count() }, { "rejections", rejection.count },
+            { "showsCountFromCall", learned } });
     known->second.text.clear(); // the advice allows the server all the same
     known->second.usableUntil = now;
     this->changed = true;
 }
 
+void AdviceController::recountTickets(SteadyTime now)
+{
+    const ValidityStart start = *this->evidence.proven(now);
+    for (auto& [id, job] : this->board.jobs) {
+        for (auto& [index, occurrence] : job.occurrences) {
+            for (Step& step : occurrence.steps) {
+                for (auto& [server, ticket] : step.advice.tickets) {
+                    if (!ticket.text.empty())
+                        ticket.usableUntil = usableUntil(ticket, start);
+                }
+            }
+        }
+    }
+    this->changed = true;
+}
+
+std::string AdviceController::obstacleFor(const Queue& queue, std::size_t servers, SteadyTime now) const
+{
+    const auto timing = this->timings.find(queue.name);
+    const PlacementAdvice figures = timing == this->timings.end() ? *queue.advice : timing->second.figures();
+    const std::optional<ValidityStart> proven = this->evidence.proven(now);
+    const ValidityStart start = proven.value_or(ValidityStart::Answer);
+    if (usualCallSize(figures, start) > 0 && canBeUsedTogether(figures, servers, start))
+        return {};
+    return "it needs tickets for " + std::to_string(servers)
+        + " servers at the same time; calls to the placement advice take "
+        + std::to_string(figures.decisionTime.count()) + " ms and " + std::to_string(figures.timePerServer.count())
+        + " ms for each server, and a ticket is valid for " + std::to_string(figures.ticketValidity.count())
+        + " ms from the " + validityStartName(start)
+        + (proven ? " on, as rejected or accepted starts have shown" : " on");
+}
+
 } // namespace WisteriaHill::Scheduling::Advice
--- a/src/libs/scheduling/advice/advicecontroller.h
+++ b/src/libs/scheduling/advice/advicecontroller.h
@@ -1,22 +1,22 @@
 /// Requests placement tickets from the placement advice: permissions to run a step on certain backend servers.
 #pragma once
 
-#include "scheduling/board.h"
+#include "scheduling/advice/callselection.h"
+#include "scheduling/advice/servicetiming.h"
+#include "scheduling/advice/validityevidence.h"
 #include "scheduling/effects.h"
 
 #include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace WisteriaHill::Scheduling::Advice {
 
-using Usable = std::function<bool(const BackendServer&)>;
-
-/// A server that a call names, in the life for which its ticket will hold.
-struct NamedServer {
-    std::string id;
-    std::int64_t life = 0;
-};
-
-/// Stores the tickets in the blackboard's steps. Thread safety: none.
+/// Stores the tickets in the blackboard's steps. Only one call is outstanding at a time, as the service handles a
+/// machine's calls one after the other. Thread safety: none.
 class AdviceController {
 public:
     AdviceController(Board& board, Effects& effects)
@@ -29,14 +29,9 @@
     void setClock(std::function<SteadyTime()> handler) { this->clock = std::move(handler); }
 
     /// Begins a term: the answer to an outstanding call is ignored.
-    void begin()
-    {
-        ++this->generation;
-        this->callOpen = false;
-    }
+    void begin();
 
-    /// Requests tickets for the most urgent step that needs some. Only one call is outstanding at a time, as the
-    /// service handles calls one after the other.
+    /// Requests tickets for the step whose turn it is, if one needs some.
     void tick(const Usable& usable, SteadyTime now);
 
     /// Returns true once after new tickets were stored.
@@ -45,17 +40,29 @@
     /// Learns from a start that its server has accepted, or rejected for its ticket.
     void ticketUsed(const UsedTicket& used, SteadyTime now);
 
+    /// Why the queue's steps cannot use tickets for so many servers at the same time, as a text for operators; empty
+    /// when they can. Precondition: the queue needs placement advice.
+    std::string obstacleFor(const Queue& queue, std::size_t servers, SteadyTime now) const;
+
 private:
     struct Request {
         TaskName step; ///< the step's task with index 0
-        std::vector<NamedServer> servers;
-        const Queue* queue = nullptr;
+        std::string queue;
+        PlacementAdvice figures;
+        CallSelection selection;
+        SteadyTime sentAt {};
+        Duration timeout { 0 };
     };
 
-    std::optional<Request> nextRequest(const Usable& usable, SteadyTime now) const;
-    std::vector<NamedServer> serversToQuery(const Step& step, const StepSpecification& wanted, const Queue& queue,
-        const Usable& usable, SteadyTime now) const;
-    void handleAnswer(const Request& request, Duration validity, SteadyTime sentAt, const AdviceResult& result);
+    std::optional<Request> nextRequest(const Usable& usable, SteadyTime now);
+    std::vector<AdvisedStep> waitingSteps() const;
+    std::optional<Request> requestFor(const AdvisedStep& step, const Usable& usable, SteadyTime now);
+    PlacementAdvice figuresOf(const Queue& queue);
+    void handleAnswer(const Request& request, const AdviceResult& result);
+    void handleFailure(const Request& request, AdviceError error, SteadyTime now);
+    /// Applies what was learned of the moment from which tickets count to those that are kept.
+    void recountTickets(SteadyTime now);
+    void storeTickets(const Request& request, const AdviceAnswer& answer, Step& step, SteadyTime now);
 
     Board& board;
     Effects& effects;
@@ -64,6 +71,8 @@
     bool callOpen = false;
     bool changed = false;
     SteadyTime nextCall {};
+    std::map<std::string, ServiceTiming> timings; ///< by queue
+    ValidityEvidence evidence;
 };
 
 /// True when the step's queue needs no placement advice, or the step has a ticket for this life of the server that
--- /dev/null
+++ b/src/libs/scheduling/advice/callselection.cpp
@@ -0,0 +1,110 @@
+#include "scheduling/advice/callselection.h"
+
+#include "scheduling/placement.h"
+
+#include <algorithm>
+
+namespace WisteriaHill::Scheduling::Advice {
+
+namespace {
+
+/// A server that the step may use.
+struct Candidate {
+    const BackendServer* server = nullptr;
+    std::size_t places = 0; ///< tasks of the step that it has room for
+    SteadyTime usableUntil {}; ///< of its ticket
+    std::int64_t freeAccelerators = 0;
+    bool hasTicket = false;
+    bool allowedBefore = false;
+};
+
+/// The candidates and the number of tasks that they have room for.
+struct Group {
+    std::vector<Candidate> candidates;
+    std::size_t places = 0;
+};
+
+std::size_t waitingTasks(const AdvisedStep& step, SteadyTime now)
+{
+    const auto isHeld = [now](const Task& task) { return now < task.heldUntil; };
+    return static_cast<std::size_t>(std::ranges::count_if(
+        step.state->tasks, [&](const Task& task) { return task.phase == TaskPhase::Waiting && !isHeld(task); }));
+}
+
+Group candidatesFor(
+    const Board& board, const AdvisedStep& step, std::size_t waiting, const Usable& usable, SteadyTime now)
+{
+    Group group;
+    const StepTickets& tickets = step.state->advice;
+    for (const auto& [id, server] : board.servers) {
+        if (server.service != step.queue->service || !usable(server)
+            || !hasRequiredLabel(server.labels, *step.specification))
+            continue;
+        const TicketState state = tickets.stateOf(id, server.startOfLife(), now);
+        if (state == TicketState::Denied || state == TicketState::Rejected)
+            continue;
+        const Resources free = server.freeCapacity();
+        const std::size_t places = countFitting(free, *step.specification, static_cast<int>(waiting));
+        if (places == 0)
+            continue;
+        Candidate candidate { .server = &server,
+            .places = places,
+            .freeAccelerators = free.accelerators,
+            .hasTicket = state == TicketState::Usable,
+            .allowedBefore = state == TicketState::Usable || state == TicketState::Expired };
+        if (candidate.hasTicket)
+            candidate.usableUntil = tickets.tickets.at(id).usableUntil;
+        group.candidates.push_back(candidate);
+        group.places += places;
+    }
+    return group;
+}
+
+/// The servers to name so that tickets for `waiting` tasks are usable at `time`, the most useful first, and how many
+/// of them that takes at least.
+struct Shortfall {
+    std::vector<NamedServer> servers;
+    std::size_t needed = 0;
+};
+
+Shortfall shortfallAt(SteadyTime time, const Group& group, std::size_t waiting)
+{
+    Shortfall shortfall;
+    std::size_t covered = 0;
+    for (const Candidate& candidate : group.candidates)
+        covered += candidate.hasTicket && time < candidate.usableUntil ? candidate.places : 0;
+    for (const Candidate& candidate : group.candidates) {
+        if (candidate.hasTicket && time < candidate.usableUntil)
+            continue;
+        shortfall.needed += covered < waiting ? 1 : 0;
+        covered += candidate.places;
+        shortfall.servers.push_back({ candidate.server->address.id, candidate.server->startOfLife() });
+    }
+    return shortfall;
+}
+
+} // namespace
+
+CallSelection selectServers(const Board& board, const AdvisedStep& step, const PlacementAdvice& figures,
+    std::optional<ValidityStart> proven, const Usable& usable, SteadyTime now)
+{
+    const std::size_t waiting = waitingTasks(step, now);
+    if (waiting == 0)
+        return {};
+    Group group = candidatesFor(board, step, waiting, usable, now);
+    // One ticket allows several tasks, so servers with more room come first.
+    std::ranges::stable_sort(group.candidates, std::greater(), [&](const Candidate& candidate) {
+        const bool nearData
+            = !step.specification->dataRack.empty() && candidate.server->rack == step.specification->dataRack;
+        return std::tuple(nearData, candidate.allowedBefore, candidate.places, candidate.freeAccelerators);
+    });
+    Shortfall shortfall = shortfallAt(now, group, waiting);
+    if (shortfall.needed == 0)
+        return {};
+    const ValidityStart start = proven.value_or(
+        usualCallSize(figures, ValidityStart::Call) > 0 ? ValidityStart::Call : ValidityStart::Answer);
+    shortfall.servers.resize(std::min(shortfall.servers.size(), usualCallSize(figures, start)));
+    return { .servers = std::move(shortfall.servers), .validityStart = start };
+}
+
+} // namespace WisteriaHill::Scheduling::Advice
--- a/src/libs/scheduling/boarddump.cpp
+++ b/src/libs/scheduling/boarddump.cpp
@@ -94,6 +94,21 @@
     return json;
 }
 
+/// The fewest servers that a start of the step takes: one, or for a gang as many as hold all of its tasks when they are
+/// empty. Precondition: `couldHold` is true of at least one server.
+template <typename Predicate>
+std::size_t fewestServers(const Board& board, const StepSpecification& wanted, const Predicate& couldHold)
+{
+    if (!wanted.gang)
+        return 1;
+    std::size_t most = 1;
+    for (const auto& entry : board.servers) {
+        if (couldHold(entry))
+            most = std::max(most, countFitting(entry.second.capacity, wanted, wanted.taskCount));
+    }
+    return (static_cast<std::size_t>(wanted.taskCount) + most - 1) / most;
+}
+
 /// Why tasks of a step are waiting, as a text for operators.
 std::string waitReason(
     const Scheduler& scheduler, const Job& job, const Step& step, const StepSpecification& wanted, SteadyTime now)
@@ -121,6 +136,11 @@
         return "no backend server outside the evacuated zones has the capacity and the label that a task needs";
     if (capable == 0)
         return "no backend server of " + queue->service + " has the capacity and the label that one of its tasks needs";
+    if (queue->advice) {
+        const std::string obstacle = scheduler.ticketObstacle(*queue, fewestServers(board, wanted, couldHold), now);
+        if (!obstacle.empty())
+            return "its tickets cannot be used: " + obstacle;
+    }
     const auto withFreeCapacity = std::ranges::count_if(board.servers,
         [&](const auto& entry) { return couldHold(entry) && entry.second.freeCapacity().holds(wanted.perTask); });
     const std::string counts = std::to_string(capable) + " backend servers could hold a task, "
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -108,6 +108,17 @@
 
 } // namespace
 
+std::size_t countFitting(Resources free, const StepSpecification& step, int limit)
+{
+    const Resources need = countedNeed(step);
+    if (step.maximumPerServer > 0)
+        limit = std::min(limit, step.maximumPerServer);
+    int count = 0;
+    for (; count < limit && free.holds(need); free -= need)
+        ++count;
+    return static_cast<std::size_t>(count);
+}
+
 Resources countedNeed(const StepSpecification& step)
 {
     Resources need = step.perTask;
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -56,6 +56,9 @@
 /// True when the server has the label that the step requires, whatever its capacity.
 bool isEligible(const PlacementServer& server, const StepSpecification& step);
 
+/// How many tasks of the step have room in `free`, at most `limit` and as many as one server may run.
+std::size_t countFitting(Resources free, const StepSpecification& step, int limit);
+
 /// Resources that one task takes from a server's capacity. Processor need does not count for a step that fills idle
 /// capacity.
 Resources countedNeed(const StepSpecification& step);
--- a/src/libs/scheduling/scheduler.h
+++ b/src/libs/scheduling/scheduler.h
@@ -68,6 +68,13 @@
     const Board& state() const { return this->board; }
     FleetSummary summary() const;
 
+    /// Why the steps of an advised queue cannot use tickets for so many servers, as a text for operators; empty when
+    /// they can. Precondition: the queue needs placement advice.
+    std::string ticketObstacle(const Queue& queue, std::size_t servers, SteadyTime now) const
+    {
+        return this->advice.obstacleFor(queue, servers, now);
+    }
+
     /// Successes for this daemon's next heartbeat to the others; empty while it leads.
     std::vector<ReportedSuccess> successesToReport(SteadyTime now);
 
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -247,6 +247,10 @@
         "See the result; the order is repeated until it succeeds." },
     EventDescription {
         Event::WaveCompleted, Information, "WaveCompleted", "Every machine of a wave has begun its upkeep.", "None." },
+    EventDescription { Event::TicketsUnusable, Warning, "TicketsUnusable",
+        "The tickets of the placement advice had expired when they arrived; the next call names fewer servers.",
+        "See validMs, tookMs and announcedMs: the queue's figures leave no time to use a ticket, or the service is "
+        "slow." },
     EventDescription { Event::TicketRejected, Warning, "TicketRejected",
         "A backend server rejected a ticket that counted as valid; it is not used again.",
         "None, unless it lasts: then the servers and the placement advice disagree, or their figures are wrong." },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -114,6 +114,7 @@
     WaveBegun = 883,
     UpkeepOrdered = 884,
     WaveCompleted = 885,
+    TicketsUnusable = 886,
     TicketRejected = 887,
     ZoneEvacuationBegun = 900,
     ZoneTakenBack = 901,
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -20,6 +20,87 @@
 
 } // namespace
 
+// Guards against LOST: all tickets of a call on 30 servers counted as expired when they arrived.
+TEST_CASE("an advised job begins although advice on 30 servers takes longer than a ticket is valid")
+{
+    const auto start = GENERATE(ValidityStart::Call, ValidityStart::Answer);
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor
+        = bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 100ms, .ticketValidity = 3000ms });
+    advisor.validityStart = start;
+    bench.run(2s);
+    bench.submit("job", "advised", { makeStep(2, 4, 2s) });
+    CHECK(bench.runUntilActive("job", 2, standstillLimit));
+    CHECK(advisor.rejectedStarts == 0);
+}
+
+// Guards against LOST: with some figures not even a ticket for a single server counted as valid when it arrived.
+TEST_CASE("an advised job begins although advice on one server takes longer than a ticket is valid")
+{
+    const Duration validity = GENERATE(100ms, 600ms, 2000ms);
+    CAPTURE(validity.count());
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor
+        = bench.useAdvisor({ .decisionTime = 2400ms, .timePerServer = 20ms, .ticketValidity = validity });
+    bench.run(2s);
+    bench.submit("job", "advised", { makeStep(2, 4, 2s) });
+    CHECK(bench.runUntilActive("job", 2, 2400ms + standstillLimit));
+    CHECK(advisor.rejectedStarts == 0);
+}
+
+// Guards against LOST: figures that are absent announced tickets without any validity.
+TEST_CASE("an advised job begins whatever the queue announces and the answers state of validity")
+{
+    struct Statement {
+        Duration announced;
+        Duration stated;
+    };
+    const auto statement = GENERATE(Statement { 0ms, 0ms }, Statement { 0ms, 3000ms }, Statement { 30'000ms, 3000ms },
+        Statement { 300ms, 3000ms }, Statement { 3000ms, 30'000ms });
+    CAPTURE(statement.announced.count(), statement.stated.count());
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor = bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 60ms, .ticketValidity = 3000ms });
+    advisor.statedValidity = statement.stated;
+    bench.announceAdvice({ .decisionTime = 200ms, .timePerServer = 60ms, .ticketValidity = statement.announced });
+    bench.run(2s);
+    bench.submit("job", "advised", { makeStep(2, 4, 2s) });
+    CHECK(bench.runUntilActive("job", 2, 2 * standstillLimit));
+    CHECK(advisor.rejectedStarts == 0);
+}
+
+// Guards against LOST: the answer to a call was judged by figures that were no longer, or not yet, those of the
+// service.
+TEST_CASE("an advised job begins when the service's figures change while a call is open")
+{
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor = bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 20ms, .ticketValidity = 3000ms });
+    bench.run(2s);
+    bench.submit("job", "advised", { makeStep(2, 4, 2s) });
+    bench.run(100ms);
+    REQUIRE(advisor.calls["job"] == 1);
+    const PlacementAdvice slower { .decisionTime = 200ms, .timePerServer = 100ms, .ticketValidity = 1500ms };
+    advisor.figures = slower;
+    bench.announceAdvice(slower);
+    bench.submit("next", "advised", { makeStep(2, 4, 2s) });
+    CHECK(bench.runUntilActive("next", 2, standstillLimit));
+    CHECK(bench.runUntil("job", JobState::Completed, 2 * standstillLimit));
+}
+
+// Guards against starts that are rejected without end where no ticket can ever be used.
+TEST_CASE("rejected tickets teach that their validity counts from the call")
+{
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor
+        = bench.useAdvisor({ .decisionTime = 2000ms, .timePerServer = 20ms, .ticketValidity = 1500ms });
+    advisor.validityStart = ValidityStart::Call;
+    bench.run(2s);
+    bench.submit("job", "advised", { makeStep(2, 4, 2s) });
+    bench.run(50s);
+    CHECK(bench.startsOf("job") == 0);
+    CHECK(advisor.rejectedStarts <= 2);
+    CHECK(advisor.calls["job"] <= 2);
+}
+
 TEST_CASE("a calm advised queue takes one call of 30 servers for a job")
 {
     SchedulerBench bench(fortyServers());
