Advice: a slow service is waited for longer and asked about fewer servers

Cause: the time-out of a call came from the announced figures alone. The call was given up, the service still decided on it, and its successor, sent 150 ms later, waited behind it and was given up as well.

Failed calls in a row are repeated after a pause that doubles up to 2 s.

--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration retryPause { 150 };
+constexpr Duration longestRetryPause { 2000 };
 constexpr Duration firstRejectionPause { 250 };
 constexpr Duration longestRejectionPause { 30'000 };
 
@@ -45,11 +46,11 @@
     this->callOpen = false;
 }
 
-PlacementAdvice AdviceController::figuresOf(const Queue& queue)
+PlacementAdvice AdviceController::figuresOf(const Queue& queue, SteadyTime now)
 {
     ServiceTiming& timing = this->timings[queue.name];
     timing.announce(*queue.advice);
-    return timing.figures();
+    return timing.figures(now);
 }
 
 std::vector<AdvisedStep> AdviceController::waitingSteps() const
@@ -77,11 +78,11 @@
 std::optional<AdviceController::Request> AdviceController::requestFor(
     const AdvisedStep& step, const Usable& usable, SteadyTime now)
 {
-    const PlacementAdvice figures = this->figuresOf(*step.queue);
+    const PlacementAdvice figures = this->figuresOf(*step.queue, now);
     CallSelection selection = selectServers(this->board, step, figures, this->evidence.proven(now), usable, now);
     if (selection.servers.empty())
         return std::nullopt;
-    const Duration timeout = this->timings.at(step.queue->name).timeout(selection.servers.size());
+    const Duration timeout = this->timings.at(step.queue->name).timeout(selection.servers.size(), now);
     return Request { .step = step.name,
         .queue = step.queue->name,
         .figures = figures,
@@ -127,11 +128,15 @@
 {
     const Duration waited = elapsed(request.sentAt, now);
     const bool timedOut = error == AdviceError::NoAnswer && waited >= request.timeout;
-    this->nextCall = now + retryPause;
+    if (const auto timing = this->timings.find(request.queue); timedOut && timing != this->timings.end())
+        timing->second.timedOut(request.selection.servers.size(), waited, now);
+    ++this->failedCalls;
+    this->nextCall = now + pauseAfter(this->failedCalls, retryPause, longestRetryPause);
     this->effects.log(Event::AdviceMissing,
         { { "step", formatTaskName(request.step) }, { "servers", request.selection.servers.size() },
             { "busy", error == AdviceError::Busy }, { "timedOut", timedOut }, { "waitedMs", waited.count() },
-            { "announcedMs", decisionTime(request.figures, request.selection.servers.size()).count() } });
+            { "announcedMs", decisionTime(request.figures, request.selection.servers.size()).count() },
+            { "failedCalls", this->failedCalls } });
 }
 
 void AdviceController::handleAnswer(const Request& request, const AdviceResult& result)
@@ -143,8 +148,9 @@
         this->handleFailure(request, std::get<AdviceError>(result), now);
         return;
     }
+    this->failedCalls = 0;
     if (const auto timing = this->timings.find(request.queue); timing != this->timings.end())
-        timing->second.answered(answer->validity);
+        timing->second.answered(request.selection.servers.size(), elapsed(request.sentAt, now), answer->validity, now);
     Step* step = this->board.findStep(request.step);
     if (!step)
         return; // the job has ended in the meantime
@@ -245,7 +251,7 @@
 std::string AdviceController::obstacleFor(const Queue& queue, std::size_t servers, SteadyTime now) const
 {
     const auto timing = this->timings.find(queue.name);
-    const PlacementAdvice figures = timing == this->timings.end() ? *queue.advice : timing->second.figures();
+    const PlacementAdvice figures = timing == this->timings.end() ? *queue.advice : timing->second.figures(now);
     const std::optional<ValidityStart> proven = this->evidence.proven(now);
     const ValidityStart start = proven.value_or(ValidityStart::Answer);
     if (usualCallSize(figures, start) > 0 && canBeUsedTogether(figures, servers, start))
--- a/src/libs/scheduling/advice/advicecontroller.h
+++ b/src/libs/scheduling/advice/advicecontroller.h
@@ -57,7 +57,7 @@
     std::optional<Request> nextRequest(const Usable& usable, SteadyTime now);
     std::vector<AdvisedStep> waitingSteps() const;
     std::optional<Request> requestFor(const AdvisedStep& step, const Usable& usable, SteadyTime now);
-    PlacementAdvice figuresOf(const Queue& queue);
+    PlacementAdvice figuresOf(const Queue& queue, SteadyTime now);
     void handleAnswer(const Request& request, const AdviceResult& result);
     void handleFailure(const Request& request, AdviceError error, SteadyTime now);
     /// Applies what was learned of the moment from which tickets count to those that are kept.
@@ -71,6 +71,7 @@
     bool callOpen = false;
     bool changed = false;
     SteadyTime nextCall {};
+    int failedCalls = 0; ///< in a row
     std::map<std::string, ServiceTiming> timings; ///< by queue
     ValidityEvidence evidence;
 };
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -148,3 +148,18 @@
     advisor.rejectsTickets = false;
     CHECK(bench.runUntil("job", JobState::Completed, 20s));
 }
+
+// Guards against LOST: each call timed out, and the next one waited behind it in the service.
+TEST_CASE("an advised job begins although the service is much slower than announced")
+{
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor = bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 20ms, .ticketValidity = 3000ms });
+    advisor.figures.timePerServer = 300ms;
+    advisor.validityStart = GENERATE(ValidityStart::Call, ValidityStart::Answer);
+    bench.run(2s);
+    bench.submit("job", "advised", { makeStep(2, 4, 2s) });
+    CHECK(bench.runUntilActive("job", 2, 60s));
+    // What was learned serves the next job.
+    bench.submit("next", "advised", { makeStep(2, 4, 2s) });
+    CHECK(bench.runUntilActive("next", 2, 2 * standstillLimit));
+}
--- a/tests/auto/scheduling/tst_ticketfigures.cpp
+++ b/tests/auto/scheduling/tst_ticketfigures.cpp
@@ -52,6 +52,29 @@
     CHECK(canBeUsedTogether(makeFigures(200ms, 20ms, 0ms), 760, ValidityStart::Call));
 }
 
+TEST_CASE("a slow service is waited for longer and asked about fewer servers, until its figures change")
+{
+    ServiceTiming timing;
+    SteadyTime now(1000s);
+    const PlacementAdvice announced = makeFigures(200ms, 20ms, 3000ms);
+    timing.announce(announced);
+    CHECK(timing.timeout(30, now) == 1600ms);
+    Duration last = timing.timeout(30, now);
+    for (int call = 0; call < 3; ++call) {
+        timing.timedOut(30, last, now);
+        CHECK(timing.timeout(30, now) >= 2 * last - 800ms);
+        last = timing.timeout(30, now);
+    }
+    CHECK(usualCallSize(timing.figures(now), ValidityStart::Answer) < 15);
+    for (int call = 0; call < 40; ++call)
+        timing.timedOut(30, timing.timeout(30, now), now);
+    CHECK(timing.timeout(1, now) < 10min);
+    timing.answered(1, 500ms, 0ms, now);
+    CHECK(timing.figures(now).timePerServer == 300ms);
+    timing.announce(makeFigures(200ms, 20ms, 4000ms));
+    CHECK(timing.figures(now).timePerServer == 20ms);
+}
+
 TEST_CASE("only a start between the two possible ends of a ticket shows from when it counts")
 {
     const SteadyTime called(1000s);
