Advice: steps that cannot start do not keep others from asking

What callers saw: LOST. A gang of 40 whole servers waited on an advised queue with 38 of them free, and a small job of the same queue, accepted later, was never asked about; in its turn a gang whose tickets took several calls never had them valid together.

Cause: the most urgent and oldest step with something to ask always asked. The gang's tickets ended sooner than its calls took, so it always had something to ask. The servers that a call named were chosen without regard to what a gang needs: room for all of its members, with tickets that are valid at the same time.

Evidence: three new cases fail before this change: a gang of 40 on 40 servers does not begin within 6 s under either start of validity; the small job beside the gang without room has no start within 3 s; and 16 steps that wait for their data's rack keep another account's job from its first call for 3 s.

Why the fix works: a gang asks only while there is room for all of it, names in one call what it lacks, and counts only tickets that are still valid at the answer. Turns go by priority, then by account and by step to whoever asked longest ago. After a call for a step that had asked before without a start, a step that has not comes first, so that neither kind waits for more than one call of the other. A step whose tickets led to no start pauses, up to 1.5 s, and a denial is news that needs no pause. Each tick looks at 64 steps at most, and at a step without need every 50 ms at most.

--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -1,7 +1,7 @@
 #include "scheduling/advice/advicecontroller.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace WisteriaHill::Scheduling::Advice {
 
@@ -11,6 +11,10 @@
 
 constexpr Duration retryPause { 150 };
 constexpr Duration longestRetryPause { 2000 };
+constexpr Duration lookPause { 50 }; ///< of a step that needs no ticket or could not use one
+constexpr std::size_t looksPerTick = 64; ///< each examines every server
+constexpr Duration firstRepeatPause { 250 }; ///< of a step whose tickets led to no start
+constexpr Duration longestRepeatPause { 1500 };
 constexpr Duration firstRejectionPause { 250 };
 constexpr Duration longestRejectionPause { 30'000 };
 
@@ -44,6 +48,8 @@
 {
     ++this->generation;
     this->callOpen = false;
+    this->accountTurns.clear();
+    this->continued.reset();
 }
 
 PlacementAdvice AdviceController::figuresOf(const Queue& queue, SteadyTime now)
@@ -53,7 +59,7 @@
     return timing.figures(now);
 }
 
-std::vector<AdvisedStep> AdviceController::waitingSteps() const
+std::vector<AdvisedStep> AdviceController::waitingSteps(SteadyTime now) const
 {
     std::vector<AdvisedStep> steps;
     for (const auto& [id, job] : this->board.jobs) {
@@ -63,7 +69,8 @@
         for (const auto& [index, occurrence] : job.occurrences) {
             for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
                 const Step& step = occurrence.steps[number];
-                if (step.ready && step.done + step.running < static_cast<int>(step.tasks.size()))
+                if (step.ready && step.done + step.running < static_cast<int>(step.tasks.size())
+                    && now >= step.advice.nextLookAt)
                     steps.push_back({ .name = { id, index, static_cast<int>(number), 0 },
                         .job = &job,
                         .state = &step,
@@ -75,16 +82,35 @@
     return steps;
 }
 
+std::optional<AdvisedStep> AdviceController::continuedStep() const
+{
+    if (!this->continued)
+        return std::nullopt;
+    const auto job = this->board.jobs.find(this->continued->jobId);
+    const Step* step = this->board.findStep(*this->continued);
+    if (job == this->board.jobs.end() || !step || job->second.ended() || !job->second.queue
+        || !job->second.queue->advice)
+        return std::nullopt;
+    return AdvisedStep { .name = *this->continued,
+        .job = &job->second,
+        .state = step,
+        .specification = &this->board.stepOf(*this->continued),
+        .queue = job->second.queue };
+}
+
 std::optional<AdviceController::Request> AdviceController::requestFor(
     const AdvisedStep& step, const Usable& usable, SteadyTime now)
 {
     const PlacementAdvice figures = this->figuresOf(*step.queue, now);
     CallSelection selection = selectServers(this->board, step, figures, this->evidence.proven(now), usable, now);
-    if (selection.servers.empty())
+    if (selection.servers.empty()) {
+        this->board.findStep(step.name)->advice.nextLookAt = now + lookPause;
         return std::nullopt;
+    }
     const Duration timeout = this->timings.at(step.queue->name).timeout(selection.servers.size(), now);
     return Request { .step = step.name,
         .queue = step.queue->name,
+        .account = step.job->record.account,
         .figures = figures,
         .selection = std::move(selection),
         .sentAt = now,
@@ -93,11 +119,22 @@
 
 std::optional<AdviceController::Request> AdviceController::nextRequest(const Usable& usable, SteadyTime now)
 {
-    std::vector<AdvisedStep> steps = this->waitingSteps();
-    std::ranges::stable_sort(
-        steps, {}, [](const AdvisedStep& step) { return std::pair(step.queue->priority, step.state->readySince); });
-    for (const AdvisedStep& step : steps) {
-        if (std::optional<Request> request = this->requestFor(step, usable, now))
+    if (const std::optional<AdvisedStep> step = this->continuedStep()) {
+        this->continued.reset();
+        if (std::optional<Request> request = this->requestFor(*step, usable, now))
+            return request;
+    }
+    std::vector<AdvisedStep> steps = this->waitingSteps(now);
+    const auto turnOf = [&](const AdvisedStep& step) {
+        const auto turn = this->accountTurns.find(step.job->record.account);
+        const StepTickets& advice = step.state->advice;
+        return std::tuple(this->firstCallsFirst && advice.callsSinceStart > 0, step.queue->priority,
+            turn == this->accountTurns.end() ? SteadyTime {} : turn->second, advice.lastCallAt, step.state->readySince);
+    };
+    const std::size_t looks = std::min(steps.size(), looksPerTick);
+    std::ranges::partial_sort(steps, steps.begin() + static_cast<std::ptrdiff_t>(looks), {}, turnOf);
+    for (std::size_t index = 0; index < looks; ++index) {
+        if (std::optional<Request> request = this->requestFor(steps[index], usable, now))
             return request;
     }
     return std::nullopt;
@@ -111,6 +148,10 @@
     if (!request)
         return;
     this->callOpen = true;
+    StepTickets& tickets = this->board.findStep(request->step)->advice;
+    this->firstCallsFirst = tickets.callsSinceStart > 0;
+    tickets.lastCallAt = now;
+    this->accountTurns[request->account] = now;
     std::vector<std::string> servers;
     servers.reserve(request->selection.servers.size());
     for (const NamedServer& server : request->selection.servers)
@@ -155,6 +196,8 @@
     if (!step)
         return; // the job has ended in the meantime
     this->storeTickets(request, *answer, *step, now);
+    if (request.selection.partial)
+        this->continued = request.step;
     this->changed = true;
 }
 
@@ -188,6 +231,11 @@
         step.advice.denied[server] = life;
         step.advice.tickets.erase(server);
     }
+    ++step.advice.callsSinceStart;
+    // A denial is news: the next call names other servers.
+    if (unanswered.empty() && step.advice.callsSinceStart > 1)
+        step.advice.nextLookAt
+            = now + pauseAfter(step.advice.callsSinceStart - 1, firstRepeatPause, longestRepeatPause);
     const SteadyTime end = usableUntil(ticket, start);
     const Duration usable = end == SteadyTime::max() ? Duration::max() : elapsed(now, end);
     const bool areUsable = allowed == 0 || usable.count() > 0;
@@ -196,7 +244,8 @@
             { "allowed", allowed }, { "tookMs", elapsed(request.sentAt, now).count() },
             { "announcedMs", decisionTime(request.figures, request.selection.servers.size()).count() },
             { "validMs", validity.count() }, { "countsFrom", validityStartName(start) },
-            { "countIsProven", proven.has_value() }, { "trial", isTrial }, { "usableMs", usable.count() } });
+            { "countIsProven", proven.has_value() }, { "trial", isTrial }, { "usableMs", usable.count() },
+            { "callsSinceStart", step.advice.callsSinceStart } });
 }
 
 void AdviceController::ticketUsed(const UsedTicket& used, SteadyTime now)
--- a/src/libs/scheduling/advice/advicecontroller.h
+++ b/src/libs/scheduling/advice/advicecontroller.h
@@ -48,6 +48,7 @@
     struct Request {
         TaskName step; ///< the step's task with index 0
         std::string queue;
+        std::string account;
         PlacementAdvice figures;
         CallSelection selection;
         SteadyTime sentAt {};
@@ -55,7 +56,8 @@
     };
 
     std::optional<Request> nextRequest(const Usable& usable, SteadyTime now);
-    std::vector<AdvisedStep> waitingSteps() const;
+    std::vector<AdvisedStep> waitingSteps(SteadyTime now) const;
+    std::optional<AdvisedStep> continuedStep() const;
     std::optional<Request> requestFor(const AdvisedStep& step, const Usable& usable, SteadyTime now);
     PlacementAdvice figuresOf(const Queue& queue, SteadyTime now);
     void handleAnswer(const Request& request, const AdviceResult& result);
@@ -73,7 +75,10 @@
     SteadyTime nextCall {};
     int failedCalls = 0; ///< in a row
     std::map<std::string, ServiceTiming> timings; ///< by queue
+    std::map<std::string, SteadyTime> accountTurns; ///< when a call was last made for the account
     ValidityEvidence evidence;
+    bool firstCallsFirst = false; ///< the last call was for a step that had asked before without a start
+    std::optional<TaskName> continued; ///< a gang whose tickets take further calls
 };
 
 /// True when the step's queue needs no placement advice, or the step has a ticket for this life of the server that
--- a/src/libs/scheduling/advice/callselection.cpp
+++ b/src/libs/scheduling/advice/callselection.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/placement.h"
 
 #include <algorithm>
+#include <map>
 
 namespace WisteriaHill::Scheduling::Advice {
 
@@ -18,7 +19,7 @@
     bool allowedBefore = false;
 };
 
-/// The candidates and the number of tasks that they have room for.
+/// The candidates in one rack, for gangs that start in one rack; otherwise all of them.
 struct Group {
     std::vector<Candidate> candidates;
     std::size_t places = 0;
@@ -27,14 +28,19 @@
 std::size_t waitingTasks(const AdvisedStep& step, SteadyTime now)
 {
     const auto isHeld = [now](const Task& task) { return now < task.heldUntil; };
+    // All members of a gang start together.
+    if (step.specification->gang)
+        return step.state->running > 0 || std::ranges::any_of(step.state->tasks, isHeld) ? 0 : step.state->tasks.size();
     return static_cast<std::size_t>(std::ranges::count_if(
         step.state->tasks, [&](const Task& task) { return task.phase == TaskPhase::Waiting && !isHeld(task); }));
 }
 
-Group candidatesFor(
-    const Board& board, const AdvisedStep& step, std::size_t waiting, const Usable& usable, SteadyTime now)
+/// The group to choose from: all candidates, or for a gang of one rack those of the rack with the most places, if it
+/// holds the gang.
+Group bestGroup(const Board& board, const AdvisedStep& step, std::size_t waiting, const Usable& usable, SteadyTime now)
 {
-    Group group;
+    std::map<std::string, Group> racks;
+    Group all;
     const StepTickets& tickets = step.state->advice;
     for (const auto& [id, server] : board.servers) {
         if (server.service != step.queue->service || !usable(server)
@@ -54,10 +60,15 @@
             .allowedBefore = state == TicketState::Usable || state == TicketState::Expired };
         if (candidate.hasTicket)
             candidate.usableUntil = tickets.tickets.at(id).usableUntil;
-        group.candidates.push_back(candidate);
-        group.places += places;
+        for (Group* group : { &all, &racks[server.rack] }) {
+            group->candidates.push_back(candidate);
+            group->places += places;
+        }
     }
-    return group;
+    const auto largest = std::ranges::max_element(racks, {}, [](const auto& rack) { return rack.second.places; });
+    const bool inOneRack = step.specification->gang && step.specification->sameRack && largest != racks.end()
+        && largest->second.places >= waiting;
+    return inOneRack ? std::move(largest->second) : std::move(all);
 }
 
 /// The servers to name so that tickets for `waiting` tasks are usable at `time`, the most useful first, and how many
@@ -83,6 +94,38 @@
     return shortfall;
 }
 
+/// Time from now until the last answer of the calls for so many servers.
+Duration timeOfCalls(const PlacementAdvice& figures, std::size_t servers)
+{
+    const auto calls = static_cast<std::int64_t>((servers + maximumServersPerCall - 1) / maximumServersPerCall);
+    return figures.decisionTime * calls + figures.timePerServer * static_cast<std::int64_t>(servers);
+}
+
+CallSelection selectForGang(const Group& group, std::size_t waiting, const PlacementAdvice& figures,
+    std::optional<ValidityStart> proven, SteadyTime now)
+{
+    // Tickets that end before the last answer do not count, which may require more servers and more time.
+    Duration time { 0 };
+    Shortfall shortfall = shortfallAt(now, group, waiting);
+    for (Duration next = timeOfCalls(figures, shortfall.needed); next > time;
+         next = timeOfCalls(figures, shortfall.needed)) {
+        time = next;
+        shortfall = shortfallAt(now + time, group, waiting);
+    }
+    if (shortfall.needed == 0)
+        return {};
+    const ValidityStart start
+        = proven.value_or(canBeUsedTogether(figures, shortfall.needed, ValidityStart::Call) ? ValidityStart::Call
+                                                                                            : ValidityStart::Answer);
+    if (!canBeUsedTogether(figures, shortfall.needed, start))
+        return {};
+    const std::size_t size = std::max(std::min(shortfall.needed, maximumServersPerCall), usualCallSize(figures, start));
+    shortfall.servers.resize(std::min(shortfall.servers.size(), size));
+    return { .servers = std::move(shortfall.servers),
+        .validityStart = start,
+        .partial = shortfall.needed > maximumServersPerCall };
+}
+
 } // namespace
 
 CallSelection selectServers(const Board& board, const AdvisedStep& step, const PlacementAdvice& figures,
@@ -91,13 +134,18 @@
     const std::size_t waiting = waitingTasks(step, now);
     if (waiting == 0)
         return {};
-    Group group = candidatesFor(board, step, waiting, usable, now);
+    Group group = bestGroup(board, step, waiting, usable, now);
+    const bool gang = step.specification->gang;
+    if (gang && group.places < waiting)
+        return {};
     // One ticket allows several tasks, so servers with more room come first.
     std::ranges::stable_sort(group.candidates, std::greater(), [&](const Candidate& candidate) {
         const bool nearData
             = !step.specification->dataRack.empty() && candidate.server->rack == step.specification->dataRack;
         return std::tuple(nearData, candidate.allowedBefore, candidate.places, candidate.freeAccelerators);
     });
+    if (gang)
+        return selectForGang(group, waiting, figures, proven, now);
     Shortfall shortfall = shortfallAt(now, group, waiting);
     if (shortfall.needed == 0)
         return {};
--- a/src/libs/scheduling/advice/callselection.h
+++ b/src/libs/scheduling/advice/callselection.h
@@ -31,11 +31,13 @@
 struct CallSelection {
     std::vector<NamedServer> servers;
     ValidityStart validityStart = ValidityStart::Call; ///< under which the tickets can be used
+    bool partial = false; ///< the gang needs further calls, whose tickets have to be valid together with these
 };
 
 /// Names servers with room for tasks that wait and have no ticket; those that the advice is known to allow, and those
-/// in the rack of the step's data, come first. `proven` is the moment from which validity is known to count; without
-/// it, that of the call is assumed wherever it leaves time for a start.
+/// in the rack of the step's data, come first. A gang gets a call only when there is room for all of it and its tickets
+/// can be valid together. `proven` is the moment from which validity is known to count; without it, that of the call is
+/// assumed wherever it leaves time for a start.
 CallSelection selectServers(const Board& board, const AdvisedStep& step, const PlacementAdvice& figures,
     std::optional<ValidityStart> proven, const Usable& usable, SteadyTime now);
 
--- a/src/libs/scheduling/advice/steptickets.h
+++ b/src/libs/scheduling/advice/steptickets.h
@@ -42,6 +42,9 @@
     std::map<std::string, Ticket> tickets; ///< expired ones too: the advice allows these servers
     std::map<std::string, std::int64_t> denied; ///< lives; what the advice says of a step does not change
     std::map<std::string, Rejection> rejections;
+    SteadyTime lastCallAt {};
+    SteadyTime nextLookAt {}; ///< the step asks for nothing before
+    int callsSinceStart = 0; ///< answered calls since one of its tasks was placed last
 
     TicketState stateOf(const std::string& server, std::int64_t life, SteadyTime now) const;
 };
--- a/src/libs/scheduling/scheduler.cpp
+++ b/src/libs/scheduling/scheduler.cpp
@@ -303,6 +303,7 @@
     const auto ticket = step.advice.tickets.find(start.server);
     if (ticket != step.advice.tickets.end())
         task.run->ticket = ticket->second.text;
+    step.advice.callsSinceStart = 0;
     ++step.running;
     server.occupants[start.task] = countedNeed(specification);
     this->tracker.markDirty(start.task);
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -115,6 +115,59 @@
     CHECK(advisor.serversNamed == 5 * 30);
 }
 
+TEST_CASE("a gang needs its tickets at the same time")
+{
+    const auto start = GENERATE(ValidityStart::Call, ValidityStart::Answer);
+    const int members = GENERATE(25, 40);
+    CAPTURE(members);
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor = bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 60ms, .ticketValidity = 3000ms });
+    advisor.validityStart = start;
+    bench.run(2s);
+    StepSpecification gang = makeStep(members, 8, 2s);
+    gang.gang = true;
+    bench.submit("gang", "advised", { gang });
+    CHECK(bench.runUntilActive("gang", members, 2 * standstillLimit));
+    CHECK(advisor.rejectedStarts == 0);
+}
+
+// Guards against LOST: a gang that lacked two servers had something to ask all the time, and no other step ever did.
+TEST_CASE("a gang without room for all of its members does not keep other jobs from the placement advice")
+{
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor = bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 60ms, .ticketValidity = 3000ms });
+    bench.run(2s);
+    bench.submit("occupant", "ordinary", { makeStep(2, 8, 300s) });
+    REQUIRE(bench.runUntilActive("occupant", 2, 1s));
+    StepSpecification gang = makeStep(40, 8, 2s);
+    gang.gang = true;
+    bench.submit("gang", "advised", { gang });
+    bench.run(2s);
+    bench.submit("small", "advised", { makeStep(1, 4, 2s) });
+    CHECK(bench.runUntilActive("small", 1, standstillLimit));
+    bench.run(20s);
+    CHECK(advisor.calls["gang"] == 0);
+}
+
+// Guards against LOST: steps that got tickets and no place asked again and again before those that had asked once.
+TEST_CASE("steps that have tickets and no place let other steps and accounts ask")
+{
+    SchedulerBench bench(fortyServers());
+    FakeAdvisor& advisor = bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 20ms, .ticketValidity = 1500ms });
+    bench.run(2s);
+    bench.submit("occupant", "ordinary", { makeStep(30, 8, 300s) });
+    REQUIRE(bench.runUntilActive("occupant", 30, 1s));
+    // The steps wait for room near their data, whatever tickets they have.
+    StepSpecification bound = makeStep(1, 1, 300s);
+    bound.dataRack = "rack-9";
+    for (int number = 0; number < 16; ++number)
+        bench.submit("bound-" + std::to_string(number), "advised", { bound }, "shop-a");
+    bench.run(1s);
+    bench.submit("small", "advised", { makeStep(1, 4, 2s) }, "shop-b");
+    CHECK(bench.runUntilActive("small", 1, standstillLimit));
+    CHECK(advisor.rejectedStarts == 0);
+}
+
 // Guards against LOST: a task was started on and on with the ticket of its server's former life.
 TEST_CASE("a ticket ends with the life of its server")
 {
@@ -163,3 +216,18 @@
     bench.submit("next", "advised", { makeStep(2, 4, 2s) });
     CHECK(bench.runUntilActive("next", 2, 2 * standstillLimit));
 }
+
+TEST_CASE("a job whose tickets cannot be valid together is explained")
+{
+    SchedulerBench bench({ .racks = 12, .serversPerRack = 10 });
+    bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 100ms, .ticketValidity = 1500ms });
+    bench.run(2s);
+    StepSpecification gang = makeStep(120, 8, 2s);
+    gang.gang = true;
+    bench.submit("gang", "advised", { gang });
+    bench.run(2s);
+    const std::string text = bench.explain("gang").dump();
+    CAPTURE(text);
+    CHECK(text.find("tickets for 120 servers at the same time") != std::string::npos);
+    CHECK(bench.adviceCalls == 0);
+}
