Advice: servers at the step's limit are no place for its further tasks

What callers saw: a wide step with a limit for each server stood with part of its tasks waiting and idle servers left, until its first tickets ended; with short tasks or long validity that is LOST.

Cause: a server with a ticket and free capacity counted as a place for a waiting task even when it ran as many tasks of the step as one server may, so the step's need for tickets counted as met.

Evidence: the new case, 90 tasks on 90 servers with a limit of one and a validity of 40 s, has not started them all after 9 s before this change.

Why the fix works: the selection counts the tasks of the step on each server against the limit.

--- a/src/libs/scheduling/advice/callselection.cpp
+++ b/src/libs/scheduling/advice/callselection.cpp
@@ -35,6 +35,21 @@
         step.state->tasks, [&](const Task& task) { return task.phase == TaskPhase::Waiting && !isHeld(task); }));
 }
 
+/// Number of further tasks of the step that the server may run.
+int limitOn(const BackendServer& server, const AdvisedStep& step, std::size_t waiting)
+{
+    if (step.specification->maximumPerServer == 0)
+        return static_cast<int>(waiting);
+    const auto isSameStep = [&](const auto& occupant) {
+        return occupant.first.jobId == step.name.jobId && occupant.first.occurrence == step.name.occurrence
+            && occupant.first.step == step.name.step;
+    };
+    const auto first = server.occupants.lower_bound(step.name);
+    const auto present = std::find_if_not(first, server.occupants.end(), isSameStep);
+    return std::min(static_cast<int>(waiting),
+        step.specification->maximumPerServer - static_cast<int>(std::distance(first, present)));
+}
+
 /// The group to choose from: all candidates, or for a gang of one rack those of the rack with the most places, if it
 /// holds the gang.
 Group bestGroup(const Board& board, const AdvisedStep& step, std::size_t waiting, const Usable& usable, SteadyTime now)
@@ -50,7 +65,7 @@
         if (state == TicketState::Denied || state == TicketState::Rejected)
             continue;
         const Resources free = server.freeCapacity();
-        const std::size_t places = countFitting(free, *step.specification, static_cast<int>(waiting));
+        const std::size_t places = countFitting(free, *step.specification, limitOn(server, step, waiting));
         if (places == 0)
             continue;
         Candidate candidate { .server = &server,
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -168,6 +168,18 @@
     CHECK(advisor.rejectedStarts == 0);
 }
 
+// Guards against LOST: servers that already ran as many tasks of the step as one may run counted as places for others.
+TEST_CASE("a wide step with a limit for each server gets tickets for all of its tasks")
+{
+    SchedulerBench bench({ .racks = 3, .serversPerRack = 30 });
+    bench.useAdvisor({ .decisionTime = 200ms, .timePerServer = 20ms, .ticketValidity = 40'000ms });
+    bench.run(2s);
+    StepSpecification wide = makeStep(90, 1, 30s);
+    wide.maximumPerServer = 1;
+    bench.submit("job", "advised", { wide });
+    CHECK(bench.runUntilActive("job", 90, 3 * standstillLimit));
+}
+
 // Guards against LOST: a task was started on and on with the ticket of its server's former life.
 TEST_CASE("a ticket ends with the life of its server")
 {
