Advice: urgent steps get tickets for servers on which they may preempt

What callers saw: an urgent job of an advised queue did not begin while less urgent work filled the servers, although its account's guarantee or its priority allowed it to preempt (RECLAIM).

Cause: calls named servers with free capacity only, and the planner preempts runs only on servers that the step has tickets for.

Evidence: the new case, two tasks of 8 accelerators at priority 0 beside background work on all servers, does not begin within 2.9 s before this change.

Why the fix works: for a queue of priority 0 whose waiting tasks have too little free room, the selection counts what other work occupies as room too, servers with tickets and with more free accelerators first.

--- a/src/libs/scheduling/advice/callselection.cpp
+++ b/src/libs/scheduling/advice/callselection.cpp
@@ -50,9 +50,15 @@
         step.specification->maximumPerServer - static_cast<int>(std::distance(first, present)));
 }
 
+enum class Room {
+    Free,
+    Preemptible, ///< what other work occupies counts too
+};
+
 /// The group to choose from: all candidates, or for a gang of one rack those of the rack with the most places, if it
 /// holds the gang.
-Group bestGroup(const Board& board, const AdvisedStep& step, std::size_t waiting, const Usable& usable, SteadyTime now)
+Group bestGroup(
+    const Board& board, const AdvisedStep& step, std::size_t waiting, Room room, const Usable& usable, SteadyTime now)
 {
     std::map<std::string, Group> racks;
     Group all;
@@ -65,7 +71,8 @@
         if (state == TicketState::Denied || state == TicketState::Rejected)
             continue;
         const Resources free = server.freeCapacity();
-        const std::size_t places = countFitting(free, *step.specification, limitOn(server, step, waiting));
+        const std::size_t places = countFitting(
+            room == Room::Free ? free : server.capacity, *step.specification, limitOn(server, step, waiting));
         if (places == 0)
             continue;
         Candidate candidate { .server = &server,
@@ -149,7 +156,10 @@
     const std::size_t waiting = waitingTasks(step, now);
     if (waiting == 0)
         return {};
-    Group group = bestGroup(board, step, waiting, usable, now);
+    Group group = bestGroup(board, step, waiting, Room::Free, usable, now);
+    // The planner preempts runs only on servers that the step has tickets for.
+    if (group.places < waiting && step.queue->priority == 0)
+        group = bestGroup(board, step, waiting, Room::Preemptible, usable, now);
     const bool gang = step.specification->gang;
     if (gang && group.places < waiting)
         return {};
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -229,6 +229,21 @@
     CHECK(bench.runUntilActive("next", 2, 2 * standstillLimit));
 }
 
+// Guards against RECLAIM: no call named servers without free capacity, so that nothing on them was preempted.
+TEST_CASE("an urgent advised job gets tickets for servers on which it may preempt runs")
+{
+    SchedulerBench bench({});
+    bench.useAdvisor({ .decisionTime = 100ms, .timePerServer = 10ms, .ticketValidity = 3000ms });
+    Queue queue = bench.removeQueue("advised");
+    queue.priority = 0;
+    bench.addQueue(queue);
+    bench.run(2s);
+    bench.submit("background", "background", { makeStep(64, 1, 300s) }, "shop-a");
+    REQUIRE(bench.runUntilActive("background", 64, 2s));
+    bench.submit("urgent", "advised", { makeStep(2, 8, 2s) });
+    CHECK(bench.runUntilActive("urgent", 2, 2900ms));
+}
+
 TEST_CASE("a job whose tickets cannot be valid together is explained")
 {
     SchedulerBench bench({ .racks = 12, .serversPerRack = 10 });
