Advice: tickets that leave little time are used as well

Where the validity of a ticket, counted from the call, left less than 800 ms after a call on one server, the product counted from the answer, learned from a rejected start that this was wrong, and took the queue for unservable.

Cause: the margins for placing a start and for its order were fixed, and an undisturbed start takes a small part of them.

Why the fix works: where the usual margin leaves no time, a tight one of up to 80 ms is used, for the size of calls and for the end of use; tickets that are certain still are used at once instead of one by one.

--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -31,8 +31,10 @@
 {
     if (ticket.validity.count() <= 0)
         return SteadyTime::max();
-    return (start == ValidityStart::Call ? ticket.calledAt : ticket.answeredAt) + ticket.validity
-        - orderMargin(ticket.validity);
+    const SteadyTime end = (start == ValidityStart::Call ? ticket.calledAt : ticket.answeredAt) + ticket.validity;
+    // The answer has to leave as much time for the placement as for the order.
+    const Duration margin = orderMargin(ticket.validity);
+    return end - (ticket.answeredAt + 2 * margin <= end ? margin : tightMargin(ticket.validity));
 }
 
 Duration elapsed(SteadyTime since, SteadyTime now) { return std::chrono::duration_cast<Duration>(now - since); }
@@ -207,10 +209,13 @@
     const std::optional<ValidityStart> proven = this->evidence.proven(now);
     Ticket ticket { .calledAt = request.sentAt, .answeredAt = now, .validity = validity };
     const bool isCertain = now < usableUntil(ticket, ValidityStart::Call);
-    const ValidityStart start = proven.value_or(isCertain ? request.selection.validityStart : ValidityStart::Answer);
+    const bool isGang = this->board.stepOf(request.step).gang;
+    const ValidityStart start = proven.value_or(isCertain && !isGang ? ValidityStart::Call
+            : isCertain                                              ? request.selection.validityStart
+                                                                     : ValidityStart::Answer);
     ticket.usableUntil = usableUntil(ticket, start);
     // A ticket that is certainly over may be valid still. Only a start can show it, and one start is enough.
-    const bool isTrial = !proven && !isCertain && !this->board.stepOf(request.step).gang;
+    const bool isTrial = !proven && !isCertain && !isGang;
     std::map<std::string, std::int64_t> unanswered;
     for (const NamedServer& server : request.selection.servers)
         unanswered.emplace(server.id, server.life);
--- a/src/libs/scheduling/advice/ticketfigures.cpp
+++ b/src/libs/scheduling/advice/ticketfigures.cpp
@@ -12,9 +12,8 @@
 constexpr Duration longestDecision { 2000 };
 constexpr Duration longestOrderMargin { 400 };
 constexpr int orderMarginDivisor = 4; ///< of a short validity
-
-/// Time between the moment from which a ticket counts and the first use of it.
-Duration usableWindow(Duration validity) { return 2 * orderMargin(validity); }
+constexpr Duration longestTightMargin { 80 }; ///< an undisturbed start is stored and sent within it
+constexpr int tightMarginDivisor = 8;
 
 std::size_t quotient(Duration time, Duration step)
 {
@@ -32,6 +31,8 @@
 
 Duration orderMargin(Duration validity) { return std::min(longestOrderMargin, validity / orderMarginDivisor); }
 
+Duration tightMargin(Duration validity) { return std::min(longestTightMargin, validity / tightMarginDivisor); }
+
 std::size_t usualCallSize(const PlacementAdvice& figures, ValidityStart start)
 {
     const Duration validity = figures.ticketValidity;
@@ -41,10 +42,13 @@
             quotient(std::max(figures.decisionTime, longestDecision), figures.timePerServer), 1, serversPerCall);
     if (start == ValidityStart::Answer || validity.count() <= 0)
         return size;
-    const Duration left = validity - usableWindow(validity) - figures.decisionTime;
-    if (left.count() < 0)
-        return 0;
-    return figures.timePerServer.count() > 0 ? std::min(size, quotient(left, figures.timePerServer)) : size;
+    // Time for starts to be placed, and then for their orders.
+    for (const Duration margin : { orderMargin(validity), tightMargin(validity) }) {
+        const Duration left = validity - 2 * margin - figures.decisionTime;
+        if (left >= figures.timePerServer)
+            return figures.timePerServer.count() > 0 ? std::min(size, quotient(left, figures.timePerServer)) : size;
+    }
+    return 0;
 }
 
 bool canBeValidTogether(const PlacementAdvice& figures, std::size_t servers, ValidityStart start, Duration window)
@@ -62,7 +66,7 @@
 
 bool canBeUsedTogether(const PlacementAdvice& figures, std::size_t servers, ValidityStart start)
 {
-    return canBeValidTogether(figures, servers, start, usableWindow(figures.ticketValidity));
+    return canBeValidTogether(figures, servers, start, 2 * tightMargin(figures.ticketValidity));
 }
 
 } // namespace WisteriaHill::Scheduling::Advice
--- a/src/libs/scheduling/advice/ticketfigures.h
+++ b/src/libs/scheduling/advice/ticketfigures.h
@@ -25,6 +25,9 @@
 /// The part of a ticket's validity that is left for a start order to arrive.
 Duration orderMargin(Duration validity);
 
+/// The same, where more would leave no time to use the ticket.
+Duration tightMargin(Duration validity);
+
 /// The number of servers that a call names for a step whose tasks start one by one; zero when not even the ticket for a
 /// single server would be usable. A validity of zero is an unknown one.
 std::size_t usualCallSize(const PlacementAdvice& figures, ValidityStart start);
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -112,7 +112,7 @@
         CHECK(bench.runUntil(id, JobState::Completed, 5s));
         CHECK(advisor.calls[id] == 1);
     }
-    CHECK(advisor.serversNamed == 5 * 30);
+    CHECK(advisor.serversNamed == 150);
 }
 
 TEST_CASE("a gang needs its tickets at the same time")
--- a/tests/support/schedulerbench.h
+++ b/tests/support/schedulerbench.h
@@ -179,6 +179,7 @@
     FakeAdvisor& useAdvisor(const Scheduling::PlacementAdvice& figures);
     /// Puts a configuration in force at all daemons that announces these figures for the queue "advised".
     void announceAdvice(const Scheduling::PlacementAdvice& figures);
+    const std::optional<Scheduling::PlacementAdvice>& announcedAdvice() const;
 
     Scheduling::SteadyTime now() const { return this->time; }
     Scheduling::StoreTime storeNow() const { return this->storeClock.at(this->time); }
--- a/tests/support/schedulerbenchdaemons.cpp
+++ b/tests/support/schedulerbenchdaemons.cpp
@@ -111,6 +111,11 @@
     this->setConfiguration(std::move(next));
 }
 
+const std::optional<PlacementAdvice>& SchedulerBench::announcedAdvice() const
+{
+    return std::ranges::find(this->configuration->queues, "advised", &Queue::name)->advice;
+}
+
 void SchedulerBench::putEntryAsOfNow(const FakeServer& server)
 {
     ServerEntry entry = server.entry;
