Advice: more tickets are tried with each call that leads to no start

What callers saw: nothing yet; found by reading. Where tickets are tried because they may count from the answer, only the first server of the answer was usable. A planner that does not use that server (reserved, claimed, avoided) started nothing, learned nothing, and the next call was the same: LOST for as long as the server is excluded.

Cause: the trial was one ticket, whatever came of it.

Why the fix works: the number of tickets that are tried doubles with each call without a start, so that after a few calls all of them are.

Before: the new case sees 1, 1, 1 and 1 usable tickets after four calls; after: 1, 2, 4 and 8.

--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t looksPerTick = 64; ///< each examines every server
 constexpr Duration firstRepeatPause { 250 }; ///< of a step whose tickets led to no start
 constexpr Duration longestRepeatPause { 1500 };
+constexpr int longestTrial = 7; ///< calls without a start, after which all tickets are tried
 constexpr Duration firstRejectionPause { 250 };
 constexpr Duration longestRejectionPause { 30'000 };
 
@@ -214,8 +215,10 @@
             : isCertain                                              ? request.selection.validityStart
                                                                      : ValidityStart::Answer);
     ticket.usableUntil = usableUntil(ticket, start);
-    // A ticket that is certainly over may be valid still. Only a start can show it, and one start is enough.
+    // A ticket that is certainly over may be valid still. Only a start can show it, and one start is enough, but the
+    // planner may have no use for the first servers.
     const bool isTrial = !proven && !isCertain && !isGang;
+    const std::size_t triedTickets = std::size_t { 1 } << std::min(step.advice.callsSinceStart, longestTrial);
     std::map<std::string, std::int64_t> unanswered;
     for (const NamedServer& server : request.selection.servers)
         unanswered.emplace(server.id, server.life);
@@ -227,7 +230,7 @@
         ++allowed;
         ticket.text = text;
         ticket.life = named->second;
-        if (isTrial && allowed > 1)
+        if (isTrial && allowed > triedTickets)
             ticket.usableUntil = now;
         step.advice.tickets[server] = ticket;
         unanswered.erase(named);
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -1,5 +1,6 @@
 // Tickets of the placement advice: how many servers a call names, from when tickets count, and when they end.
 
+#include "scheduling/advice/advicecontroller.h"
 #include "support/schedulerbench.h"
 
 #include <catch2/catch.hpp>
@@ -258,3 +259,50 @@
     CHECK(text.find("tickets for 120 servers at the same time") != std::string::npos);
     CHECK(bench.adviceCalls == 0);
 }
+
+// Guards against LOST: the single ticket that was tried could be for a server that the planner did not use.
+TEST_CASE("more tickets are tried with each call that leads to no start")
+{
+    FleetConfiguration configuration { .version = 1 };
+    configuration.queues.push_back({ .name = "advised",
+        .service = "service",
+        .advice = PlacementAdvice { .decisionTime = 2000ms, .timePerServer = 10ms, .ticketValidity = 1000ms } });
+    Board board;
+    board.configuration = std::make_shared<const FleetConfiguration>(configuration);
+    board.hasAdvisedQueues = true;
+    for (int number = 0; number < 8; ++number) {
+        const std::string id = "server-" + std::to_string(number);
+        board.servers[id] = { .address = { .id = id },
+            .service = "service",
+            .capacity = { .milliCores = 64'000, .memoryMb = 256'000, .accelerators = 8 },
+            .incarnation = 1 };
+    }
+    Job& job = board.jobs["job"];
+    job.queue = &board.configuration->queues.front();
+    job.record = { .id = "job", .account = "mill", .specification = { .steps = { makeStep(8, 8, 1s) } } };
+    Step& step = job.occurrences[0].steps.emplace_back();
+    step.tasks.resize(8);
+    step.ready = true;
+
+    SteadyTime now(1000s);
+    Effects effects;
+    Advice::AdviceController controller(board, effects);
+    controller.setClock([&]() { return now; });
+    const auto anyServer = [](const BackendServer&) { return true; };
+    std::vector<std::ptrdiff_t> usable;
+    for (int call = 0; call < 4; ++call) {
+        now += 2s; // after the pause
+        controller.tick(anyServer, now);
+        REQUIRE_FALSE(effects.empty());
+        const auto request = std::get<AdviceCall>(effects.pop());
+        AdviceAnswer answer;
+        for (const std::string& server : request.servers)
+            answer.allowed.emplace_back(server, "ticket");
+        now += 2080ms;
+        request.done(answer);
+        effects.pop(); // the log line
+        usable.push_back(std::ranges::count_if(
+            board.servers, [&](const auto& entry) { return Advice::hasTicket(*job.queue, step, entry.second, now); }));
+    }
+    CHECK(usable == std::vector<std::ptrdiff_t> { 1, 2, 4, 8 });
+}
