Advice: a start is not sent with a ticket that is over

What callers saw: rejected starts, each of which costs a further placement and the platform's price.

Cause: a run kept the text of its ticket, and nothing asked again whether it was valid when an order was sent.

Why the fix works: orderStart() takes the ticket that the step has for this life of the server now, which may be a newer one, and stops a run without one before it is sent; the task is placed again with a ticket. A rejection of a ticket that was over by any reading does not delay the next request for its server.

--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -28,14 +28,18 @@
     return std::min(pause, longest);
 }
 
-SteadyTime usableUntil(const Ticket& ticket, ValidityStart start)
+/// Sets the times until which the ticket is valid and can be used.
+void countFrom(ValidityStart start, Ticket& ticket)
 {
-    if (ticket.validity.count() <= 0)
-        return SteadyTime::max();
-    const SteadyTime end = (start == ValidityStart::Call ? ticket.calledAt : ticket.answeredAt) + ticket.validity;
+    if (ticket.validity.count() <= 0) {
+        ticket.end = ticket.usableUntil = SteadyTime::max();
+        return;
+    }
+    ticket.end = (start == ValidityStart::Call ? ticket.calledAt : ticket.answeredAt) + ticket.validity;
     // The answer has to leave as much time for the placement as for the order.
     const Duration margin = orderMargin(ticket.validity);
-    return end - (ticket.answeredAt + 2 * margin <= end ? margin : tightMargin(ticket.validity));
+    const bool isTight = ticket.answeredAt + 2 * margin > ticket.end;
+    ticket.usableUntil = ticket.end - (isTight ? tightMargin(ticket.validity) : margin);
 }
 
 Duration elapsed(SteadyTime since, SteadyTime now) { return std::chrono::duration_cast<Duration>(now - since); }
@@ -209,12 +213,14 @@
     const Duration validity = answer.validity.count() > 0 ? answer.validity : request.figures.ticketValidity;
     const std::optional<ValidityStart> proven = this->evidence.proven(now);
     Ticket ticket { .calledAt = request.sentAt, .answeredAt = now, .validity = validity };
-    const bool isCertain = now < usableUntil(ticket, ValidityStart::Call);
+    countFrom(ValidityStart::Call, ticket);
+    const bool isCertain = now < ticket.usableUntil;
     const bool isGang = this->board.stepOf(request.step).gang;
     const ValidityStart start = proven.value_or(isCertain && !isGang ? ValidityStart::Call
             : isCertain                                              ? request.selection.validityStart
                                                                      : ValidityStart::Answer);
-    ticket.usableUntil = usableUntil(ticket, start);
+    countFrom(start, ticket);
+    const SteadyTime usableUntil = ticket.usableUntil;
     // A ticket that is certainly over may be valid still. Only a start can show it, and one start is enough, but the
     // planner may have no use for the first servers.
     const bool isTrial = !proven && !isCertain && !isGang;
@@ -244,8 +250,7 @@
     if (unanswered.empty() && step.advice.callsSinceStart > 1)
         step.advice.nextLookAt
             = now + pauseAfter(step.advice.callsSinceStart - 1, firstRepeatPause, longestRepeatPause);
-    const SteadyTime end = usableUntil(ticket, start);
-    const Duration usable = end == SteadyTime::max() ? Duration::max() : elapsed(now, end);
+    const Duration usable = usableUntil == SteadyTime::max() ? Duration::max() : elapsed(now, usableUntil);
     const bool areUsable = allowed == 0 || usable.count() > 0;
     this->effects.log(areUsable ? Event::AdviceTaken : Event::TicketsUnusable,
         { { "step", formatTaskName(request.step) }, { "asked", request.selection.servers.size() },
@@ -272,6 +277,9 @@
         tickets.rejections.erase(used.server);
         return;
     }
+    // The next ticket is requested without a pause when this one was over, whatever its validity counts from.
+    if (known->second.validity.count() > 0 && used.sentAt >= known->second.answeredAt + known->second.validity)
+        return;
     Rejection& rejection = tickets.rejections[used.server];
     if (rejection.life != known->second.life)
         rejection = { .life = known->second.life };
@@ -297,7 +305,7 @@
             for (Step& step : occurrence.steps) {
                 for (auto& [server, ticket] : step.advice.tickets) {
                     if (!ticket.text.empty())
-                        ticket.usableUntil = usableUntil(ticket, start);
+                        countFrom(start, ticket);
                 }
             }
         }
--- a/src/libs/scheduling/advice/steptickets.cpp
+++ b/src/libs/scheduling/advice/steptickets.cpp
@@ -15,4 +15,11 @@
     return now < ticket->second.usableUntil ? TicketState::Usable : TicketState::Expired;
 }
 
+std::string StepTickets::textFor(const std::string& server, std::int64_t life, SteadyTime now) const
+{
+    const auto ticket = this->tickets.find(server);
+    const bool isValid = ticket != this->tickets.end() && ticket->second.life == life && now < ticket->second.end;
+    return isValid ? ticket->second.text : std::string();
+}
+
 } // namespace WisteriaHill::Scheduling::Advice
--- a/src/libs/scheduling/advice/steptickets.h
+++ b/src/libs/scheduling/advice/steptickets.h
@@ -19,7 +19,8 @@
     SteadyTime calledAt {}; ///< when the call was sent
     SteadyTime answeredAt {};
     Duration validity { 0 }; ///< zero when unknown
-    SteadyTime usableUntil {}; ///< a start order sent before arrives in time
+    SteadyTime end {}; ///< it is not valid any more, as far as is known
+    SteadyTime usableUntil {}; ///< a run placed before starts in time
 };
 
 /// A ticket that its server has rejected though it counted as valid.
@@ -47,6 +48,9 @@
     int callsSinceStart = 0; ///< answered calls since one of its tasks was placed last
 
     TicketState stateOf(const std::string& server, std::int64_t life, SteadyTime now) const;
+
+    /// The text of a ticket that is valid when an order is sent now; empty when there is none.
+    std::string textFor(const std::string& server, std::int64_t life, SteadyTime now) const;
 };
 
 } // namespace WisteriaHill::Scheduling::Advice
--- a/src/libs/scheduling/serverstarts.cpp
+++ b/src/libs/scheduling/serverstarts.cpp
@@ -80,6 +80,14 @@
         this->changed = true;
         return;
     }
+    if (!run.ticket.empty()) {
+        run.ticket = this->board.findStep(name)->advice.textFor(run.server, server.startOfLife(), now);
+        if (run.ticket.empty()) {
+            this->tracker.requestStop(name, "its ticket is over", now);
+            this->changed = true;
+            return;
+        }
+    }
     run.orderOpen = true;
     if (!run.firstSentAt)
         run.firstSentAt = now;
--- a/tests/auto/scheduling/tst_scheduler_advice.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advice.cpp
@@ -260,6 +260,20 @@
     CHECK(bench.adviceCalls == 0);
 }
 
+// Guards against starts that are certain to be rejected: the order was repeated with a ticket that had ended.
+TEST_CASE("a start without an answer is not repeated with a ticket that is over")
+{
+    SchedulerBench bench({});
+    FakeAdvisor& advisor = bench.useAdvisor({ .decisionTime = 100ms, .timePerServer = 10ms, .ticketValidity = 400ms });
+    bench.run(2s);
+    for (std::size_t index = 0; index < bench.serverCount(); ++index)
+        bench.server(index).startsToDelay = 1;
+    bench.submit("job", "advised", { makeStep(1, 8, 1s) });
+    CHECK(bench.runUntil("job", JobState::Completed, 30s));
+    CHECK(advisor.rejectedStarts == 0);
+    CHECK(bench.violations().empty());
+}
+
 // Guards against LOST: the single ticket that was tried could be for a server that the planner did not use.
 TEST_CASE("more tickets are tried with each call that leads to no start")
 {
