--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t looksPerTick = 64; ///< each examines every server
 constexpr Duration firstRepeatPause { 250 }; ///< of a step whose tickets led to no start
 constexpr Duration longestRepeatPause { 1500 };
-constexpr int longestTrial = 7; ///< calls without a start, after which all tickets are tried
+constexpr int trialDoublings = 7; ///< the service takes calls of up to 100 servers
 constexpr Duration firstRejectionPause { 250 };
 constexpr Duration longestRejectionPause { 30'000 };
 
@@ -224,14 +224,15 @@
     // A ticket that is certainly over may be valid still. Only a start can show it, and one start is enough, but the
     // planner may have no use for the first servers.
     const bool isTrial = !proven && !isCertain && !isGang;
-    const std::size_t triedTickets = std::size_t { 1 } << std::min(step.advice.callsSinceStart, longestTrial);
-    std::map<std::string, std::int64_t> unanswered;
+    const std::size_t triedTickets = std::size_t { 1 } << std::min(step.advice.callsSinceStart, trialDoublings);
+    // The servers that the answer does not allow, with their lives.
+    std::map<std::string, std::int64_t> refused;
     for (const NamedServer& server : request.selection.servers)
-        unanswered.emplace(server.id, server.life);
+        refused.emplace(server.id, server.life);
     std::size_t allowed = 0;
     for (const auto& [server, text] : answer.allowed) {
-        const auto named = unanswered.find(server);
-        if (named == unanswered.end())
+        const auto named = refused.find(server);
+        if (named == refused.end())
             continue;
         ++allowed;
         ticket.text = text;
@@ -239,15 +240,15 @@
         if (isTrial && allowed > triedTickets)
             ticket.usableUntil = now;
         step.advice.tickets[server] = ticket;
-        unanswered.erase(named);
+        refused.erase(named);
     }
-    for (const auto& [server, life] : unanswered) {
+    for (const auto& [server, life] : refused) {
         step.advice.denied[server] = life;
         step.advice.tickets.erase(server);
     }
     ++step.advice.callsSinceStart;
     // A denial is news: the next call names other servers.
-    if (unanswered.empty() && step.advice.callsSinceStart > 1)
+    if (refused.empty() && step.advice.callsSinceStart > 1)
         step.advice.nextLookAt
             = now + pauseAfter(step.advice.callsSinceStart - 1, firstRepeatPause, longestRepeatPause);
     const Duration usable = usableUntil == SteadyTime::max() ? Duration::max() : elapsed(now, usableUntil);
--- a/src/libs/scheduling/advice/servicetiming.h
+++ b/src/libs/scheduling/advice/servicetiming.h
@@ -12,7 +12,7 @@
     /// Takes over the figures of the configuration in force. What was learned under other figures is forgotten.
     void announce(const PlacementAdvice& figures);
 
-    /// The figures to count with. What was learned is left out once it is older than a few calls.
+    /// The figures to count with. What was learned holds for a minute after the last call.
     PlacementAdvice figures(SteadyTime now) const;
 
     /// How long a call that names so many servers may take before it is given up.
