Advice: a late order is sent while no start has shown from when tickets count

Cause: stops a start whose ticket is over. A task that is suspected of a crash waits for a fresh look at its server before its start is sent, and with a validity of 250 ms, of which 200 pass in the call, its ticket was over each time by the certain reading. Nothing was sent, so nothing showed that tickets count from the answer.

Why the fix works: until a start has shown from when tickets count, a ticket is over for an order only when it is over by both readings. A rejection then shows the answer, as does an acceptance.

--- a/src/libs/scheduling/advice/advicecontroller.cpp
+++ b/src/libs/scheduling/advice/advicecontroller.cpp
@@ -221,6 +221,9 @@
                                                                      : ValidityStart::Answer);
     countFrom(start, ticket);
     const SteadyTime usableUntil = ticket.usableUntil;
+    // An order that is late is still sent while no start has shown from when tickets count: its answer shows it.
+    if (!proven && validity.count() > 0)
+        ticket.end = now + validity;
     // A ticket that is certainly over may be valid still. Only a start can show it, and one start is enough, but the
     // planner may have no use for the first servers.
     const bool isTrial = !proven && !isCertain && !isGang;
--- a/tests/auto/scheduling/tst_scheduler_advicesearch.cpp
+++ b/tests/auto/scheduling/tst_scheduler_advicesearch.cpp
@@ -235,6 +235,16 @@
 
 } // namespace
 
+// Guards against LOST: a task whose start had to wait for a look at its server was placed and stopped without end.
+TEST_CASE("late orders teach from when tickets count")
+{
+    const unsigned seed = GENERATE(1276U, 1685U, 1906U);
+    Search search(seed);
+    const int left = search.play();
+    CAPTURE(seed, search.describe());
+    CHECK(left == 0);
+}
+
 // By hand: WISTERIAHILL_FIRST_SEED=1000 WISTERIAHILL_HISTORIES=500, each history with a seed of its own.
 TEST_CASE("whatever the placement advice announces and suffers, every job of its queue ends after the faults")
 {
